Lay out the workspace and the kernel's interfaces

Four packages, two binaries, the lock, the checks, and the interfaces that the subsystems are built against: clock, registries, ports, facts, the pointer to the configuration in force, the closed list of error kinds.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Each target sets up what it needs: a virtual environment from the lock.
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+PACKAGES := packages/bluebellslip packages/bluebellslip-node packages/bluebellslip-cli packages/bluebellslip-lab
+SOURCES := packages tests bench
+
+.PHONY: setup test lint types format demo bench capacity check
+
+setup: $(STAMP)
+
+$(STAMP): requirements.lock $(PACKAGES:%=%/pyproject.toml)
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --requirement requirements.lock
+	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation $(PACKAGES:%=--editable %)
+	touch $(STAMP)
+
+test: setup
+	$(PYTHON) -m pytest
+
+lint: setup
+	$(VENV)/bin/ruff format --check $(SOURCES)
+	$(VENV)/bin/ruff check $(SOURCES)
+	$(VENV)/bin/flake8 $(SOURCES)
+
+types: setup
+	$(VENV)/bin/mypy packages bench
+
+format: setup
+	$(VENV)/bin/ruff format $(SOURCES)
+	$(VENV)/bin/ruff check --fix $(SOURCES)
+
+check: lint types test
+
+demo: setup
+	$(PYTHON) -m bluebellslip_lab.demo
+
+bench: setup
+	$(PYTHON) -m bench
+
+capacity: setup
+	$(PYTHON) -m bench.capacity
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each prints ratios taken in one run."""
--- /dev/null
+++ b/packages/bluebellslip-cli/src/bluebellslip_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line of bluebellslip."""
--- /dev/null
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load generator and experiments of bluebellslip; not shipped."""
--- /dev/null
+++ b/packages/bluebellslip-node/src/bluebellslip_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node of bluebellslip: one process beside each backend server."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution for a service mesh: kernel and plug-ins."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Everything of bluebellslip that is not promised to importers."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: parser, options, status codes."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/exceptions.py
@@ -0,0 +1,169 @@
+"""The closed list of error kinds and the errors that carry them."""
+
+import enum
+from collections.abc import Mapping
+from typing import ClassVar
+
+
+@enum.unique
+class ErrorKind(enum.StrEnum):
+    """Every way in which the system can refuse or fail."""
+
+    MALFORMED = 'malformed'
+    TOO_LARGE = 'too-large'
+    UNAUTHENTICATED = 'unauthenticated'
+    FORBIDDEN = 'forbidden'
+    NOT_FOUND = 'not-found'
+    CONFLICT = 'conflict'
+    INVALID_CONFIG = 'invalid-config'
+    INVALID_SETTINGS = 'invalid-settings'
+    KEY_MISSING = 'idempotency-key-missing'
+    KEY_REUSED = 'idempotency-key-reused'
+    OUTCOME_UNKNOWN = 'outcome-unknown'
+    OVERLOADED = 'overloaded'
+    DRAINING = 'draining'
+    VERSION_STOPPED = 'version-stopped'
+    NO_SERVER = 'no-server'
+    NOT_READY = 'not-ready'
+    DEADLINE_EXCEEDED = 'deadline-exceeded'
+    SERVER_FAILED = 'server-failed'
+    PLATFORM_DOWN = 'platform-down'
+    PLATFORM_UNKNOWN = 'platform-outcome-unknown'
+    PLATFORM_GARBLED = 'platform-garbled'
+    PEER_GARBLED = 'peer-garbled'
+    INTERNAL = 'internal'
+
+
+class BluebellError(Exception):
+    """Base of all errors that the system raises on purpose.
+
+    Parameters
+    ----------
+    message
+        What went wrong, one sentence.
+    context
+        Where it went wrong: file, path in the document, key, address.
+    hint
+        What the reader can do about it.
+    """
+
+    kind: ClassVar[ErrorKind] = ErrorKind.INTERNAL
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        context: Mapping[str, str] | None = None,
+        hint: str = '',
+    ) -> None:
+        super().__init__(message)
+        self.message = message
+        self.context = dict(context or {})
+        self.hint = hint
+
+    def __str__(self) -> str:
+        where = ', '.join(
+            f'{name}: {text}' for name, text in self.context.items()
+        )
+        parts = [self.message]
+        if where:
+            parts.append(f'({where})')
+        if self.hint:
+            parts.append(f'Hint: {self.hint}')
+        return ' '.join(parts)
+
+
+class MalformedError(BluebellError):
+    """Input that can't be parsed."""
+
+    kind = ErrorKind.MALFORMED
+
+
+class TooLargeError(BluebellError):
+    """Input over a stated bound."""
+
+    kind = ErrorKind.TOO_LARGE
+
+
+class UnauthenticatedError(BluebellError):
+    """No token, or one that nobody holds."""
+
+    kind = ErrorKind.UNAUTHENTICATED
+
+
+class ForbiddenError(BluebellError):
+    """A token without the scope that the action needs."""
+
+    kind = ErrorKind.FORBIDDEN
+
+
+class NotFoundError(BluebellError):
+    """A name that nothing answers to."""
+
+    kind = ErrorKind.NOT_FOUND
+
+
+class ConflictError(BluebellError):
+    """A change that lost against another one."""
+
+    kind = ErrorKind.CONFLICT
+
+
+class InvalidConfigError(BluebellError):
+    """A declared configuration that can't be applied."""
+
+    kind = ErrorKind.INVALID_CONFIG
+
+
+class InvalidSettingsError(BluebellError):
+    """Settings of a process that can't be used."""
+
+    kind = ErrorKind.INVALID_SETTINGS
+
+
+class OutcomeUnknownError(BluebellError):
+    """Work that may or may not have run; it is never run again."""
+
+    kind = ErrorKind.OUTCOME_UNKNOWN
+
+
+class OverloadedError(BluebellError):
+    """Work refused before it ran, for want of room or time."""
+
+    kind = ErrorKind.OVERLOADED
+
+
+class DrainingError(BluebellError):
+    """Work refused before it ran, since the server is leaving."""
+
+    kind = ErrorKind.DRAINING
+
+
+class NotReadyError(BluebellError):
+    """The node holds no configuration that it may serve from yet."""
+
+    kind = ErrorKind.NOT_READY
+
+
+class PlatformDownError(BluebellError):
+    """The platform refused or could not be reached; nothing took effect."""
+
+    kind = ErrorKind.PLATFORM_DOWN
+
+
+class PlatformUnknownError(BluebellError):
+    """The platform's answer was lost; a write may have taken effect."""
+
+    kind = ErrorKind.PLATFORM_UNKNOWN
+
+
+class PlatformGarbledError(BluebellError):
+    """The platform answered what can't be an answer."""
+
+    kind = ErrorKind.PLATFORM_GARBLED
+
+
+class PeerGarbledError(BluebellError):
+    """A message of a peer that can't be decoded or verified."""
+
+    kind = ErrorKind.PEER_GARBLED
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""The kernel: clock, registries, ports and the state that plug-ins share."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/applied.py
@@ -0,0 +1,65 @@
+"""The configuration in force on this node: one pointer, which only rises."""
+
+import enum
+from collections.abc import Callable
+
+from bluebellslip._internal.models.snapshot import Snapshot
+
+
+@enum.unique
+class Applying(enum.Enum):
+    """What became of an attempt to apply a snapshot."""
+
+    APPLIED = 'applied'
+    STALE = 'stale'
+
+
+class AppliedConfig:
+    """Holder of the snapshot in force.
+
+    ``floor`` is the least revision that may be applied or served from. It is
+    raised by what peers and the platform remember of this node, so that a
+    node which restarts without a disk never serves an older revision than
+    it did before.
+    """
+
+    def __init__(self) -> None:
+        self._current: Snapshot | None = None
+        self._floor = 0
+        self._listeners: list[Callable[[Snapshot], None]] = []
+
+    @property
+    def current(self) -> Snapshot | None:
+        """The snapshot in force; none while the node is not ready."""
+        if self._current is None or self._current.revision < self._floor:
+            return None
+        return self._current
+
+    @property
+    def revision(self) -> int:
+        """The greatest revision that was ever in force here; 0 for none."""
+        return 0 if self._current is None else self._current.revision
+
+    @property
+    def floor(self) -> int:
+        """The least revision that may be served from."""
+        return self._floor
+
+    def raise_floor(self, revision: int) -> None:
+        """Forbid all revisions below the given one."""
+        self._floor = max(self._floor, revision)
+
+    def subscribe(self, listener: Callable[[Snapshot], None]) -> None:
+        """Call the listener after every change of the snapshot in force."""
+        self._listeners.append(listener)
+
+    def apply(self, snapshot: Snapshot) -> Applying:
+        """Put a snapshot in force as a whole, unless it is not newer."""
+        if snapshot.revision <= self.revision:
+            return Applying.STALE
+        if snapshot.revision < self._floor:
+            return Applying.STALE
+        self._current = snapshot
+        for listener in self._listeners:
+            listener(snapshot)
+        return Applying.APPLIED
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/context.py
@@ -0,0 +1,100 @@
+"""What every plug-in is built from."""
+
+import dataclasses
+from random import Random
+from typing import TypeVar
+
+from bluebellslip._internal.exceptions import NotFoundError
+from bluebellslip._internal.kernel.applied import AppliedConfig
+from bluebellslip._internal.kernel.clock import Clock
+from bluebellslip._internal.kernel.counters import Counters
+from bluebellslip._internal.kernel.directory import Directory
+from bluebellslip._internal.kernel.facts import FactStore
+from bluebellslip._internal.kernel.moves import MoveBook
+from bluebellslip._internal.models.identity import (
+    Address,
+    Locality,
+    NodeId,
+)
+from bluebellslip._internal.models.settings import NodeSettings
+
+_Port = TypeVar('_Port')
+
+
+class Ports:
+    """Implementations by interface, entered by the plug-ins at their start."""
+
+    def __init__(self) -> None:
+        self._entries: dict[type[object], object] = {}
+
+    def provide(self, interface: type[_Port], implementation: _Port) -> None:
+        """Enter the implementation of an interface."""
+        self._entries[interface] = implementation
+
+    def get(self, interface: type[_Port]) -> _Port:
+        """Return the implementation of an interface.
+
+        Raises
+        ------
+        NotFoundError
+            When no plug-in of an earlier stage provides it.
+        """
+        try:
+            return self._entries[interface]  # type: ignore[return-value]
+        except KeyError:
+            raise NotFoundError(
+                'No plug-in provides this interface.',
+                context={'interface': interface.__name__},
+            ) from None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Context:
+    """State and interfaces that the plug-ins of one node share."""
+
+    settings: NodeSettings
+    clock: Clock
+    random: Random
+    counters: Counters
+    facts: FactStore
+    applied: AppliedConfig
+    directory: Directory
+    moves: MoveBook
+    ports: Ports
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: NodeSettings,
+        clock: Clock,
+        random_source: Random,
+        counters: Counters,
+    ) -> 'Context':
+        """Build the shared state of a node that knows nothing yet."""
+        facts = FactStore()
+        return cls(
+            settings=settings,
+            clock=clock,
+            random=random_source,
+            counters=counters,
+            facts=facts,
+            applied=AppliedConfig(),
+            directory=Directory(facts),
+            moves=MoveBook(facts),
+            ports=Ports(),
+        )
+
+    @property
+    def node(self) -> NodeId:
+        """The node's own name."""
+        return NodeId(self.settings.node)
+
+    @property
+    def locality(self) -> Locality:
+        """Where the node stands."""
+        return Locality(self.settings.region, self.settings.failure_domain)
+
+    @property
+    def peer_address(self) -> Address:
+        """Where the node listens to its peers."""
+        return Address.from_text(self.settings.listen.peer)
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/directory.py
@@ -0,0 +1,84 @@
+"""Backend servers by service, kept from the members' facts."""
+
+import dataclasses
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Final
+
+from bluebellslip._internal.kernel.facts import FactStore
+from bluebellslip._internal.models.facts import (
+    Backend,
+    MemberFact,
+    MemberStatus,
+)
+from bluebellslip._internal.models.identity import (
+    Address,
+    Locality,
+    NodeId,
+    ServiceName,
+)
+
+_RECEIVES_WORK: Final = frozenset((MemberStatus.ALIVE, MemberStatus.SUSPECT))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """A backend server that may get new work, behind the node beside it."""
+
+    node: NodeId
+    incarnation: int
+    ingress: Address
+    locality: Locality
+    backend: Backend
+    suspect: bool
+
+
+class Directory:
+    """Endpoints of every service.
+
+    Parameters
+    ----------
+    facts
+        The store whose members are followed.
+    """
+
+    def __init__(self, facts: FactStore) -> None:
+        self._by_service: dict[ServiceName, dict[NodeId, Endpoint]] = (
+            defaultdict(dict)
+        )
+        self._service_of: dict[NodeId, ServiceName] = {}
+        self._lists: dict[ServiceName, tuple[Endpoint, ...]] = {}
+        self._listeners: list[Callable[[ServiceName], None]] = []
+        facts.subscribe(MemberFact, self._follow)
+
+    def endpoints(self, service: ServiceName) -> tuple[Endpoint, ...]:
+        """Return the servers of a service that may get new work."""
+        return self._lists.get(service, ())
+
+    def subscribe(self, listener: Callable[[ServiceName], None]) -> None:
+        """Call the listener with each service whose endpoints changed."""
+        self._listeners.append(listener)
+
+    def _follow(self, fact: MemberFact) -> None:
+        previous = self._service_of.pop(fact.node, None)
+        if previous is not None:
+            self._by_service[previous].pop(fact.node, None)
+            self._renew(previous)
+        if fact.backend is None or fact.status not in _RECEIVES_WORK:
+            return
+        service = fact.backend.service
+        self._service_of[fact.node] = service
+        self._by_service[service][fact.node] = Endpoint(
+            node=fact.node,
+            incarnation=fact.incarnation,
+            ingress=fact.ingress,
+            locality=fact.locality,
+            backend=fact.backend,
+            suspect=fact.status is MemberStatus.SUSPECT,
+        )
+        self._renew(service)
+
+    def _renew(self, service: ServiceName) -> None:
+        self._lists[service] = tuple(self._by_service[service].values())
+        for listener in self._listeners:
+            listener(service)
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/moves.py
@@ -0,0 +1,86 @@
+"""What ordinary routing must know of moves between versions."""
+
+import dataclasses
+
+from bluebellslip._internal.kernel.facts import FactStore
+from bluebellslip._internal.models.facts import (
+    FULL_SHARE,
+    MoveFact,
+    MoveState,
+    StopFact,
+)
+from bluebellslip._internal.models.identity import (
+    MoveId,
+    ServiceName,
+    VersionName,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VersionSplit:
+    """How a service's calls divide between two versions.
+
+    ``share`` is the new version's part in basis points; ``stopped`` says
+    that the new version gets nothing, whatever the share.
+    """
+
+    move: MoveId
+    old: VersionName
+    new: VersionName
+    share: int
+    state: MoveState
+    stopped: bool
+
+    @property
+    def new_share(self) -> int:
+        """Basis points of calls that the new version is to get now."""
+        if self.stopped or self.state is MoveState.WITHDRAWN:
+            return 0
+        if self.state is MoveState.DONE:
+            return FULL_SHARE
+        return self.share
+
+
+class MoveBook:
+    """The newest move of every service, kept from facts.
+
+    Parameters
+    ----------
+    facts
+        The store whose moves and stops are followed.
+    """
+
+    def __init__(self, facts: FactStore) -> None:
+        self._facts = facts
+        self._splits: dict[ServiceName, VersionSplit] = {}
+        facts.subscribe(MoveFact, self._follow_move)
+        facts.subscribe(StopFact, self._follow_stop)
+
+    def split(self, service: ServiceName) -> VersionSplit | None:
+        """Return how a service's calls divide, if it ever had a move."""
+        return self._splits.get(service)
+
+    def is_stopped(self, service: ServiceName, version: VersionName) -> bool:
+        """Tell whether a version must get no new work."""
+        split = self._splits.get(service)
+        if split is None or split.new != version:
+            return False
+        return split.stopped or split.state is MoveState.WITHDRAWN
+
+    def _follow_move(self, fact: MoveFact) -> None:
+        stop = self._facts.find(f'stop/{fact.service}/{fact.move}')
+        self._splits[fact.service] = VersionSplit(
+            move=fact.move,
+            old=fact.old,
+            new=fact.new,
+            share=fact.share,
+            state=fact.state,
+            stopped=stop is not None,
+        )
+
+    def _follow_stop(self, fact: StopFact) -> None:
+        split = self._splits.get(fact.service)
+        if split is not None and split.move == fact.move:
+            self._splits[fact.service] = dataclasses.replace(
+                split, stopped=True
+            )
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/node.py
@@ -0,0 +1,74 @@
+"""The node: plug-ins in their order, and a graceful stop."""
+
+import datetime as dt
+import logging
+import signal
+
+import anyio
+from anyio.abc import TaskGroup
+
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.plugin import Plugin, plugins
+from bluebellslip._internal.utils.durations import parse_duration
+
+logger = logging.getLogger(__name__)
+
+
+class Node:
+    """One process beside a backend server.
+
+    Parameters
+    ----------
+    context
+        State and interfaces that the plug-ins share.
+    parts
+        The plug-ins in the order of their start.
+    drain_timeout
+        Longest time that work in flight is waited for.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        parts: tuple[Plugin, ...],
+        drain_timeout: dt.timedelta,
+    ) -> None:
+        self._context = context
+        self._parts = parts
+        self._drain_timeout = drain_timeout
+
+    @classmethod
+    def from_context(cls, context: Context) -> 'Node':
+        """Build every registered plug-in."""
+        kinds = sorted(
+            (plugins.find(name) for name in plugins),
+            key=lambda kind: kind.stage,
+        )
+        return cls(
+            context,
+            tuple(kind.from_context(context) for kind in kinds),
+            parse_duration(context.settings.drain),
+        )
+
+    async def run(self) -> None:
+        """Work until SIGTERM or SIGINT, then stop without cutting work."""
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async with anyio.create_task_group() as group:
+                await self._start(group)
+                await anext(signals)
+                logger.info('draining', extra={'node': self._context.node})
+                await self._drain()
+                group.cancel_scope.cancel()
+        logger.info('stopped', extra={'node': self._context.node})
+
+    async def _start(self, group: TaskGroup) -> None:
+        for part in self._parts:
+            await group.start(part.run)
+        logger.info('started', extra={'node': self._context.node})
+
+    async def _drain(self) -> None:
+        with anyio.move_on_after(self._drain_timeout.total_seconds()):
+            for part in reversed(self._parts):
+                await part.drain()
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Data of the system, without input or output."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/facts.py
@@ -0,0 +1,178 @@
+"""Facts that nodes tell each other; the newer of two wins everywhere.
+
+A fact is identified by its key. Of two facts with one key, the one with the
+greater rank replaces the other, in whatever order they arrive; so merging is
+commutative, associative and idempotent.
+"""
+
+import datetime as dt
+import enum
+from typing import ClassVar, Final
+
+import msgspec
+
+from bluebellslip._internal.models.identity import (
+    Address,
+    Locality,
+    MoveId,
+    NodeId,
+    ServiceName,
+    VersionName,
+)
+
+FULL_SHARE: Final = 10_000  # basis points of a service's calls
+
+
+@enum.unique
+class MemberStatus(enum.IntEnum):
+    """Condition of a member; within one incarnation the greater wins."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DRAINING = 2
+    DEAD = 3
+
+
+@enum.unique
+class MoveState(enum.IntEnum):
+    """State of a move; the last two are final."""
+
+    MOVING = 0
+    DONE = 1
+    WITHDRAWN = 2
+
+
+class Fact(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Base of all facts."""
+
+    urgent: ClassVar[bool] = False
+
+    @property
+    def key(self) -> str:
+        """Name under which the fact replaces earlier ones."""
+        raise NotImplementedError
+
+    @property
+    def rank(self) -> tuple[int, ...]:
+        """Order among facts of the same key."""
+        raise NotImplementedError
+
+
+class Backend(msgspec.Struct, frozen=True, array_like=True):
+    """A backend server as announced to the node beside it.
+
+    ``slots`` and ``connections`` bound the requests that run at once and the
+    connections that the server accepts.
+    """
+
+    service: ServiceName
+    version: VersionName
+    address: Address
+    slots: int
+    connections: int
+
+
+class MemberFact(Fact, frozen=True, tag='member', array_like=True):
+    """A node, and the backend server beside it.
+
+    ``incarnation`` is milliseconds of the wall clock at the node's start,
+    raised by one whenever the node refutes a suspicion. ``changed`` counts
+    the node's own changes of the record within an incarnation.
+    """
+
+    node: NodeId
+    incarnation: int
+    status: MemberStatus
+    changed: int
+    locality: Locality
+    peer: Address
+    ingress: Address
+    applied: int
+    backend: Backend | None = None
+
+    @property
+    def key(self) -> str:
+        """Name under which the fact replaces earlier ones."""
+        return f'member/{self.node}'
+
+    @property
+    def rank(self) -> tuple[int, ...]:
+        """Incarnation first, then the member's own changes, then status."""
+        return (self.incarnation, self.changed, self.status)
+
+
+class HeadFact(Fact, frozen=True, tag='head', array_like=True):
+    """The newest accepted configuration that the sender knows of."""
+
+    revision: int
+    digest: str
+
+    @property
+    def key(self) -> str:
+        """Name under which the fact replaces earlier ones."""
+        return 'head'
+
+    @property
+    def rank(self) -> tuple[int, ...]:
+        """The revision."""
+        return (self.revision,)
+
+
+class MoveFact(Fact, frozen=True, tag='move', array_like=True):
+    """The newest committed step of a service's newest move.
+
+    ``step`` is the version of the move's row in the table, which rises with
+    every step and every later move of the service. ``share`` is in basis
+    points of the service's calls.
+    """
+
+    service: ServiceName
+    move: MoveId
+    step: int
+    epoch: int
+    state: MoveState
+    old: VersionName
+    new: VersionName
+    share: int
+    started: dt.datetime
+    deadline: dt.datetime
+    steward: NodeId
+    reason: str = ''
+
+    urgent: ClassVar[bool] = True
+
+    @property
+    def key(self) -> str:
+        """Name under which the fact replaces earlier ones."""
+        return f'move/{self.service}'
+
+    @property
+    def rank(self) -> tuple[int, ...]:
+        """The row's version."""
+        return (self.step,)
+
+
+class StopFact(Fact, frozen=True, tag='stop', array_like=True):
+    """A latch: the new version of one move gets no more work.
+
+    It is set once and never cleared; a later move has another name.
+    """
+
+    service: ServiceName
+    move: MoveId
+    version: VersionName
+    set_by: NodeId
+    set_at: dt.datetime
+    reason: str
+
+    urgent: ClassVar[bool] = True
+
+    @property
+    def key(self) -> str:
+        """Name under which the fact replaces earlier ones."""
+        return f'stop/{self.service}/{self.move}'
+
+    @property
+    def rank(self) -> tuple[int, ...]:
+        """Constant: the first setting stands."""
+        return (0,)
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/identity.py
@@ -0,0 +1,50 @@
+"""Names and places of the parts of a mesh."""
+
+from typing import NewType, Self
+
+import msgspec
+
+from bluebellslip._internal.exceptions import MalformedError
+
+NodeId = NewType('NodeId', str)
+ServiceName = NewType('ServiceName', str)
+VersionName = NewType('VersionName', str)
+RouteName = NewType('RouteName', str)
+MoveId = NewType('MoveId', str)
+
+_PORT_LIMIT = 65536
+
+
+class Address(msgspec.Struct, frozen=True, order=True):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def from_text(cls, text: str) -> Self:
+        """Parse ``host:port``.
+
+        Raises
+        ------
+        MalformedError
+            When the text has no port between 1 and 65535.
+        """
+        host, _, port = text.rpartition(':')
+        if not host or not port.isdecimal() or int(port) >= _PORT_LIMIT:
+            raise MalformedError(
+                'An address must read host:port.',
+                context={'found': text},
+                hint='Write for example 127.0.0.1:7000.',
+            )
+        return cls(host.strip('[]'), int(port))
+
+    def __str__(self) -> str:
+        return f'{self.host}:{self.port}'
+
+
+class Locality(msgspec.Struct, frozen=True, order=True):
+    """Where an instance stands."""
+
+    region: str
+    failure_domain: str
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/settings.py
@@ -0,0 +1,63 @@
+"""Settings of one node: the border's validated form."""
+
+from typing import Annotated
+
+import msgspec
+
+from bluebellslip._internal.models.config import DurationText, Name
+
+AddressText = Annotated[str, msgspec.Meta(pattern='^.+:[0-9]{1,5}$')]
+Url = Annotated[str, msgspec.Meta(pattern='^https?://')]
+
+
+class _Setting(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of the parts of settings: unknown keys are errors."""
+
+
+class ListenSettings(_Setting, frozen=True):
+    """Addresses that the node listens at.
+
+    ``egress`` takes calls from beside the node, ``ingress`` calls from
+    other nodes, ``peer`` control over UDP and TCP, ``admin`` operators.
+    """
+
+    egress: AddressText
+    ingress: AddressText
+    peer: AddressText
+    admin: AddressText
+
+
+class PlatformSettings(_Setting, frozen=True):
+    """The platform's table service and object store."""
+
+    table: Url
+    objects: Url
+    timeout: DurationText = '2s'
+
+
+class TokenSettings(_Setting, frozen=True):
+    """A token's holder and scopes; the token itself is kept as its digest.
+
+    ``digest`` is the SHA-256 of the token in hexadecimal. Scopes are
+    ``read``, ``apply``, ``move``, ``announce`` or, limited to one team,
+    ``apply:TEAM`` and ``move:TEAM``.
+    """
+
+    holder: Name
+    digest: Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
+    scopes: tuple[str, ...]
+
+
+class NodeSettings(_Setting, frozen=True):
+    """Settings of one node."""
+
+    node: Name
+    mesh: Name
+    region: Name
+    failure_domain: Name
+    listen: ListenSettings
+    platform: PlatformSettings
+    peer_key: Annotated[str, msgspec.Meta(min_length=16)]
+    seeds: tuple[AddressText, ...] = ()
+    tokens: tuple[TokenSettings, ...] = ()
+    drain: DurationText = '30s'
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""The node process: its plug-ins, assembled."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/loading.py
@@ -0,0 +1,12 @@
+"""Imports of the plug-ins, which register themselves."""
+
+import importlib
+from typing import Final
+
+PLUGIN_MODULES: Final[tuple[str, ...]] = ()
+
+
+def load_plugins() -> None:
+    """Import every module that registers a plug-in."""
+    for module in PLUGIN_MODULES:
+        importlib.import_module(module)
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers, one topic a module."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/utils/digests.py
@@ -0,0 +1,49 @@
+"""Content digests and the stored form of snapshots."""
+
+import hashlib
+
+import msgspec
+
+from bluebellslip._internal.exceptions import InvalidConfigError
+from bluebellslip._internal.models.config import SnapshotRecord
+from bluebellslip._internal.models.snapshot import Snapshot
+
+_DIGEST_BYTES = 16
+
+_encoder = msgspec.msgpack.Encoder(order='deterministic')
+_decoder = msgspec.msgpack.Decoder(SnapshotRecord)
+
+
+def compute_digest(body: bytes) -> str:
+    """Return the content digest of a body, in hexadecimal."""
+    return hashlib.blake2b(body, digest_size=_DIGEST_BYTES).hexdigest()
+
+
+def encode_record(record: SnapshotRecord) -> bytes:
+    """Return the one encoding of a record that its digest is taken of."""
+    return _encoder.encode(record)
+
+
+def decode_snapshot(body: bytes, digest: str) -> Snapshot:
+    """Check a stored body against its digest and build the snapshot.
+
+    Raises
+    ------
+    InvalidConfigError
+        When the body is corrupt or its references don't hold.
+    """
+    found = compute_digest(body)
+    if found != digest:
+        raise InvalidConfigError(
+            'A stored snapshot is corrupt.',
+            context={'digest': digest, 'found': found},
+            hint='Ask another peer or the object store again.',
+        )
+    try:
+        record = _decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise InvalidConfigError(
+            'A stored snapshot can not be decoded.',
+            context={'digest': digest, 'found': str(error)},
+        ) from error
+    return Snapshot.from_record(record, digest)
--- /dev/null
+++ b/tests/unit/test_applied.py
@@ -0,0 +1,26 @@
+"""The pointer to the configuration in force only rises."""
+
+from bluebellslip._internal.kernel.applied import AppliedConfig, Applying
+from lib.snapshots import make_snapshot
+
+
+def test_older_revision_is_refused() -> None:
+    applied = AppliedConfig()
+    assert applied.apply(make_snapshot(2)) is Applying.APPLIED
+    assert applied.apply(make_snapshot(1)) is Applying.STALE
+    assert applied.revision == 2
+
+
+def test_nothing_is_served_below_the_floor() -> None:
+    applied = AppliedConfig()
+    applied.raise_floor(5)
+    assert applied.apply(make_snapshot(4)) is Applying.STALE
+    assert applied.current is None
+    assert applied.apply(make_snapshot(5)) is Applying.APPLIED
+
+
+def test_floor_raised_later_withholds_the_current_one() -> None:
+    applied = AppliedConfig()
+    applied.apply(make_snapshot(3))
+    applied.raise_floor(4)
+    assert applied.current is None
