--- a/packages/bluebellslip/src/bluebellslip/_internal/kernel/node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/node.py
@@ -69,6 +69,8 @@
         logger.info('started', extra={'node': self._context.node})
 
     async def _drain(self) -> None:
+        for part in self._parts:
+            part.leave()
         with anyio.move_on_after(self._drain_timeout.total_seconds()):
-            for part in reversed(self._parts):
-                await part.drain()
+            for leaving in reversed(self._parts):
+                await leaving.drain()
--- a/packages/bluebellslip/src/bluebellslip/_internal/kernel/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/plugin.py
@@ -40,8 +40,11 @@
     async def run(self, task_status: TaskStatus[None]) -> None:
         """Work until cancelled; report as started when ready."""
 
+    def leave(self) -> None:
+        """Refuse new work from now on and tell others so."""
+
     async def drain(self) -> None:
-        """Refuse new work and return when work in flight has ended."""
+        """Return when work in flight has ended."""
 
 
 plugins: Final[Registry[type[Plugin]]] = Registry('plug-in')
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/rows.py
@@ -0,0 +1,106 @@
+"""Rows of the platform's table, and the keys that they stand under.
+
+Bodies are MessagePack of the structures below. A row's version rises by one
+with every write, so it serves as the fencing token of what the row holds.
+"""
+
+import datetime as dt
+import enum
+from typing import Final
+
+import msgspec
+
+from bluebellslip._internal.models.identity import (
+    Address,
+    MoveId,
+    NodeId,
+    ServiceName,
+)
+
+HEAD_KEY: Final = 'head'
+
+_FAR_FUTURE_MS: Final = 10**14
+_MS_PER_SECOND: Final = 1000
+
+
+@enum.unique
+class AuditOutcome(enum.StrEnum):
+    """What became of an operator's action."""
+
+    ACCEPTED = 'accepted'
+    REFUSED = 'refused'
+
+
+class HeadRow(msgspec.Struct, frozen=True):
+    """The newest accepted configuration."""
+
+    revision: int
+    digest: str
+    change: str
+
+
+class ChangeRow(msgspec.Struct, frozen=True):
+    """An accepted change, by which a resubmission is recognised."""
+
+    change: str
+    revision: int
+    digest: str
+    request_digest: str
+
+
+class AuditRow(msgspec.Struct, frozen=True):
+    """Who did what, and what became of it."""
+
+    at: dt.datetime
+    who: str
+    action: str
+    subject: str
+    outcome: AuditOutcome
+    revision: int = 0
+    detail: str = ''
+
+
+class SeedRow(msgspec.Struct, frozen=True):
+    """A node that others may learn the mesh from."""
+
+    node: NodeId
+    peer: Address
+    renewed: dt.datetime
+
+
+class StepRow(msgspec.Struct, frozen=True):
+    """One audited step of a move."""
+
+    at: dt.datetime
+    service: ServiceName
+    move: MoveId
+    step: int
+    share: int
+    steward: NodeId
+    reason: str
+
+
+def name_change_key(change: str) -> str:
+    """Return the key of an accepted change."""
+    return f'change/{change}'
+
+
+def name_audit_key(at: dt.datetime, unique: str) -> str:
+    """Return an audit row's key; keys sort by time, newest first."""
+    remaining = _FAR_FUTURE_MS - int(at.timestamp() * _MS_PER_SECOND)
+    return f'audit/{remaining:015d}/{unique}'
+
+
+def name_move_key(service: ServiceName) -> str:
+    """Return the key of a service's newest move."""
+    return f'move/{service}'
+
+
+def name_claim_key(service: ServiceName, idempotency_key: str) -> str:
+    """Return the key of a claim on once-only work."""
+    return f'claim/{service}/{idempotency_key}'
+
+
+def name_seed_key(node: NodeId) -> str:
+    """Return the key of a node that others may learn the mesh from."""
+    return f'seed/{node}'
