Tell faults of documents apart by kind

Cause: every fault of a configuration had one kind, so a command could not exit by kind; names matched with a trailing newline, since "$" stands before one; a duration of any length overflowed timedelta when it was applied. Change: kinds of their own below InvalidConfigError, each with its answer; patterns end with \Z; durations have at most six digits. Adds the kinds listen-failed and node-unreachable, and the MetricsReader interface. Conclusion: additive; handlers of InvalidConfigError catch the new ones.

--- a/packages/bluebellslip/src/bluebellslip/_internal/exceptions.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/exceptions.py
@@ -17,6 +17,16 @@
     CONFLICT = 'conflict'
     INVALID_CONFIG = 'invalid-config'
     INVALID_SETTINGS = 'invalid-settings'
+    UNKNOWN_KEY = 'unknown-key'
+    MISSING_KEY = 'missing-key'
+    DUPLICATE_KEY = 'duplicate-key'
+    WRONG_TYPE = 'wrong-type'
+    BAD_VALUE = 'bad-value'
+    BAD_DURATION = 'bad-duration'
+    DUPLICATE_NAME = 'duplicate-name'
+    DANGLING_REFERENCE = 'dangling-reference'
+    LISTEN_FAILED = 'listen-failed'
+    NODE_UNREACHABLE = 'node-unreachable'
     KEY_MISSING = 'idempotency-key-missing'
     KEY_REUSED = 'idempotency-key-reused'
     OUTCOME_UNKNOWN = 'outcome-unknown'
@@ -115,6 +125,66 @@
     kind = ErrorKind.INVALID_CONFIG
 
 
+class UnknownKeyError(InvalidConfigError):
+    """A key that the model of a document does not have."""
+
+    kind = ErrorKind.UNKNOWN_KEY
+
+
+class MissingKeyError(InvalidConfigError):
+    """A key that the model of a document requires."""
+
+    kind = ErrorKind.MISSING_KEY
+
+
+class DuplicateKeyError(InvalidConfigError):
+    """A key that stands twice in one object."""
+
+    kind = ErrorKind.DUPLICATE_KEY
+
+
+class WrongTypeError(InvalidConfigError):
+    """A value of another type than the model's."""
+
+    kind = ErrorKind.WRONG_TYPE
+
+
+class BadValueError(InvalidConfigError):
+    """A value of the right type that is not allowed."""
+
+    kind = ErrorKind.BAD_VALUE
+
+
+class BadDurationError(InvalidConfigError):
+    """A duration that is no number with a unit."""
+
+    kind = ErrorKind.BAD_DURATION
+
+
+class DuplicateNameError(InvalidConfigError):
+    """A name that stands twice where names must be unique."""
+
+    kind = ErrorKind.DUPLICATE_NAME
+
+
+class DanglingReferenceError(InvalidConfigError):
+    """A reference to a name that is not there."""
+
+    kind = ErrorKind.DANGLING_REFERENCE
+
+
+class ListenError(BluebellError):
+    """An address that the process can't listen at."""
+
+    kind = ErrorKind.LISTEN_FAILED
+
+
+class NodeUnreachableError(BluebellError):
+    """No node that a command may ask can be reached."""
+
+    kind = ErrorKind.NODE_UNREACHABLE
+
+
 class InvalidSettingsError(BluebellError):
     """Settings of a process that can't be used."""
 
@@ -167,3 +237,9 @@
     """A message of a peer that can't be decoded or verified."""
 
     kind = ErrorKind.PEER_GARBLED
+
+
+class DeadlineError(BluebellError):
+    """Something that was waited for did not happen in time."""
+
+    kind = ErrorKind.DEADLINE_EXCEEDED
--- a/packages/bluebellslip/src/bluebellslip/_internal/kernel/services.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/services.py
@@ -95,6 +95,13 @@
         """Tell everyone that the server beside this node is leaving."""
 
 
+class MetricsReader(Protocol):
+    """Reader of the process's metrics."""
+
+    def read_json(self) -> bytes:
+        """Collect all metrics and return them as JSON."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class MoveRequest:
     """An operator's wish to have a service on a version by a time."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/config.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/config.py
@@ -5,16 +5,19 @@
 """
 
 import enum
-from typing import Annotated
+from typing import Annotated, Final
 
 import msgspec
 
-Name = Annotated[
-    str, msgspec.Meta(pattern='^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$')
-]
-DurationText = Annotated[str, msgspec.Meta(pattern='^[0-9]+(ms|s|m|h)$')]
-PathPrefix = Annotated[str, msgspec.Meta(pattern='^/', max_length=1024)]
-Method = Annotated[str, msgspec.Meta(pattern='^([A-Z]{3,8}|[*])$')]
+NAME_PATTERN: Final = r'^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?\Z'
+DURATION_PATTERN: Final = r'^[0-9]{1,6}(ms|s|m|h)\Z'
+PATH_PATTERN: Final = '^/'
+METHOD_PATTERN: Final = r'^([A-Z]{3,8}|[*])\Z'
+
+Name = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
+DurationText = Annotated[str, msgspec.Meta(pattern=DURATION_PATTERN)]
+PathPrefix = Annotated[str, msgspec.Meta(pattern=PATH_PATTERN, max_length=1024)]
+Method = Annotated[str, msgspec.Meta(pattern=METHOD_PATTERN)]
 Share = Annotated[float, msgspec.Meta(gt=0, le=1)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/settings.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/settings.py
@@ -1,13 +1,17 @@
 """Settings of one node: the border's validated form."""
 
-from typing import Annotated
+from typing import Annotated, Final
 
 import msgspec
 
 from bluebellslip._internal.models.config import DurationText, Name
 
-AddressText = Annotated[str, msgspec.Meta(pattern='^.+:[0-9]{1,5}$')]
-Url = Annotated[str, msgspec.Meta(pattern='^https?://')]
+ADDRESS_PATTERN: Final = r'^.+:[0-9]{1,5}\Z'
+URL_PATTERN: Final = '^https?://'
+DIGEST_PATTERN: Final = r'^[0-9a-f]{64}\Z'
+
+AddressText = Annotated[str, msgspec.Meta(pattern=ADDRESS_PATTERN)]
+Url = Annotated[str, msgspec.Meta(pattern=URL_PATTERN)]
 
 
 class _Setting(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -44,7 +48,7 @@
     """
 
     holder: Name
-    digest: Annotated[str, msgspec.Meta(pattern='^[0-9a-f]{64}$')]
+    digest: Annotated[str, msgspec.Meta(pattern=DIGEST_PATTERN)]
     scopes: tuple[str, ...]
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/snapshot.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/snapshot.py
@@ -6,7 +6,10 @@
 from types import MappingProxyType
 from typing import Final, Self
 
-from bluebellslip._internal.exceptions import InvalidConfigError
+from bluebellslip._internal.exceptions import (
+    DanglingReferenceError,
+    DuplicateNameError,
+)
 from bluebellslip._internal.models.config import (
     ClassSpec,
     ConfigDocument,
@@ -148,7 +151,7 @@
     seen: set[str] = set()
     for index, name in enumerate(names):
         if name in seen:
-            raise InvalidConfigError(
+            raise DuplicateNameError(
                 'A name stands twice.',
                 context={'path': f'$.{part}[{index}].name', 'found': name},
                 hint=f'Names in {part} must be unique.',
@@ -159,7 +162,7 @@
 def _check_known(path: str, name: str, known: set[str]) -> None:
     if name not in known:
         allowed = ', '.join(sorted(known))
-        raise InvalidConfigError(
+        raise DanglingReferenceError(
             'A reference points at nothing.',
             context={'path': path, 'found': name},
             hint=f'Allowed are: {allowed}',
--- a/packages/bluebellslip/src/bluebellslip/_internal/utils/durations.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/utils/durations.py
@@ -7,7 +7,7 @@
 
 from bluebellslip._internal.exceptions import MalformedError
 
-_PATTERN: Final = re.compile(r'([0-9]+)(ms|s|m|h)')
+_PATTERN: Final = re.compile(r'([0-9]{1,6})(ms|s|m|h)')
 _UNITS: Final = MappingProxyType({
     'ms': dt.timedelta(milliseconds=1),
     's': dt.timedelta(seconds=1),
