Check documents against their model with errors that help

Cause: a faulty document was told by one kind and without what is allowed. Change: errors name file, path, what was found and what is allowed; keys that stand twice are found at their place; text nested too deep, over 1 MiB or in another encoding is one clear error. Models are inspected only when a document is at fault, which keeps their descriptions out of memory. Ruled out: a dict subclass that remembers repeated keys (the linter is right that built-in methods pass it by). Seen red: with the check for repeated keys off, with RecursionError not caught, and with "$" at the end of the pattern of names.

--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/utils/documents.py
@@ -0,0 +1,217 @@
+"""Trees of JSON checked against their model, with errors that help."""
+
+import dataclasses
+import json
+import re
+from collections.abc import Iterable, Iterator
+from typing import Any, Final, TypeVar
+
+import msgspec
+
+from bluebellslip._internal.exceptions import (
+    BadDurationError,
+    BadValueError,
+    DuplicateKeyError,
+    InvalidConfigError,
+    MalformedError,
+    MissingKeyError,
+    UnknownKeyError,
+    WrongTypeError,
+)
+
+_Model = TypeVar('_Model', bound=msgspec.Struct)
+_Step = str | int
+
+_PLACE: Final = re.compile(r' - at `(.*)`$')
+_FIELD: Final = re.compile(r'field `([^`]*)`')
+_STEP: Final = re.compile(r'\.([^.\[]+)|\[([0-9]+)\]')
+_ROOT: Final = '$'
+_FILE: Final = 'file'
+_PATH: Final = 'path'
+_FOUND: Final = 'found'
+_SHOWN: Final = 80  # characters of a value in an error
+
+
+class ObjectBuilder:
+    """Builds the objects of one document and notes keys that stand twice."""
+
+    def __init__(self) -> None:
+        self._repeated: dict[int, str] = {}
+
+    def build(self, pairs: Iterable[tuple[str, Any]]) -> dict[str, Any]:
+        """Return an object from its keys and values in their order."""
+        entries = list(pairs)
+        built = dict(entries)
+        if len(built) != len(entries):
+            names = [name for name, _ in entries]
+            self._repeated[id(built)] = next(
+                name for name in names if names.count(name) > 1
+            )
+        return built
+
+    def check(self, tree: Any, source: str) -> None:
+        """Check that no key of the finished document stands twice.
+
+        Raises
+        ------
+        DuplicateKeyError
+            With the file, the object's path and the key.
+        """
+        if not self._repeated:
+            return
+        for path, branch in _walk(tree, _ROOT):
+            name = self._repeated.get(id(branch))
+            if name is not None:
+                raise DuplicateKeyError(
+                    'A key stands twice in one object.',
+                    context={_FILE: source, _PATH: path, _FOUND: name},
+                    hint='Keep one of the two.',
+                )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Fault:
+    """What the model objects to, and where in the tree."""
+
+    message: str
+    path: str
+    steps: tuple[_Step, ...]
+    found: Any
+
+    @classmethod
+    def from_error(cls, tree: Any, error: Exception) -> '_Fault':
+        """Take a validation error's place out of its text."""
+        text = str(error)
+        place = _PLACE.search(text)
+        path = place[1] if place else _ROOT
+        message = text[: place.start()] if place else text
+        field = _FIELD.search(message)
+        if field is not None:
+            path = f'{path}.{field[1]}'
+        steps = _split_path(path)
+        return cls(message, path, steps, _look_up(tree, steps))
+
+    @property
+    def shown(self) -> str:
+        """The value that was found, shortened."""
+        text = json.dumps(self.found, default=str)
+        if len(text) <= _SHOWN:
+            return text
+        return f'{text[:_SHOWN]}...'
+
+
+def decode_json(body: bytes, model: type[_Model], source: str) -> _Model:
+    """Return JSON as a model; ``source`` names it in errors.
+
+    Raises
+    ------
+    MalformedError
+        When the bytes are no JSON in UTF-8.
+    InvalidConfigError
+        When the content does not fit the model; see ``convert_tree``.
+    """
+    builder = ObjectBuilder()
+    try:
+        tree = json.loads(body, object_pairs_hook=builder.build)
+    except (ValueError, RecursionError) as error:
+        raise MalformedError(
+            'The text is no JSON.',
+            context={_FILE: source, _FOUND: say_parse_error(error)},
+            hint='Send one JSON object in UTF-8.',
+        ) from error
+    builder.check(tree, source)
+    return convert_tree(tree, model, source)
+
+
+def say_parse_error(error: Exception) -> str:
+    """Return what a parser objects to."""
+    if isinstance(error, RecursionError):
+        return 'objects or lists that are nested too deep'
+    return str(error)
+
+
+def convert_tree(tree: Any, model: type[_Model], source: str) -> _Model:
+    """Check a parsed document against its model.
+
+    Raises
+    ------
+    InvalidConfigError
+        Of the kind that fits the fault, with the file, the path in the
+        document, what was found and what is allowed.
+    """
+    try:
+        return msgspec.convert(tree, model)
+    except msgspec.ValidationError as error:
+        fault = _Fault.from_error(tree, error)
+    raise _explain(fault, model, source)
+
+
+def _explain(
+    fault: _Fault, model: type[msgspec.Struct], source: str
+) -> InvalidConfigError:
+    # Models are inspected only when a document is at fault: the node's
+    # memory need not hold their descriptions.
+    from bluebellslip._internal.utils import shapes
+
+    where = {_FILE: source, _PATH: fault.path}
+    if 'unknown field' in fault.message:
+        keys = ', '.join(shapes.list_keys(model, fault.steps[:-1]))
+        return UnknownKeyError(
+            'A key is not known here.',
+            context={**where, _FOUND: str(fault.steps[-1])},
+            hint=f'Allowed are: {keys}',
+        )
+    allowed = shapes.describe_allowed(model, fault.steps)
+    if 'missing required field' in fault.message:
+        return MissingKeyError(
+            'A key is missing.',
+            context={**where, _FOUND: 'nothing'},
+            hint=f'Write {fault.steps[-1]}: {allowed}',
+        )
+    kind = _classify(fault, is_duration=shapes.is_duration(model, fault.steps))
+    return kind(
+        _TITLES[kind],
+        context={**where, _FOUND: fault.shown},
+        hint=f'Allowed is {allowed}.',
+    )
+
+
+def _classify(fault: _Fault, *, is_duration: bool) -> type[InvalidConfigError]:
+    if is_duration:
+        return BadDurationError
+    return WrongTypeError if ', got ' in fault.message else BadValueError
+
+
+_TITLES: Final = {
+    BadDurationError: 'A duration is not written as a number and a unit.',
+    WrongTypeError: 'A value has the wrong type.',
+    BadValueError: 'A value is not allowed here.',
+}
+
+
+def _split_path(path: str) -> tuple[_Step, ...]:
+    return tuple(
+        int(match[2]) if match[2] else match[1]
+        for match in _STEP.finditer(path)
+    )
+
+
+def _look_up(tree: Any, steps: tuple[_Step, ...]) -> Any:
+    found = tree
+    for step in steps:
+        try:
+            found = found[step]
+        except (KeyError, IndexError, TypeError):
+            return None
+    return found
+
+
+def _walk(tree: Any, path: str) -> Iterator[tuple[str, Any]]:
+    """Yield every branch of a tree with its path."""
+    yield path, tree
+    if isinstance(tree, dict):
+        for name, child in tree.items():
+            yield from _walk(child, f'{path}.{name}')
+    elif isinstance(tree, list):
+        for index, entry in enumerate(tree):
+            yield from _walk(entry, f'{path}[{index}]')
--- a/packages/bluebellslip/src/bluebellslip/_internal/utils/jsonc.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/utils/jsonc.py
@@ -1,7 +1,7 @@
 """Documents in JSON with comments, checked against their model."""
 
 from pathlib import Path
-from typing import TypeVar
+from typing import Any, Final, TypeVar
 
 import json5
 import msgspec
@@ -9,10 +9,19 @@
 from bluebellslip._internal.exceptions import (
     InvalidConfigError,
     MalformedError,
+    TooLargeError,
+)
+from bluebellslip._internal.utils.documents import (
+    ObjectBuilder,
+    convert_tree,
+    say_parse_error,
 )
 
 _Model = TypeVar('_Model', bound=msgspec.Struct)
 
+FILE_LIMIT: Final = 1 << 20  # bytes
+_FILE: Final = 'file'
+
 
 def load_document(path: Path, model: type[_Model]) -> _Model:
     """Read and check a file.
@@ -21,32 +30,78 @@
     ------
     MalformedError
         When the file can't be read or is no JSON with comments.
+    TooLargeError
+        When it exceeds ``FILE_LIMIT``.
     InvalidConfigError
         When its content does not fit the model.
     """
+    return parse_document(read_text(path), model, str(path))
+
+
+def read_text(path: Path) -> str:
+    """Return a file's text.
+
+    Raises
+    ------
+    MalformedError
+        When the file can't be read or is no UTF-8.
+    TooLargeError
+        When it exceeds ``FILE_LIMIT``.
+    """
     try:
-        text = path.read_text(encoding='utf-8')
+        body = path.read_bytes()
     except OSError as error:
         raise MalformedError(
             'A file can not be read.',
-            context={'file': str(path), 'found': str(error)},
+            context={_FILE: str(path), 'found': error.strerror or str(error)},
+            hint='Check the path and its permissions.',
         ) from error
-    return parse_document(text, model, str(path))
+    if len(body) > FILE_LIMIT:
+        raise TooLargeError(
+            'A file is too large.',
+            context={_FILE: str(path), 'found': f'{len(body)} bytes'},
+            hint=f'Allowed are {FILE_LIMIT} bytes.',
+        )
+    try:
+        return body.decode()
+    except UnicodeDecodeError as fault:
+        raise MalformedError(
+            'A file is no text in UTF-8.',
+            context={_FILE: str(path), 'found': str(fault)},
+            hint='Save the file in UTF-8.',
+        ) from fault
 
 
 def parse_document(text: str, model: type[_Model], source: str) -> _Model:
     """Check a text; ``source`` names it in errors."""
+    return convert_tree(parse_tree(text, source), model, source)
+
+
+def parse_tree(text: str, source: str) -> Any:
+    """Parse JSON with comments; ``source`` names it in errors.
+
+    Raises
+    ------
+    MalformedError
+        With the line and column that can't be parsed.
+    InvalidConfigError
+        When the text is no object.
+    """
+    builder = ObjectBuilder()
     try:
-        tree = json5.loads(text, allow_duplicate_keys=False)
-    except ValueError as error:
+        tree = json5.loads(text, object_pairs_hook=builder.build)
+    except (ValueError, RecursionError) as error:
+        found = say_parse_error(error).replace('<string>:', 'line ')
         raise MalformedError(
             'A document is no JSON with comments.',
-            context={'file': source, 'found': str(error)},
+            context={_FILE: source, 'found': found},
+            hint='Check quotes, commas and brackets at that place.',
         ) from error
-    try:
-        return msgspec.convert(tree, model)
-    except msgspec.ValidationError as error:
+    if not isinstance(tree, dict):
         raise InvalidConfigError(
-            'A document does not fit its model.',
-            context={'file': source, 'found': str(error)},
-        ) from error
+            'A document must be one object.',
+            context={_FILE: source, 'found': type(tree).__name__},
+            hint='Write { ... } around it.',
+        )
+    builder.check(tree, source)
+    return tree
--- /dev/null
+++ b/tests/lib/operators.py
@@ -0,0 +1,249 @@
+"""A node's parts and an operator's tools, for tests of administration."""
+
+import dataclasses
+import hashlib
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import msgspec
+from expression import Error, Ok, Result
+
+from bluebellslip._internal.admin import routes  # ruff: ignore[unused-import]
+from bluebellslip._internal.admin.app import AdminApp
+from bluebellslip._internal.cli.client import AdminClient, ClientOptions
+from bluebellslip._internal.cli.console import Console
+from bluebellslip._internal.cli.transport import Exchange, Reply
+from bluebellslip._internal.exceptions import BluebellError
+from bluebellslip._internal.kernel.clock import ManualClock
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.counters import NullCounters
+from bluebellslip._internal.kernel.services import (
+    Accepted,
+    ChangeRequest,
+    MoveRequest,
+    MoveStatus,
+)
+from bluebellslip._internal.models.facts import Backend
+from bluebellslip._internal.models.identity import ServiceName
+from bluebellslip._internal.models.rows import AuditRow
+from bluebellslip._internal.models.settings import (
+    ListenSettings,
+    NodeSettings,
+    PlatformSettings,
+    TokenSettings,
+)
+
+OPERATOR = 'token-of-the-operator'
+READER = 'token-of-a-reader'
+PRINT_TEAM = 'token-of-the-print-team'
+SERVER = 'token-of-the-server'
+
+
+def make_token(holder: str, token: str, *scopes: str) -> TokenSettings:
+    digest = hashlib.sha256(token.encode()).hexdigest()
+    return TokenSettings(holder=holder, digest=digest, scopes=scopes)
+
+
+def make_settings(admin: str = '127.0.0.1:26401') -> NodeSettings:
+    return NodeSettings(
+        node='orders-1',
+        mesh='thistle-quill',
+        region='scot-central',
+        failure_domain='fd-a',
+        listen=ListenSettings(
+            egress='127.0.0.1:26101',
+            ingress='127.0.0.1:26201',
+            peer='127.0.0.1:26301',
+            admin=admin,
+        ),
+        platform=PlatformSettings(
+            table='http://127.0.0.1:26901', objects='http://127.0.0.1:26901'
+        ),
+        peer_key='key-of-the-test-mesh',
+        tokens=(
+            make_token('operator', OPERATOR, 'read', 'apply', 'move'),
+            make_token('reader', READER, 'read'),
+            make_token('printers', PRINT_TEAM, 'apply:print', 'move:print'),
+            make_token('server', SERVER, 'announce'),
+        ),
+    )
+
+
+def make_context(admin: str = '127.0.0.1:26401') -> Context:
+    return Context.from_settings(
+        make_settings(admin), ManualClock(), Random(1), NullCounters()
+    )
+
+
+class FakeTrail:
+    """An audit trail in memory."""
+
+    def __init__(self) -> None:
+        self.rows: list[AuditRow] = []
+        self.reachable = True
+
+    async def record(self, row: AuditRow) -> bool:
+        if self.reachable:
+            self.rows.append(row)
+        return self.reachable
+
+    async def recent(self, limit: int) -> tuple[AuditRow, ...]:
+        return tuple(reversed(self.rows))[:limit]
+
+
+class FakeAcceptor:
+    """Takes every change, once per id."""
+
+    def __init__(self) -> None:
+        self.requests: list[ChangeRequest] = []
+
+    async def submit(
+        self, request: ChangeRequest
+    ) -> Result[Accepted, BluebellError]:
+        replayed = any(
+            known.change == request.change for known in self.requests
+        )
+        self.requests.append(request)
+        return Ok(Accepted(revision=2, digest='d2', replayed=replayed))
+
+
+class FakeMoves:
+    """Keeps one prepared status per service."""
+
+    def __init__(self, *statuses: MoveStatus) -> None:
+        self.statuses = {status.service: status for status in statuses}
+        self.requests: list[MoveRequest] = []
+        self.refusal: BluebellError | None = None
+
+    async def request(
+        self, request: MoveRequest
+    ) -> Result[MoveStatus, BluebellError]:
+        self.requests.append(request)
+        if self.refusal is not None:
+            return Error(self.refusal)
+        return Ok(self.statuses[request.service])
+
+    async def withdraw(
+        self, service: ServiceName, who: str, reason: str
+    ) -> Result[MoveStatus, BluebellError]:
+        return Ok(dataclasses.replace(self.statuses[service], reason=reason))
+
+    def status(self, service: ServiceName) -> MoveStatus | None:
+        return self.statuses.get(service)
+
+    def all_statuses(self) -> tuple[MoveStatus, ...]:
+        return tuple(self.statuses.values())
+
+
+class FakeMembership:
+    """Remembers announcements."""
+
+    def __init__(self) -> None:
+        self.announced: list[Backend] = []
+        self.draining = False
+
+    @property
+    def own_backend(self) -> Backend | None:
+        return self.announced[-1] if self.announced else None
+
+    def announce(self, backend: Backend) -> None:
+        self.announced.append(backend)
+
+    def leave(self) -> None:
+        self.draining = True
+
+
+@dataclasses.dataclass
+class Answer:
+    """What the administration API answered."""
+
+    status: int
+    headers: dict[str, str]
+    body: Any
+
+
+class AdminCaller:
+    """Calls the application without a socket."""
+
+    def __init__(self, context: Context) -> None:
+        self._app = AdminApp(context)
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        token: str | None = OPERATOR,
+        body: bytes | dict[str, Any] = b'',
+    ) -> Answer:
+        path, _, query = target.partition('?')
+        headers = []
+        if token is not None:
+            headers.append((b'authorization', f'Bearer {token}'.encode()))
+        if isinstance(body, dict):
+            body = msgspec.json.encode(body)
+        incoming = [{'type': 'http.request', 'body': body, 'more_body': False}]
+        sent: list[Any] = []
+
+        async def receive() -> Any:
+            return incoming.pop(0)
+
+        async def send(message: Any) -> None:
+            sent.append(message)
+
+        scope = {
+            'type': 'http',
+            'method': method,
+            'path': path,
+            'query_string': query.encode(),
+            'headers': headers,
+        }
+        await self._app(scope, receive, send)
+        return Answer(
+            status=sent[0]['status'],
+            headers={
+                name.decode(): text.decode()
+                for name, text in sent[0]['headers']
+            },
+            body=msgspec.json.decode(sent[1]['body']),
+        )
+
+
+class FakeTransport:
+    """Answers by a function, and remembers what was sent."""
+
+    def __init__(self, answer: Callable[[Exchange], Reply]) -> None:
+        self._answer = answer
+        self.sent: list[Exchange] = []
+
+    def send(self, exchange: Exchange) -> Reply:
+        self.sent.append(exchange)
+        return self._answer(exchange)
+
+
+def make_client(
+    transport: FakeTransport, *nodes: str, pauses: list[float] | None = None
+) -> AdminClient:
+    kept: list[float] = [] if pauses is None else pauses
+    return AdminClient(
+        ClientOptions(nodes or ('n1:1',), 'token'),
+        transport,
+        kept.append,
+        Random(1),
+    )
+
+
+class Printed:
+    """What a command prints."""
+
+    def __init__(self, as_json: bool = False) -> None:
+        self.lines: list[str] = []
+        self.console = Console(as_json, self.lines.append, self.lines.append)
+
+    @property
+    def text(self) -> str:
+        return '\n'.join(self.lines)
+
+
+def reply_with(body: msgspec.Struct, status: int = 200) -> Reply:
+    return Reply(status, msgspec.json.encode(body))
--- /dev/null
+++ b/tests/unit/test_documents.py
@@ -0,0 +1,124 @@
+"""Faults of documents are told apart, with place, finding and remedy."""
+
+import json
+from typing import Any
+
+import pytest
+
+from bluebellslip._internal.cli.documents import check_config
+from bluebellslip._internal.exceptions import (
+    ErrorKind,
+    InvalidConfigError,
+    MalformedError,
+)
+from bluebellslip._internal.models.answers import ANSWERS
+from bluebellslip._internal.models.config import ConfigDocument
+from bluebellslip._internal.utils.documents import decode_json
+from bluebellslip._internal.utils.jsonc import parse_document
+
+_CLASS = {'name': 'reads', 'target': {'latency': '250ms'}, 'timeout': '2s'}
+_DOCUMENT = {
+    'mesh': 'thistle-quill',
+    'preference': 'safety',
+    'classes': [_CLASS],
+    'services': [{'name': 'orders', 'team': 'print'}],
+    'routes': [
+        {'name': 'r', 'service': 'orders', 'path': '/r', 'work': 'reads'}
+    ],
+}
+_FAULTS = {
+    ErrorKind.UNKNOWN_KEY: ('$.classes[0].speed', 'speed', 'timeout'),
+    ErrorKind.MISSING_KEY: ('$.classes[0].timeout', 'nothing', '250ms'),
+    ErrorKind.WRONG_TYPE: ('$.classes[0].priority', '"high"', '0 to 9'),
+    ErrorKind.BAD_VALUE: ('$.classes[0].runs', '"twice"', 'idempotent, once'),
+    ErrorKind.BAD_DURATION: ('$.classes[0].timeout', '"2 sec"', '250ms'),
+    ErrorKind.DUPLICATE_NAME: ('$.services[1].name', 'orders', 'unique'),
+    ErrorKind.DANGLING_REFERENCE: ('$.routes[0].service', 'gone', 'orders'),
+}
+
+
+def _break(kind: ErrorKind) -> dict[str, Any]:
+    document = json.loads(json.dumps(_DOCUMENT))
+    changes = {
+        ErrorKind.UNKNOWN_KEY: ('classes', {'speed': 1}),
+        ErrorKind.WRONG_TYPE: ('classes', {'priority': 'high'}),
+        ErrorKind.BAD_VALUE: ('classes', {'runs': 'twice'}),
+        ErrorKind.BAD_DURATION: ('classes', {'timeout': '2 sec'}),
+        ErrorKind.DANGLING_REFERENCE: ('routes', {'service': 'gone'}),
+    }
+    if kind is ErrorKind.MISSING_KEY:
+        document['classes'][0].pop('timeout')
+    elif kind is ErrorKind.DUPLICATE_NAME:
+        document['services'] *= 2
+    else:
+        part, change = changes[kind]
+        document[part][0].update(change)
+    return document
+
+
+def _check(text: str) -> ConfigDocument:
+    document = parse_document(text, ConfigDocument, 'mesh.json5')
+    check_config(document, 'mesh.json5')
+    return document
+
+
+@pytest.mark.parametrize('kind', _FAULTS)
+def test_fault_names_place_finding_and_remedy(kind: ErrorKind) -> None:
+    path, found, allowed = _FAULTS[kind]
+    with pytest.raises(InvalidConfigError) as caught:
+        _check(json.dumps(_break(kind)))
+    assert caught.value.kind is kind
+    assert caught.value.context == {
+        'file': 'mesh.json5',
+        'path': path,
+        'found': found,
+    }
+    assert allowed in caught.value.hint
+
+
+def test_every_fault_has_an_exit_code_of_its_own() -> None:
+    kinds = {*_FAULTS, ErrorKind.DUPLICATE_KEY, ErrorKind.MALFORMED}
+    assert len({ANSWERS[kind].exit_code for kind in kinds}) == len(kinds)
+
+
+def test_every_kind_has_an_answer() -> None:
+    assert set(ANSWERS) == set(ErrorKind)
+    codes = [answer.exit_code for answer in ANSWERS.values()]
+    assert len(codes) == len(set(codes))
+
+
+def test_key_that_stands_twice_is_found_at_its_place() -> None:
+    text = '{mesh: "m", classes: [{}, {name: "a", name: "b"}]}'
+    with pytest.raises(InvalidConfigError) as caught:
+        _check(text)
+    assert caught.value.kind is ErrorKind.DUPLICATE_KEY
+    assert caught.value.context['path'] == '$.classes[1]'
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['', '{', '{a: }', '[[' * 9000, '{"a": 1} {', 'nul', '{a: 1,, b: 2}'],
+)
+def test_malformed_text_is_one_clear_error(text: str) -> None:
+    with pytest.raises(MalformedError) as caught:
+        _check(text)
+    assert caught.value.context['found']
+
+
+@pytest.mark.parametrize('body', [b'', b'\xff\xfe', b'[' * 99999, b'{"a":1'])
+def test_malformed_body_is_one_clear_error(body: bytes) -> None:
+    with pytest.raises(MalformedError) as caught:
+        decode_json(body, ConfigDocument, 'request body')
+    assert caught.value.context['found']
+
+
+def test_name_with_a_line_end_is_refused() -> None:
+    document = {**_DOCUMENT, 'mesh': 'thistle-quill\n'}
+    with pytest.raises(InvalidConfigError) as caught:
+        _check(json.dumps(document))
+    assert caught.value.kind is ErrorKind.BAD_VALUE
+
+
+def test_comments_and_trailing_commas_are_taken() -> None:
+    text = json.dumps(_DOCUMENT).replace('{', '{ // why\n', 1)
+    assert _check(f'{text[:-1]},}}').mesh == 'thistle-quill'
