--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API over HTTP."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/app.py
@@ -0,0 +1,201 @@
+"""The administration API as an ASGI application."""
+
+import logging
+from collections.abc import Mapping
+from typing import Final
+from urllib.parse import parse_qsl
+
+import msgspec
+from expression import Result
+
+from bluebellslip._internal.admin.auditing import Auditor
+from bluebellslip._internal.admin.bodies import (
+    Receive,
+    Send,
+    read_body,
+)
+from bluebellslip._internal.admin.bodies import (
+    Scope as AsgiScope,
+)
+from bluebellslip._internal.admin.calls import (
+    AdminCall,
+    AdminRoute,
+    Answered,
+    find_route,
+)
+from bluebellslip._internal.admin.tokens import Holder, Keyring
+from bluebellslip._internal.exceptions import BluebellError, ErrorKind
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.models.admin import ErrorBody, RawBody
+from bluebellslip._internal.models.answers import ANSWERS
+
+logger = logging.getLogger(__name__)
+
+_OK: Final = 200
+_NOBODY: Final = Holder(name='unauthenticated', scopes=frozenset())
+_MAX_FIELDS: Final = 16
+
+
+class AdminApp:
+    """Finds the route of a request, authorises, runs and audits it.
+
+    Parameters
+    ----------
+    context
+        The node's shared state.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._keyring = Keyring.from_settings(context.settings.tokens)
+        self._auditor = Auditor(context)
+
+    async def __call__(
+        self, scope: AsgiScope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one request."""
+        if scope['type'] != 'http':
+            return
+        answered = await self._serve(scope, receive)
+        match answered:
+            case Result(tag='ok', ok=body):
+                await _send(send, _OK, {}, body)
+            case Result(error=error):
+                self._context.counters.add('admin_refused', kind=error.kind)
+                await _send_error(send, error)
+
+    async def _serve(self, scope: AsgiScope, receive: Receive) -> Answered:
+        try:
+            route, names = find_route(scope['method'], scope['path'])
+        except BluebellError as error:
+            return Result.Error(error)
+        self._context.counters.add('admin_calls', route=route.path)
+        try:
+            return await self._run(route, names, scope, receive)
+        except BluebellError as failure:
+            return Result.Error(failure)
+        except Exception as fault:
+            logger.exception('admin call failed', extra={'route': route.path})
+            return Result.Error(
+                BluebellError(
+                    'The node failed to serve this call.',
+                    context={'fault': type(fault).__name__},
+                    hint='See the log of the node.',
+                )
+            )
+
+    async def _run(
+        self,
+        route: AdminRoute,
+        names: Mapping[str, str],
+        scope: AsgiScope,
+        receive: Receive,
+    ) -> Answered:
+        holder = _NOBODY
+        subject = '/'.join(names.values()) or route.path
+        try:
+            if route.scope is not None:
+                holder = self._authorise(route, scope)
+            call = AdminCall(
+                context=self._context,
+                holder=holder,
+                names=names,
+                query=_parse_query(scope['query_string']),
+                body=await read_body(receive),
+            )
+            answered = await route.handler(call)
+        except BluebellError as error:
+            await self._audit_refusal(route, holder, subject, error)
+            raise
+        if route.action and not route.port_audits:
+            await self._audit(route, holder, subject, answered)
+        return answered
+
+    def _authorise(self, route: AdminRoute, scope: AsgiScope) -> Holder:
+        holder = self._keyring.identify(_find_header(scope, b'authorization'))
+        if route.scope is not None:
+            holder.require(route.scope)
+        return holder
+
+    async def _audit(
+        self,
+        route: AdminRoute,
+        holder: Holder,
+        subject: str,
+        answered: Answered,
+    ) -> None:
+        match answered:
+            case Result(tag='ok'):
+                await self._auditor.accept(holder.name, route.action, subject)
+            case Result(error=error):
+                await self._audit_refusal(route, holder, subject, error)
+
+    async def _audit_refusal(
+        self,
+        route: AdminRoute,
+        holder: Holder,
+        subject: str,
+        error: BluebellError,
+    ) -> None:
+        if route.action or error.kind in _ALWAYS_AUDITED:
+            action = route.action or f'{route.method} {route.path}'
+            await self._auditor.refuse(holder.name, action, subject, error)
+
+
+_ALWAYS_AUDITED: Final = frozenset((
+    ErrorKind.UNAUTHENTICATED,
+    ErrorKind.FORBIDDEN,
+))
+
+
+def _find_header(scope: AsgiScope, wanted: bytes) -> str:
+    for name, text in scope['headers']:
+        if name == wanted:
+            return bytes(text).decode('latin-1')
+    return ''
+
+
+def _parse_query(query: bytes) -> Mapping[str, str]:
+    try:
+        return dict(
+            parse_qsl(query.decode('latin-1'), max_num_fields=_MAX_FIELDS)
+        )
+    except ValueError:
+        return {}
+
+
+async def _send_error(send: Send, error: BluebellError) -> None:
+    answer = ANSWERS[error.kind]
+    headers = {'bluebell-error': str(error.kind)}
+    if answer.not_run:
+        headers['bluebell-not-run'] = '1'
+    if answer.retry_after is not None:
+        headers['retry-after'] = f'{answer.retry_after.total_seconds():.0f}'
+    body = ErrorBody(
+        kind=error.kind,
+        message=error.message,
+        context=error.context,
+        hint=error.hint,
+    )
+    await _send(send, answer.status, headers, body)
+
+
+async def _send(
+    send: Send, status: int, headers: Mapping[str, str], body: msgspec.Struct
+) -> None:
+    encoded = (
+        body.raw if isinstance(body, RawBody) else msgspec.json.encode(body)
+    )
+    fields = {
+        'content-type': 'application/json',
+        'content-length': str(len(encoded)),
+        **headers,
+    }
+    await send({
+        'type': 'http.response.start',
+        'status': status,
+        'headers': [
+            (name.encode(), text.encode()) for name, text in fields.items()
+        ],
+    })
+    await send({'type': 'http.response.body', 'body': encoded})
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/auditing.py
@@ -0,0 +1,107 @@
+"""What operators did, handed to the audit trail at a bounded rate."""
+
+import dataclasses
+import datetime as dt
+from typing import Final
+
+from bluebellslip._internal.exceptions import BluebellError, NotFoundError
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.services import AuditTrail
+from bluebellslip._internal.models.rows import AuditOutcome, AuditRow
+
+_BURST: Final = 5  # rows
+_REFILL: Final = dt.timedelta(seconds=10)  # for one row
+_DETAIL_LIMIT: Final = 500  # characters
+
+
+@dataclasses.dataclass(slots=True)
+class _Bucket:
+    """Room for audit rows of refusals, and what found none."""
+
+    room: float
+    filled: dt.timedelta
+    suppressed: int = 0
+
+
+class RefusalLimit:
+    """Bounds the rows that refused calls of one holder may cause.
+
+    A token bucket per holder: the table takes a few hundred writes a second
+    for the whole mesh, so wrong tokens must not fill it.
+    """
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, _Bucket] = {}
+
+    def admit(self, who: str, now: dt.timedelta) -> int | None:
+        """Return how many rows were left out before this one.
+
+        None means that this one must be left out as well.
+        """
+        bucket = self._buckets.setdefault(who, _Bucket(_BURST, now))
+        bucket.room = min(_BURST, bucket.room + (now - bucket.filled) / _REFILL)
+        bucket.filled = now
+        if bucket.room < 1:
+            bucket.suppressed += 1
+            return None
+        bucket.room -= 1
+        suppressed = bucket.suppressed
+        bucket.suppressed = 0
+        return suppressed
+
+
+class Auditor:
+    """Writes the audit rows of the administration API.
+
+    Parameters
+    ----------
+    context
+        The node's shared state; without an audit trail rows are counted
+        as lost.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._limit = RefusalLimit()
+
+    async def accept(self, who: str, action: str, subject: str) -> None:
+        """Record an accepted action."""
+        await self._record(who, action, subject, AuditOutcome.ACCEPTED, '')
+
+    async def refuse(
+        self, who: str, action: str, subject: str, error: BluebellError
+    ) -> None:
+        """Record a refused action, unless too many were refused lately."""
+        suppressed = self._limit.admit(who, self._context.clock.elapsed())
+        if suppressed is None:
+            self._context.counters.add('admin_audit_suppressed')
+            return
+        detail = f'{error.kind}: {error}'
+        if suppressed:
+            detail = f'{suppressed} more refused before; {detail}'
+        await self._record(who, action, subject, AuditOutcome.REFUSED, detail)
+
+    async def _record(
+        self,
+        who: str,
+        action: str,
+        subject: str,
+        outcome: AuditOutcome,
+        detail: str,
+    ) -> None:
+        row = AuditRow(
+            at=self._context.clock.now(),
+            who=who,
+            action=action,
+            subject=subject,
+            outcome=outcome,
+            revision=self._context.applied.revision,
+            detail=detail[:_DETAIL_LIMIT],
+        )
+        try:
+            trail = self._context.ports.get(AuditTrail)
+        except NotFoundError:
+            self._context.counters.add('admin_audit_lost')
+            return
+        if not await trail.record(row):
+            self._context.counters.add('admin_audit_lost')
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/bodies.py
@@ -0,0 +1,55 @@
+"""Reading a request's body within bounds of size and time."""
+
+import datetime as dt
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any, Final
+
+import anyio
+
+from bluebellslip._internal.exceptions import MalformedError, TooLargeError
+
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+Scope = MutableMapping[str, Any]
+
+BODY_LIMIT: Final = 1 << 20  # bytes
+_BODY_TIMEOUT: Final = dt.timedelta(seconds=10)
+
+
+async def read_body(receive: Receive, limit: int = BODY_LIMIT) -> bytes:
+    """Return the whole body.
+
+    Raises
+    ------
+    TooLargeError
+        When it exceeds the limit.
+    MalformedError
+        When it does not arrive in time, or the client goes away.
+    """
+    try:
+        with anyio.fail_after(_BODY_TIMEOUT.total_seconds()):
+            return await _collect(receive, limit)
+    except TimeoutError as error:
+        raise MalformedError(
+            'The request body did not arrive in time.',
+            hint=f'Send it within {_BODY_TIMEOUT.total_seconds():.0f} s.',
+        ) from error
+
+
+async def _collect(receive: Receive, limit: int) -> bytes:
+    chunks = bytearray()
+    more = True
+    while more:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise MalformedError('The request body ended early.')
+        chunks += message.get('body', b'')
+        if len(chunks) > limit:
+            raise TooLargeError(
+                'The request body is too large.',
+                context={'found': f'over {limit} bytes'},
+                hint=f'Allowed are {limit} bytes.',
+            )
+        more = message.get('more_body', False)
+    return bytes(chunks)
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/routes/audit.py
@@ -0,0 +1,46 @@
+"""What operators did lately."""
+
+from typing import Final
+
+from expression import Ok
+
+from bluebellslip._internal.admin.calls import (
+    AdminCall,
+    Answered,
+    admin_route,
+)
+from bluebellslip._internal.admin.tokens import Scope
+from bluebellslip._internal.exceptions import MalformedError
+from bluebellslip._internal.kernel.services import AuditTrail
+from bluebellslip._internal.models.views import AuditBody
+
+_DEFAULT_LIMIT: Final = 50  # rows
+_MAX_LIMIT: Final = 5000  # rows
+
+
+@admin_route('GET', '/v1/audit', scope=Scope.READ)
+async def get_audit(call: AdminCall) -> Answered:
+    """Return the newest rows, newest first; ``limit`` bounds them."""
+    limit = parse_limit(call.query.get('limit', str(_DEFAULT_LIMIT)))
+    rows = await call.port(AuditTrail).recent(limit)
+    return Ok(AuditBody(rows=rows))
+
+
+def parse_limit(text: str) -> int:
+    """Return a number of rows within bounds.
+
+    Raises
+    ------
+    MalformedError
+        When the text is no such number.
+    """
+    if text.isascii() and text.isdecimal() and 1 <= int(text) <= _MAX_LIMIT:
+        return int(text)
+    raise MalformedError(
+        'The number of rows is not allowed.',
+        context={'path': 'limit', 'found': text[:_SHOWN]},
+        hint=f'Allowed is 1 to {_MAX_LIMIT}.',
+    )
+
+
+_SHOWN: Final = 40  # characters
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/routes/config.py
@@ -0,0 +1,93 @@
+"""The configuration in force, and changes of it."""
+
+import dataclasses
+
+from expression import Ok
+
+from bluebellslip._internal.admin.calls import (
+    AdminCall,
+    Answered,
+    admin_route,
+)
+from bluebellslip._internal.admin.teams import check_team_change
+from bluebellslip._internal.admin.tokens import Scope
+from bluebellslip._internal.exceptions import ConflictError, ForbiddenError
+from bluebellslip._internal.kernel.services import (
+    Accepted,
+    Acceptor,
+    ChangeRequest,
+)
+from bluebellslip._internal.models.admin import (
+    AppliedBody,
+    ApplyBody,
+    ConfigBody,
+)
+
+
+@admin_route('GET', '/v1/config', scope=Scope.READ)
+async def get_config(call: AdminCall) -> Answered:
+    """Return the configuration in force on this node."""
+    snapshot = call.snapshot
+    return Ok(
+        ConfigBody(
+            revision=snapshot.revision,
+            digest=snapshot.digest,
+            document=snapshot.record.document,
+        )
+    )
+
+
+@admin_route(
+    'PUT', '/v1/config', scope=Scope.APPLY, action='apply', port_audits=True
+)
+async def put_config(call: AdminCall) -> Answered:
+    """Accept a change of the configuration, or say why not."""
+    body = call.decode(ApplyBody)
+    acceptor = call.port(Acceptor)
+    request = ChangeRequest(
+        change=body.change,
+        who=call.holder.name,
+        document=body.document,
+        base=body.base,
+    )
+    if not call.holder.may_all(Scope.APPLY):
+        request = _limit_to_teams(call, request)
+    submitted = await acceptor.submit(request)
+    return submitted.map(_view_accepted)
+
+
+def _limit_to_teams(call: AdminCall, request: ChangeRequest) -> ChangeRequest:
+    """Refuse what the holder's teams do not own.
+
+    The change is compared with the revision in force here. A document made
+    from another revision may seem to touch what others changed since, which
+    is a conflict and no breach.
+    """
+    snapshot = call.snapshot
+    try:
+        check_team_change(
+            call.holder, snapshot.record.document, request.document
+        )
+    except ForbiddenError as error:
+        if request.base in {None, snapshot.revision}:
+            raise
+        raise ConflictError(
+            'The change was made from another revision.',
+            context={
+                'found': str(request.base),
+                'revision': str(snapshot.revision),
+            },
+            hint='Fetch the configuration in force and make the change again.',
+        ) from error
+    if request.base is None:
+        return dataclasses.replace(request, base=snapshot.revision)
+    return request
+
+
+def _view_accepted(accepted: Accepted) -> AppliedBody:
+    return AppliedBody(
+        revision=accepted.revision,
+        digest=accepted.digest,
+        replayed=accepted.replayed,
+        rebased=accepted.rebased,
+    )
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/routes/health.py
@@ -0,0 +1,29 @@
+"""Whether the node may serve; open to all on its instance's network."""
+
+from expression import Ok
+
+from bluebellslip._internal.admin.calls import (
+    AdminCall,
+    Answered,
+    admin_route,
+)
+from bluebellslip._internal.exceptions import NotFoundError
+from bluebellslip._internal.kernel.services import Membership
+from bluebellslip._internal.models.views import HealthBody
+
+
+@admin_route('GET', '/v1/health', scope=None)
+async def get_health(call: AdminCall) -> Answered:
+    """Return whether the node holds a configuration, and is leaving."""
+    applied = call.context.applied
+    try:
+        draining = call.context.ports.get(Membership).draining
+    except NotFoundError:
+        draining = False
+    return Ok(
+        HealthBody(
+            ready=applied.current is not None,
+            revision=applied.revision,
+            draining=draining,
+        )
+    )
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/routes/metrics.py
@@ -0,0 +1,18 @@
+"""The process's metrics."""
+
+from expression import Ok
+
+from bluebellslip._internal.admin.calls import (
+    AdminCall,
+    Answered,
+    admin_route,
+)
+from bluebellslip._internal.admin.tokens import Scope
+from bluebellslip._internal.kernel.services import MetricsReader
+from bluebellslip._internal.models.admin import RawBody
+
+
+@admin_route('GET', '/v1/metrics', scope=Scope.READ)
+async def get_metrics(call: AdminCall) -> Answered:
+    """Return OpenTelemetry's own JSON."""
+    return Ok(RawBody(raw=call.port(MetricsReader).read_json()))
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/routes/status.py
@@ -0,0 +1,105 @@
+"""The mesh as this node sees it."""
+
+import collections
+import datetime as dt
+from typing import Final
+
+import anyio
+import msgspec
+from expression import Ok
+
+from bluebellslip._internal.admin.calls import (
+    AdminCall,
+    Answered,
+    admin_route,
+)
+from bluebellslip._internal.admin.tokens import Scope
+from bluebellslip._internal.admin.views import view_member, view_move
+from bluebellslip._internal.exceptions import BluebellError, NotFoundError
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.ports import TableService
+from bluebellslip._internal.kernel.services import Moves
+from bluebellslip._internal.models.facts import (
+    HeadFact,
+    MemberFact,
+    MemberStatus,
+)
+from bluebellslip._internal.models.rows import HEAD_KEY, HeadRow
+from bluebellslip._internal.models.views import (
+    MoveView,
+    PlatformView,
+    StatusBody,
+)
+
+_PROBE_TIMEOUT: Final = dt.timedelta(seconds=1)
+
+
+@admin_route('GET', '/v1/status', scope=Scope.READ)
+async def get_status(call: AdminCall) -> Answered:
+    """Return revision, holders, moves, leaving servers and the platform."""
+    context = call.context
+    members = context.facts.select(MemberFact)
+    return Ok(
+        StatusBody(
+            node=context.node,
+            mesh=context.settings.mesh,
+            revision=context.applied.revision,
+            ready=context.applied.current is not None,
+            known_head=_find_known_head(context),
+            holders=count_holders(members),
+            moves=_list_moves(context),
+            draining=tuple(
+                view_member(member)
+                for member in members
+                if member.status is MemberStatus.DRAINING
+            ),
+            platform=await probe_platform(context),
+        )
+    )
+
+
+def count_holders(members: tuple[MemberFact, ...]) -> dict[str, int]:
+    """Return how many living members hold each revision."""
+    counts = collections.Counter(
+        member.applied
+        for member in members
+        if member.status is not MemberStatus.DEAD
+    )
+    return {str(revision): counts[revision] for revision in sorted(counts)}
+
+
+async def probe_platform(context: Context) -> PlatformView:
+    """Ask the platform's table for the head, within a short timeout."""
+    try:
+        table = context.ports.get(TableService)
+    except NotFoundError:
+        return PlatformView(reachable=False, detail='not connected')
+    try:
+        with anyio.fail_after(_PROBE_TIMEOUT.total_seconds()):
+            row = await table.read(HEAD_KEY)
+    except (BluebellError, TimeoutError) as error:
+        return PlatformView(
+            reachable=False, detail=str(error) or 'no answer in time'
+        )
+    if row is None:
+        return PlatformView(reachable=True)
+    try:
+        head = msgspec.msgpack.decode(row.body, type=HeadRow)
+    except msgspec.MsgspecError as fault:
+        return PlatformView(reachable=True, detail=f'head row: {fault}')
+    return PlatformView(reachable=True, head=head.revision)
+
+
+def _find_known_head(context: Context) -> int:
+    heads = context.facts.select(HeadFact)
+    return max(
+        (head.revision for head in heads), default=context.applied.revision
+    )
+
+
+def _list_moves(context: Context) -> tuple[MoveView, ...]:
+    try:
+        moves = context.ports.get(Moves)
+    except NotFoundError:
+        return ()
+    return tuple(map(view_move, moves.all_statuses()))
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/server.py
@@ -0,0 +1,131 @@
+"""The plug-in that serves the administration API."""
+
+import contextlib
+import datetime as dt
+import logging
+import socket
+from collections.abc import Generator
+from typing import Final, Self
+
+import anyio
+import uvicorn
+from anyio.abc import TaskStatus
+
+from bluebellslip._internal.admin import routes  # ruff: ignore[unused-import]
+from bluebellslip._internal.admin.app import AdminApp
+from bluebellslip._internal.admin.connections import BoundedProtocol
+from bluebellslip._internal.exceptions import ListenError
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.plugin import Plugin, Stage, plugins
+from bluebellslip._internal.models.identity import Address
+
+logger = logging.getLogger(__name__)
+
+_BACKLOG: Final = 64  # connections
+_MAX_CONNECTIONS: Final = 64
+_KEEP_ALIVE: Final = dt.timedelta(seconds=5)
+_SHUTDOWN_TIMEOUT: Final = dt.timedelta(seconds=5)
+
+
+class _Server(uvicorn.Server):
+    """Uvicorn's server, with signals left to the node."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.listening = anyio.Event()
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Generator[None, None, None]:
+        """Leave the handlers of the process alone."""
+        yield
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start, then tell who waits."""
+        await super().startup(sockets=sockets)
+        self.listening.set()
+
+
+@plugins.register('admin')
+class AdminPlugin(Plugin):
+    """Serves the administration API on the node's admin address.
+
+    Parameters
+    ----------
+    context
+        The node's shared state.
+    """
+
+    stage = Stage.ADMIN
+
+    def __init__(self, context: Context) -> None:
+        self._address = Address.from_text(context.settings.listen.admin)
+        self._server = _Server(
+            uvicorn.Config(
+                AdminApp(context),
+                loop='none',
+                http=BoundedProtocol,
+                ws='none',
+                lifespan='off',
+                log_config=None,
+                access_log=False,
+                server_header=False,
+                backlog=_BACKLOG,
+                limit_concurrency=_MAX_CONNECTIONS,
+                timeout_keep_alive=int(_KEEP_ALIVE.total_seconds()),
+                timeout_graceful_shutdown=int(
+                    _SHUTDOWN_TIMEOUT.total_seconds()
+                ),
+            )
+        )
+        self._ended = anyio.Event()
+
+    @property
+    def address(self) -> Address:
+        """Where the server listens, once it runs."""
+        return self._address
+
+    @classmethod
+    def from_context(cls, context: Context) -> Self:
+        """Build the plug-in from the node's shared state."""
+        return cls(context)
+
+    async def run(self, task_status: TaskStatus[None]) -> None:
+        """Serve until drained or cancelled."""
+        with contextlib.closing(open_listener(self._address)) as listener:
+            self._address = Address(*listener.getsockname()[:2])
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._serve, listener)
+                await self._server.listening.wait()
+                task_status.started()
+
+    async def drain(self) -> None:
+        """Answer what is in flight, then stop."""
+        self._server.should_exit = True
+        await self._ended.wait()
+
+    async def _serve(self, listener: socket.socket) -> None:
+        await self._server.serve(sockets=[listener])
+        self._ended.set()
+
+
+def open_listener(address: Address) -> socket.socket:
+    """Return a socket bound to an address.
+
+    Raises
+    ------
+    ListenError
+        When the address is taken or not of this instance.
+    """
+    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((address.host, address.port))
+    except OSError as error:
+        listener.close()
+        raise ListenError(
+            'The node can not listen for operators.',
+            context={'address': str(address), 'found': str(error)},
+            hint='Change listen.admin in the settings, or free the address.',
+        ) from error
+    return listener
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/tokens.py
@@ -0,0 +1,144 @@
+"""Holders of tokens, their scopes, and how a token is recognised."""
+
+import dataclasses
+import enum
+import hashlib
+import hmac
+from collections.abc import Iterable
+from typing import Final, Self
+
+from bluebellslip._internal.exceptions import (
+    ForbiddenError,
+    UnauthenticatedError,
+)
+from bluebellslip._internal.models.settings import TokenSettings
+
+_SCHEME: Final = 'bearer'
+_TEAM_SEPARATOR: Final = ':'
+
+
+@enum.unique
+class Scope(enum.StrEnum):
+    """What a token allows."""
+
+    READ = 'read'
+    APPLY = 'apply'
+    MOVE = 'move'
+    ANNOUNCE = 'announce'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """Who holds a token, and what it allows.
+
+    ``scopes`` hold for every team, ``team_scopes`` for one team each.
+    """
+
+    name: str
+    scopes: frozenset[str]
+    team_scopes: frozenset[tuple[str, str]] = frozenset()
+
+    @classmethod
+    def from_settings(cls, settings: TokenSettings) -> Self:
+        """Split the scopes by whether they name a team."""
+        pairs = [scope.partition(_TEAM_SEPARATOR) for scope in settings.scopes]
+        return cls(
+            name=settings.holder,
+            scopes=frozenset(scope for scope, _, team in pairs if not team),
+            team_scopes=frozenset(
+                (scope, team) for scope, _, team in pairs if team
+            ),
+        )
+
+    def teams(self, scope: Scope) -> frozenset[str]:
+        """Return the teams that a scope is limited to."""
+        return frozenset(
+            team for name, team in self.team_scopes if name == scope
+        )
+
+    def may_all(self, scope: Scope) -> bool:
+        """Tell whether a scope holds for every team."""
+        return scope in self.scopes
+
+    def require(self, scope: Scope) -> None:
+        """Check that a scope holds for every team or at least for one.
+
+        Raises
+        ------
+        ForbiddenError
+            When the token has no such scope.
+        """
+        if not self.may_all(scope) and not self.teams(scope):
+            raise ForbiddenError(
+                'The token does not allow this.',
+                context={'holder': self.name, 'needed': scope},
+                hint=f'Use a token with the scope {scope}.',
+            )
+
+    def require_team(self, scope: Scope, team: str) -> None:
+        """Check that a scope holds for one team's services.
+
+        Raises
+        ------
+        ForbiddenError
+            When the token does not reach the team.
+        """
+        if self.may_all(scope) or team in self.teams(scope):
+            return
+        raise ForbiddenError(
+            'The token does not reach services of this team.',
+            context={'holder': self.name, 'needed': f'{scope}:{team}'},
+            hint=f'Ask the team {team}, or use a token with {scope}.',
+        )
+
+
+class Keyring:
+    """Recognises tokens by their digests.
+
+    Parameters
+    ----------
+    entries
+        Pairs of a token's SHA-256 in hexadecimal and its holder. A holder
+        may have several tokens, so that they can be replaced one by one.
+    """
+
+    def __init__(self, entries: Iterable[tuple[str, Holder]]) -> None:
+        self._entries = tuple(
+            (bytes.fromhex(digest), holder) for digest, holder in entries
+        )
+
+    @classmethod
+    def from_settings(cls, tokens: Iterable[TokenSettings]) -> Self:
+        """Build the keyring of a node."""
+        return cls(
+            (token.digest, Holder.from_settings(token)) for token in tokens
+        )
+
+    def identify(self, authorization: str) -> Holder:
+        """Return the holder of the token in an Authorization header.
+
+        Every entry is compared, in constant time, so that the time taken
+        tells nothing about the digests.
+
+        Raises
+        ------
+        UnauthenticatedError
+            When there is no token, or nobody holds it.
+        """
+        scheme, _, token = authorization.strip().partition(' ')
+        if scheme.lower() != _SCHEME or not token:
+            raise UnauthenticatedError(
+                'The request has no token.',
+                hint='Send "Authorization: Bearer TOKEN".',
+            )
+        presented = hashlib.sha256(token.strip().encode()).digest()
+        found: Holder | None = None
+        for digest, holder in self._entries:
+            if hmac.compare_digest(digest, presented):
+                found = holder
+        if found is None:
+            raise UnauthenticatedError(
+                'Nobody holds this token.',
+                hint='Check the token, and the tokens in the node settings.',
+            )
+        return found
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/views.py
@@ -0,0 +1,63 @@
+"""The node's state in the form that operators read."""
+
+import datetime as dt
+from typing import Final
+
+from bluebellslip._internal.kernel.services import MoveStatus, RouteEvidence
+from bluebellslip._internal.models.facts import FULL_SHARE, MemberFact
+from bluebellslip._internal.models.views import EvidenceBody, MoveView, NodeView
+
+_MILLISECOND: Final = dt.timedelta(milliseconds=1)
+_DIGITS: Final = 3
+
+
+def view_move(status: MoveStatus) -> MoveView:
+    """Return a move as operators read it."""
+    return MoveView(
+        service=status.service,
+        move=status.move,
+        state=status.state.name.lower(),
+        old=status.old,
+        new=status.new,
+        share=status.share / FULL_SHARE,
+        stopped=status.stopped,
+        deadline=status.deadline,
+        forecast=status.forecast,
+        steward=status.steward,
+        reason=status.reason,
+        evidence=tuple(map(_view_evidence, status.evidence)),
+    )
+
+
+def view_member(member: MemberFact) -> NodeView:
+    """Return a member as operators read it."""
+    backend = member.backend
+    return NodeView(
+        node=member.node,
+        status=member.status.name.lower(),
+        region=member.locality.region,
+        failure_domain=member.locality.failure_domain,
+        peer=str(member.peer),
+        applied=member.applied,
+        service='' if backend is None else backend.service,
+        version='' if backend is None else backend.version,
+        backend='' if backend is None else str(backend.address),
+    )
+
+
+def _view_evidence(evidence: RouteEvidence) -> EvidenceBody:
+    return EvidenceBody(
+        route=evidence.route,
+        old_calls=evidence.old_calls,
+        old_failures=evidence.old_failures,
+        new_calls=evidence.new_calls,
+        new_failures=evidence.new_failures,
+        old_p50_ms=_to_milliseconds(evidence.old_p50),
+        new_p50_ms=_to_milliseconds(evidence.new_p50),
+        old_p99_ms=_to_milliseconds(evidence.old_p99),
+        new_p99_ms=_to_milliseconds(evidence.new_p99),
+    )
+
+
+def _to_milliseconds(duration: dt.timedelta) -> float:
+    return round(duration / _MILLISECOND, _DIGITS)
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/main.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/main.py
@@ -1,45 +1,90 @@
-"""The node's entry point."""
+"""The node's entry point: settings, logs, metrics, and the node itself."""
 
 import logging
 from collections.abc import Sequence
 from pathlib import Path
 from random import SystemRandom
+from typing import Final
 
 import anyio
 
-from bluebellslip._internal.exceptions import BluebellError
+from bluebellslip._internal.exceptions import BluebellError, ErrorKind
 from bluebellslip._internal.kernel.clock import SystemClock
 from bluebellslip._internal.kernel.context import Context
-from bluebellslip._internal.kernel.counters import Counters, NullCounters
 from bluebellslip._internal.kernel.node import Node
+from bluebellslip._internal.kernel.services import MetricsReader
 from bluebellslip._internal.models.answers import ANSWERS
 from bluebellslip._internal.models.settings import NodeSettings
 from bluebellslip._internal.nodes.loading import load_plugins
-from bluebellslip._internal.utils.jsonc import load_document
+from bluebellslip._internal.nodes.settings import load_settings
+from bluebellslip._internal.telemetry.counters import TelemetryCounters
+from bluebellslip._internal.telemetry.logs import configure_logs, describe_node
 
 logger = logging.getLogger(__name__)
 
-_USAGE_EXIT = 2
+_USAGE_EXIT: Final = 2
 
 
 def run_node(arguments: Sequence[str]) -> int:
     """Run a node from a file of settings; return the exit status."""
+    handler = configure_logs()
     if len(arguments) != 1:
         logger.error('usage: bluebell-node SETTINGS')
         return _USAGE_EXIT
     try:
-        settings = load_document(Path(arguments[0]), NodeSettings)
+        context = build_context(load_settings(Path(arguments[0])))
     except BluebellError as error:
-        logger.error('%s', error)
-        return ANSWERS[error.kind].exit_code
+        return _report(error)
+    describe_node(handler, context)
     load_plugins()
+    try:
+        anyio.run(Node.from_context(context).run)
+    except BluebellError as refusal:
+        return _report(refusal)
+    except BaseExceptionGroup as group:
+        return _report_group(group)
+    return 0
+
+
+def build_context(settings: NodeSettings) -> Context:
+    """Build the shared state of a node process."""
+    counters = TelemetryCounters.from_attributes(
+        node=settings.node,
+        mesh=settings.mesh,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+    )
     context = Context.from_settings(
-        settings, SystemClock(), SystemRandom(), build_counters()
+        settings, SystemClock(), SystemRandom(), counters
     )
-    anyio.run(Node.from_context(context).run)
-    return 0
+    context.ports.provide(MetricsReader, counters)
+    return context
 
 
-def build_counters() -> Counters:
-    """Return the counters of the process."""
-    return NullCounters()
+def _report_group(group: BaseExceptionGroup[BaseException]) -> int:
+    """Report the first error of the closed list, or the whole group."""
+    expected = _find_expected(group)
+    if expected is not None:
+        return _report(expected)
+    logger.error('the node failed', exc_info=group)
+    return ANSWERS[ErrorKind.INTERNAL].exit_code
+
+
+def _find_expected(
+    group: BaseExceptionGroup[BaseException],
+) -> BluebellError | None:
+    for member in group.exceptions:
+        if isinstance(member, BluebellError):
+            return member
+        if isinstance(member, BaseExceptionGroup):
+            return _find_expected(member)
+    return None
+
+
+def _report(error: BluebellError) -> int:
+    logger.error(
+        '%s',
+        error,
+        extra={'kind': str(error.kind), 'context': error.context},
+    )
+    return ANSWERS[error.kind].exit_code
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/settings.py
@@ -0,0 +1,100 @@
+"""Reading a node's settings, and checks beyond their shape."""
+
+from pathlib import Path
+from typing import Final
+
+from bluebellslip._internal.exceptions import (
+    BadValueError,
+    DuplicateNameError,
+    MalformedError,
+)
+from bluebellslip._internal.models.identity import Address
+from bluebellslip._internal.models.settings import (
+    NodeSettings,
+    TokenSettings,
+)
+from bluebellslip._internal.utils.jsonc import load_document
+
+_SCOPES: Final = ('read', 'apply', 'move', 'announce')
+_TEAM_SCOPES: Final = ('apply', 'move')
+_LISTENERS: Final = ('egress', 'ingress', 'peer', 'admin')
+
+
+def load_settings(path: Path) -> NodeSettings:
+    """Read and check a file of settings.
+
+    Raises
+    ------
+    MalformedError
+        When the file can't be read or parsed.
+    InvalidConfigError
+        Of the kind that fits the fault.
+    """
+    settings = load_document(path, NodeSettings)
+    check_settings(settings, str(path))
+    return settings
+
+
+def check_settings(settings: NodeSettings, source: str) -> None:
+    """Check addresses, scopes and tokens; ``source`` names the file.
+
+    Raises
+    ------
+    BadValueError
+        For an address or scope that can't be used.
+    DuplicateNameError
+        For an address or a token that stands twice.
+    """
+    taken: dict[str, str] = {}
+    for name in _LISTENERS:
+        address = getattr(settings.listen, name)
+        path = f'$.listen.{name}'
+        _check_address(address, path, source)
+        _check_free(taken, address, path, source)
+    for index, seed in enumerate(settings.seeds):
+        _check_address(seed, f'$.seeds[{index}]', source)
+    digests: dict[str, str] = {}
+    for position, token in enumerate(settings.tokens):
+        place = f'$.tokens[{position}]'
+        _check_free(digests, token.digest, f'{place}.digest', source)
+        _check_scopes(token, place, source)
+
+
+def _check_address(text: str, path: str, source: str) -> None:
+    try:
+        Address.from_text(text)
+    except MalformedError as error:
+        raise BadValueError(
+            error.message,
+            context={'file': source, 'path': path, 'found': text},
+            hint=error.hint,
+        ) from error
+
+
+def _check_free(
+    taken: dict[str, str], text: str, path: str, source: str
+) -> None:
+    earlier = taken.setdefault(text, path)
+    if earlier != path:
+        raise DuplicateNameError(
+            'A value stands twice.',
+            context={'file': source, 'path': path, 'found': text},
+            hint=f'It is taken by {earlier}; choose another.',
+        )
+
+
+def _check_scopes(token: TokenSettings, place: str, source: str) -> None:
+    known = ', '.join(_SCOPES)
+    for index, scope in enumerate(token.scopes):
+        name, separator, team = scope.partition(':')
+        allowed = _TEAM_SCOPES if separator else _SCOPES
+        if name not in allowed or (separator and not team):
+            raise BadValueError(
+                'A scope is not known.',
+                context={
+                    'file': source,
+                    'path': f'{place}.scopes[{index}]',
+                    'found': scope,
+                },
+                hint=f'Allowed are {known}, and apply:TEAM or move:TEAM.',
+            )
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and logs of a process."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/counters.py
@@ -0,0 +1,126 @@
+"""Counters behind OpenTelemetry, cheap enough for the path of a call.
+
+Sums are kept in a dictionary and handed over when metrics are read, so that
+raising a counter costs one dictionary update. Values go to OpenTelemetry's
+histograms at once, by cached instruments.
+"""
+
+import functools
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from opentelemetry.metrics import CallbackOptions, Histogram, Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+from opentelemetry.sdk.resources import Resource
+
+_Labels = tuple[tuple[str, str], ...]
+
+# Seconds; the finest steps are for what a node adds to a call.
+_BOUNDARIES: Final = (
+    0.0001,
+    0.00025,
+    0.0005,
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
+_EMPTY: Final = b'{"resource_metrics": []}'
+
+
+class TelemetryCounters:
+    """Counters, histograms and gauges of one process.
+
+    Parameters
+    ----------
+    provider
+        The source of instruments.
+    reader
+        The reader that collects what the provider's instruments hold.
+    """
+
+    def __init__(
+        self, provider: MeterProvider, reader: InMemoryMetricReader
+    ) -> None:
+        self._meter = provider.get_meter('bluebellslip')
+        self._reader = reader
+        self._sums: dict[str, dict[_Labels, int]] = {}
+        self._histograms: dict[str, Histogram] = {}
+
+    @classmethod
+    def from_attributes(cls, **attributes: str) -> 'TelemetryCounters':
+        """Build the counters of a process that the attributes describe."""
+        reader = InMemoryMetricReader()
+        provider = MeterProvider(
+            metric_readers=(reader,),
+            resource=Resource(attributes),
+            shutdown_on_exit=False,
+        )
+        return cls(provider, reader)
+
+    def add(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Raise a counter."""
+        sums = self._sums.get(name)
+        if sums is None:
+            sums = self._open_sums(name)
+        sums[tuple(labels.items())] += amount
+
+    def observe(self, name: str, value: float, **labels: str) -> None:
+        """Record a value in a histogram; seconds unless the name says."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = self._open_histogram(name)
+        histogram.record(value, labels)
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Report a value that is read when metrics are."""
+        collect = functools.partial(_read_gauge, read)
+        self._meter.create_observable_gauge(name, [collect])
+
+    def read_json(self) -> bytes:
+        """Collect all metrics and return them as JSON."""
+        metrics = self._reader.get_metrics_data()
+        if metrics is None:
+            return _EMPTY
+        return metrics.to_json(indent=None).encode()
+
+    def _open_sums(self, name: str) -> dict[_Labels, int]:
+        sums: dict[_Labels, int] = defaultdict(int)
+        self._sums[name] = sums
+        collect = functools.partial(_read_sums, sums)
+        self._meter.create_observable_counter(name, [collect])
+        return sums
+
+    def _open_histogram(self, name: str) -> Histogram:
+        histogram = self._meter.create_histogram(
+            name, explicit_bucket_boundaries_advisory=_BOUNDARIES
+        )
+        self._histograms[name] = histogram
+        return histogram
+
+
+def _read_gauge(
+    read: Callable[[], float], options: CallbackOptions
+) -> Iterable[Observation]:
+    return (Observation(read()),)
+
+
+def _read_sums(
+    sums: dict[_Labels, int], options: CallbackOptions
+) -> Iterable[Observation]:
+    """Return one observation per set of labels, whatever their order."""
+    merged: dict[_Labels, int] = defaultdict(int)
+    for labels, amount in sums.items():
+        merged[tuple(sorted(labels))] += amount
+    return [Observation(total, dict(key)) for key, total in merged.items()]
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/logs.py
@@ -0,0 +1,52 @@
+"""Log lines as JSON on the standard error stream."""
+
+import logging
+import sys
+from typing import Final, TextIO
+
+from pythonjsonlogger.json import JsonFormatter
+
+from bluebellslip._internal.kernel.context import Context
+
+_FIELDS: Final = ('levelname', 'name', 'message')
+_RENAMED: Final = {
+    'levelname': 'level',
+    'name': 'logger',
+    'timestamp': 'time',
+}
+_QUIET: Final = ('uvicorn.error', 'uvicorn.access', 'httpcore', 'grpclib')
+
+
+class _NodeFilter(logging.Filter):
+    """Adds the node's name, mesh and revision in force to every line."""
+
+    def __init__(self, context: Context) -> None:
+        super().__init__()
+        self._context = context
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Add the fields; every record passes."""
+        record.node = self._context.node
+        record.mesh = self._context.settings.mesh
+        record.revision = self._context.applied.revision
+        return True
+
+
+def configure_logs(stream: TextIO | None = None) -> logging.Handler:
+    """Write log lines of this process as JSON; return their handler.
+
+    Libraries report every connection and request; only their errors pass.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(_FIELDS, rename_fields=_RENAMED, timestamp=True)
+    )
+    logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
+    for name in _QUIET:
+        logging.getLogger(name).setLevel(logging.ERROR)
+    return handler
+
+
+def describe_node(handler: logging.Handler, context: Context) -> None:
+    """Add the node's fields to every line that a handler writes."""
+    handler.addFilter(_NodeFilter(context))
--- /dev/null
+++ b/tests/functional/test_admin_app.py
@@ -0,0 +1,272 @@
+"""The administration API: rights, audit, bad input, missing parts."""
+
+import datetime as dt
+
+import msgspec
+import pytest
+
+from bluebellslip._internal.exceptions import ConflictError
+from bluebellslip._internal.kernel.clock import ManualClock
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.counters import NullCounters
+from bluebellslip._internal.kernel.services import (
+    Acceptor,
+    AuditTrail,
+    Membership,
+    Moves,
+    MoveStatus,
+)
+from bluebellslip._internal.models.facts import MoveState
+from bluebellslip._internal.models.identity import (
+    MoveId,
+    NodeId,
+    ServiceName,
+    VersionName,
+)
+from bluebellslip._internal.models.rows import AuditOutcome
+from lib.operators import (
+    OPERATOR,
+    PRINT_TEAM,
+    READER,
+    SERVER,
+    AdminCaller,
+    FakeAcceptor,
+    FakeMembership,
+    FakeMoves,
+    FakeTrail,
+    make_context,
+)
+from lib.snapshots import make_document, make_snapshot
+
+pytestmark = pytest.mark.anyio
+_MOVE = {
+    'new': 'v2',
+    'deadline': '2026-01-01T17:00:00+00:00',
+    'request': 'request-1',
+}
+
+
+class _Mesh:
+    """One node's administration with fakes around it."""
+
+    def __init__(self) -> None:
+        self.context: Context = make_context()
+        self.trail = FakeTrail()
+        self.acceptor = FakeAcceptor()
+        self.membership = FakeMembership()
+        self.moves = FakeMoves(
+            MoveStatus(
+                service=ServiceName('orders'),
+                move=MoveId('m1'),
+                state=MoveState.MOVING,
+                old=VersionName('v1'),
+                new=VersionName('v2'),
+                share=500,
+                stopped=False,
+                deadline=dt.datetime(2026, 1, 1, 17, tzinfo=dt.UTC),
+                forecast=None,
+                steward=NodeId('orders-1'),
+                reason='',
+                evidence=(),
+            )
+        )
+        ports = self.context.ports
+        ports.provide(AuditTrail, self.trail)
+        ports.provide(Acceptor, self.acceptor)
+        ports.provide(Moves, self.moves)
+        ports.provide(Membership, self.membership)
+        self.context.applied.apply(make_snapshot(1))
+        self.admin = AdminCaller(self.context)
+
+
+@pytest.fixture
+def mesh() -> _Mesh:
+    return _Mesh()
+
+
+def _change(**fields: object) -> dict[str, object]:
+    document = msgspec.to_builtins(make_document())
+    return {'change': 'change-1', 'document': {**document, **fields}}
+
+
+async def test_wrong_token_is_refused_and_audited(mesh: _Mesh) -> None:
+    answer = await mesh.admin.call('GET', '/v1/status', token='guess')
+    assert answer.status == 401
+    assert answer.body['kind'] == 'unauthenticated'
+    assert [row.outcome for row in mesh.trail.rows] == [AuditOutcome.REFUSED]
+    assert mesh.trail.rows[0].who == 'unauthenticated'
+    assert 'guess' not in str(mesh.trail.rows)
+
+
+async def test_flood_of_wrong_tokens_fills_no_table(mesh: _Mesh) -> None:
+    for _ in range(200):
+        await mesh.admin.call('PUT', '/v1/config', token='guess')
+    assert len(mesh.trail.rows) == 5
+    clock = mesh.context.clock
+    assert isinstance(clock, ManualClock)
+    clock.advance(dt.timedelta(seconds=10))
+    await mesh.admin.call('PUT', '/v1/config', token='guess')
+    assert mesh.trail.rows[-1].detail.startswith('195 more refused before')
+
+
+@pytest.mark.parametrize(
+    ('method', 'target', 'token'),
+    [
+        ('PUT', '/v1/config', READER),
+        ('PUT', '/v1/moves/orders', READER),
+        ('DELETE', '/v1/moves/orders', READER),
+        ('PUT', '/v1/backend', OPERATOR),
+        ('GET', '/v1/status', SERVER),
+        ('PUT', '/v1/moves/storefront', PRINT_TEAM),
+    ],
+)
+async def test_token_without_the_scope_is_refused_and_audited(
+    mesh: _Mesh, method: str, target: str, token: str
+) -> None:
+    answer = await mesh.admin.call(method, target, token, _MOVE)
+    assert answer.status == 403
+    assert mesh.trail.rows[-1].outcome is AuditOutcome.REFUSED
+    assert mesh.trail.rows[-1].detail.startswith('forbidden')
+    assert not mesh.acceptor.requests
+    assert not mesh.moves.requests
+
+
+async def test_change_goes_to_the_acceptor_under_its_holder(
+    mesh: _Mesh,
+) -> None:
+    answer = await mesh.admin.call('PUT', '/v1/config', body=_change())
+    assert answer.body == {
+        'revision': 2,
+        'digest': 'd2',
+        'replayed': False,
+        'rebased': False,
+    }
+    assert mesh.acceptor.requests[0].who == 'operator'
+    assert not mesh.trail.rows, 'the acceptor audits what it accepts'
+
+
+async def test_team_may_change_its_own_routes_only(mesh: _Mesh) -> None:
+    routes = msgspec.to_builtins(make_document().routes)
+    own = {**routes[1], 'path': '/payments'}
+    foreign = {**routes[0], 'path': '/suites'}
+    for changed, status in ((own, 200), (foreign, 403)):
+        kept = [route for route in routes if route['name'] != changed['name']]
+        answer = await mesh.admin.call(
+            'PUT', '/v1/config', PRINT_TEAM, _change(routes=[*kept, changed])
+        )
+        assert answer.status == status
+    assert len(mesh.acceptor.requests) == 1
+    assert mesh.acceptor.requests[0].base == 1
+
+
+async def test_team_may_not_change_what_all_share(mesh: _Mesh) -> None:
+    answer = await mesh.admin.call(
+        'PUT', '/v1/config', PRINT_TEAM, _change(preference='deadline')
+    )
+    assert answer.status == 403
+    assert answer.body['context']['path'] == '$.preference'
+
+
+async def test_team_may_not_take_over_a_service(mesh: _Mesh) -> None:
+    services = msgspec.to_builtins(make_document().services)
+    taken = [{**service, 'team': 'print'} for service in services]
+    answer = await mesh.admin.call(
+        'PUT', '/v1/config', PRINT_TEAM, _change(services=taken)
+    )
+    assert answer.status == 403
+
+
+async def test_team_change_of_an_older_revision_is_a_conflict(
+    mesh: _Mesh,
+) -> None:
+    body = {**_change(preference='deadline'), 'base': 0}
+    answer = await mesh.admin.call('PUT', '/v1/config', PRINT_TEAM, body)
+    assert answer.status == 409
+
+
+async def test_move_is_audited_whether_begun_or_refused(mesh: _Mesh) -> None:
+    begun = await mesh.admin.call('PUT', '/v1/moves/orders', PRINT_TEAM, _MOVE)
+    assert begun.body['share'] == pytest.approx(0.05)
+    mesh.moves.refusal = ConflictError('A move is under way.')
+    refused = await mesh.admin.call('PUT', '/v1/moves/orders', body=_MOVE)
+    assert refused.status == 409
+    assert [
+        (row.who, row.action, row.subject, row.outcome)
+        for row in mesh.trail.rows
+    ] == [
+        ('printers', 'move', 'orders', AuditOutcome.ACCEPTED),
+        ('operator', 'move', 'orders', AuditOutcome.REFUSED),
+    ]
+
+
+@pytest.mark.parametrize(
+    ('target', 'body', 'kind'),
+    [
+        ('/v1/config', b'{"change": ', 'malformed'),
+        ('/v1/config', b'[]', 'wrong-type'),
+        ('/v1/config', b'{"x":1,"x":2}', 'duplicate-key'),
+        ('/v1/config', b'\xff', 'malformed'),
+        ('/v1/config', b'{}'.rjust((1 << 20) + 1), 'too-large'),
+        ('/v1/moves/orders', {**_MOVE, 'by': 'now'}, 'unknown-key'),
+        ('/v1/moves/orders', {**_MOVE, 'deadline': 'noon'}, 'bad-value'),
+        ('/v1/moves/nothing', _MOVE, 'not-found'),
+    ],
+)
+async def test_bad_body_is_refused_audited_and_not_passed_on(
+    mesh: _Mesh, target: str, body: bytes, kind: str
+) -> None:
+    answer = await mesh.admin.call('PUT', target, body=body)
+    assert answer.body['kind'] == kind
+    assert answer.headers['bluebell-not-run'] == '1'
+    assert mesh.trail.rows[-1].outcome is AuditOutcome.REFUSED
+    assert not mesh.acceptor.requests
+    assert not mesh.moves.requests
+
+
+async def test_announcement_reaches_the_membership(mesh: _Mesh) -> None:
+    body = {
+        'service': 'orders',
+        'version': 'v1',
+        'address': '127.0.0.1:8000',
+        'slots': 12,
+        'connections': 120,
+    }
+    answer = await mesh.admin.call('PUT', '/v1/backend', SERVER, body)
+    assert answer.status == 200
+    assert str(mesh.membership.announced[0].address) == '127.0.0.1:8000'
+    assert not mesh.trail.rows, 'announcements are no changes of operators'
+
+
+async def test_node_without_parts_answers_not_ready() -> None:
+    admin = AdminCaller(make_context())
+    for method, target in (
+        ('GET', '/v1/config'),
+        ('GET', '/v1/moves'),
+        ('GET', '/v1/audit'),
+        ('GET', '/v1/metrics'),
+        ('PUT', '/v1/moves/orders'),
+    ):
+        answer = await admin.call(method, target, body=_MOVE)
+        assert (answer.status, answer.body['kind']) == (503, 'not-ready')
+    status = await admin.call('GET', '/v1/status')
+    assert status.body['ready'] is False
+    assert status.body['platform']['reachable'] is False
+
+
+async def test_audit_rows_lost_to_an_outage_are_counted(mesh: _Mesh) -> None:
+    mesh.trail.reachable = False
+    await mesh.admin.call('PUT', '/v1/moves/orders', body=_MOVE)
+    counters = mesh.context.counters
+    assert isinstance(counters, NullCounters)
+    assert counters.sums['admin_audit_lost'] == 1
+
+
+async def test_health_needs_no_token(mesh: _Mesh) -> None:
+    answer = await mesh.admin.call('GET', '/v1/health', token=None)
+    assert answer.body == {'ready': True, 'revision': 1, 'draining': False}
+
+
+async def test_unknown_route_is_not_found(mesh: _Mesh) -> None:
+    answer = await mesh.admin.call('GET', '/v1/weights')
+    assert answer.status == 404
+    assert 'GET /v1/status' in answer.body['hint']
--- /dev/null
+++ b/tests/functional/test_admin_server.py
@@ -0,0 +1,130 @@
+"""The administration server on a socket: garbage leaves it up."""
+
+import signal
+import socket
+from collections.abc import AsyncIterator
+
+import anyio
+import pytest
+
+from bluebellslip._internal.admin.connections import HEAD_LIMIT
+from bluebellslip._internal.admin.server import AdminPlugin
+from bluebellslip._internal.exceptions import ListenError
+from bluebellslip._internal.models.identity import Address
+from lib.operators import OPERATOR, make_context
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+async def server() -> AsyncIterator[AdminPlugin]:
+    plugin = AdminPlugin.from_context(make_context('127.0.0.1:0'))
+    async with anyio.create_task_group() as group:
+        await group.start(plugin.run)
+        yield plugin
+        await plugin.drain()
+
+
+async def _exchange(address: Address, sent: bytes) -> bytes:
+    """Send bytes and return all that comes back until the server closes."""
+    received = b''
+    async with await anyio.connect_tcp(address.host, address.port) as stream:
+        try:
+            await stream.send(sent)
+            while True:
+                received += await stream.receive()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            return received
+
+
+def _request(method: str, path: str, *headers: str, body: bytes = b'') -> bytes:
+    lines = [
+        f'{method} {path} HTTP/1.1',
+        'host: node',
+        'connection: close',
+        f'authorization: Bearer {OPERATOR}',
+        *headers,
+    ]
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+async def _assert_up(address: Address) -> None:
+    answer = await _exchange(address, _request('GET', '/v1/health'))
+    assert answer.startswith(b'HTTP/1.1 200')
+
+
+@pytest.mark.parametrize(
+    'garbage',
+    [
+        b'\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03',
+        b'NONSENSE\r\n\r\n',
+        b'GET / HTTP/9.9\r\n\r\n',
+        b'GET /v1/health HTTP/1.1\r\ncontent-length: -5\r\n\r\n',
+        b'GET /v1/health HTTP/1.1\r\nhost: a\r\nbad header\r\n\r\n',
+    ],
+)
+async def test_malformed_http_is_refused(
+    server: AdminPlugin, garbage: bytes
+) -> None:
+    answer = await _exchange(server.address, garbage)
+    assert answer.startswith(b'HTTP/1.1 400')
+    await _assert_up(server.address)
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'GET /v1/health HTTP/1.1\r\nx: '.ljust(HEAD_LIMIT * 4, b'a'),
+        b'GET /'.ljust(HEAD_LIMIT * 4, b'a'),
+        b'GET /v1/health HTTP/1.1\r\n%b' % (b'a: b\r\n' * HEAD_LIMIT),
+    ],
+)
+async def test_endless_head_is_cut(server: AdminPlugin, head: bytes) -> None:
+    await _exchange(server.address, head)
+    await _assert_up(server.address)
+
+
+async def test_oversize_body_is_refused(server: AdminPlugin) -> None:
+    size = (1 << 20) + 1
+    answer = await _exchange(
+        server.address,
+        _request(
+            'PUT', '/v1/config', f'content-length: {size}', body=b' ' * size
+        ),
+    )
+    assert b'"kind":"too-large"' in answer
+    await _assert_up(server.address)
+
+
+async def test_body_that_ends_early_leaves_the_server_up(
+    server: AdminPlugin,
+) -> None:
+    address = server.address
+    async with await anyio.connect_tcp(address.host, address.port) as stream:
+        await stream.send(_request('PUT', '/v1/config', 'content-length: 99'))
+    await _assert_up(address)
+
+
+async def test_head_that_never_ends_is_given_up(
+    server: AdminPlugin, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    connections = 'bluebellslip._internal.admin.connections'
+    monkeypatch.setattr(f'{connections}.HEAD_TIMEOUT_SECONDS', 0.01)
+    assert await _exchange(server.address, b'GET /v1/he') == b''
+    await _assert_up(server.address)
+
+
+async def test_signals_are_left_to_the_node(server: AdminPlugin) -> None:
+    await _assert_up(server.address)
+    assert signal.getsignal(signal.SIGINT) is signal.default_int_handler
+
+
+async def test_address_that_is_taken_is_one_clear_error() -> None:
+    with socket.create_server(('127.0.0.1', 0)) as taken:
+        port = taken.getsockname()[1]
+        plugin = AdminPlugin.from_context(make_context(f'127.0.0.1:{port}'))
+        with pytest.RaisesGroup(
+            pytest.RaisesExc(ListenError, match=f'127.0.0.1:{port}')
+        ):
+            async with anyio.create_task_group() as group:
+                await group.start(plugin.run)
--- /dev/null
+++ b/tests/functional/test_node_process.py
@@ -0,0 +1,118 @@
+"""A node as a process: its start, stop, errors and import set."""
+
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from bluebellslip._internal.exceptions import ErrorKind
+from bluebellslip._internal.models.answers import ANSWERS
+from lib.operators import make_settings
+
+# uvicorn imports click itself, so that one can't be kept out.
+_FORBIDDEN = ('typer', 'pydantic', 'rich', 'uvloop', 'h11')
+
+
+def _write_settings(path: Path, **fields: object) -> Path:
+    settings = msgspec.to_builtins(make_settings('127.0.0.1:0'))
+    settings['listen'].update({
+        'egress': '127.0.26.1:26102',
+        'ingress': '127.0.26.1:26202',
+        'peer': '127.0.26.1:26302',
+        'admin': '127.0.26.1:26402',
+    })
+    settings['platform'] = {
+        'table': 'http://127.0.26.1:26999',
+        'objects': 'http://127.0.26.1:26999',
+    }
+    settings.update(fields)
+    file = path / 'node.json5'
+    file.write_text(json.dumps(settings))
+    return file
+
+
+def _start(file: Path) -> subprocess.Popen[str]:
+    return subprocess.Popen(
+        [sys.executable, '-m', 'bluebellslip_node', str(file)],
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def _read_until(process: subprocess.Popen[str], message: str) -> dict[str, str]:
+    assert process.stderr is not None
+    for line in process.stderr:
+        entry = json.loads(line)
+        if entry['message'] == message:
+            return dict(entry)
+    raise AssertionError(f'no line says {message}')
+
+
+@pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
+def test_signal_stops_the_node_gracefully(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    with _start(_write_settings(tmp_path, drain='1s')) as process:
+        started = _read_until(process, 'started')
+        process.send_signal(number)
+        _read_until(process, 'stopped')
+        assert process.wait() == 0
+    assert started['node'] == 'orders-1'
+    assert started['mesh'] == 'thistle-quill'
+    assert started['revision'] == 0
+
+
+@pytest.mark.parametrize(
+    ('fields', 'kind'),
+    [
+        ({'nodes': 1}, ErrorKind.UNKNOWN_KEY),
+        ({'drain': 'soon'}, ErrorKind.BAD_DURATION),
+        ({'seeds': ['127.0.0.1:99999']}, ErrorKind.BAD_VALUE),
+        ({'node': 5}, ErrorKind.WRONG_TYPE),
+    ],
+)
+def test_bad_settings_are_one_clear_error(
+    tmp_path: Path, fields: dict[str, object], kind: ErrorKind
+) -> None:
+    file = _write_settings(tmp_path, **fields)
+    with _start(file) as process:
+        _, errors = process.communicate()
+        assert process.returncode == ANSWERS[kind].exit_code
+    line = json.loads(errors)
+    assert line['kind'] == kind
+    assert line['context']['file'] == str(file)
+
+
+def test_address_in_use_is_one_clear_error(tmp_path: Path) -> None:
+    file = _write_settings(tmp_path, drain='1s')
+    with _start(file) as first:
+        _read_until(first, 'started')
+        with _start(file) as second:
+            _, errors = second.communicate()
+            first.terminate()
+            assert (
+                second.returncode == ANSWERS[ErrorKind.LISTEN_FAILED].exit_code
+            )
+        assert first.wait() == 0
+    assert 'Traceback' not in errors
+
+
+def test_imports_leave_out_what_only_operators_need() -> None:
+    script = (
+        'import sys\n'
+        'from bluebellslip._internal.nodes.loading import load_plugins\n'
+        'import bluebellslip._internal.nodes.main\n'
+        'load_plugins()\n'
+        'print(*sorted({name.split(".")[0] for name in sys.modules}))\n'
+    )
+    done = subprocess.run(
+        [sys.executable, '-c', script],
+        check=True,
+        capture_output=True,
+        text=True,
+    )
+    assert not set(_FORBIDDEN) & set(done.stdout.split())
--- /dev/null
+++ b/tests/unit/test_admin_connections.py
@@ -0,0 +1,114 @@
+"""A connection is dropped when its head is too long or too slow."""
+
+from collections.abc import Callable
+from typing import Any, cast
+
+import pytest
+import uvicorn
+from uvicorn.server import ServerState
+
+from bluebellslip._internal.admin.connections import (
+    HEAD_LIMIT,
+    BoundedProtocol,
+)
+
+
+class _Timer:
+    def __init__(self, callback: Callable[[], None]) -> None:
+        self.fire = callback
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+class _Loop:
+    """Keeps timers and starts no tasks."""
+
+    def __init__(self) -> None:
+        self.timers: list[_Timer] = []
+
+    def call_later(self, delay: float, callback: Callable[[], None]) -> _Timer:
+        self.timers.append(_Timer(callback))
+        return self.timers[-1]
+
+    def create_task(self, coroutine: Any) -> '_Loop':
+        coroutine.close()
+        return self
+
+    def add_done_callback(self, callback: Callable[[Any], None]) -> None:
+        """Never call it: nothing runs."""
+
+
+class _Transport:
+    def __init__(self) -> None:
+        self.closed = False
+
+    def close(self) -> None:
+        self.closed = True
+
+    def abort(self) -> None:
+        self.closed = True
+
+    def get_extra_info(self, name: str) -> None:
+        """Know nothing."""
+
+    def pause_reading(self) -> None:
+        """Read on."""
+
+    def resume_reading(self) -> None:
+        """Read on."""
+
+
+class _Connection:
+    def __init__(self) -> None:
+        self.loop = _Loop()
+        self.transport = _Transport()
+        config = uvicorn.Config(
+            cast('Any', object()), log_config=None, lifespan='off', ws='none'
+        )
+        self.protocol = BoundedProtocol(
+            config, ServerState(), {}, cast('Any', self.loop)
+        )
+        self.protocol.connection_made(cast('Any', self.transport))
+
+
+@pytest.fixture
+def connection() -> _Connection:
+    return _Connection()
+
+
+def test_head_over_the_limit_is_dropped(connection: _Connection) -> None:
+    connection.protocol.data_received(b'GET / HTTP/1.1\r\nx: ')
+    chunk = b'a' * 1024
+    for _ in range(HEAD_LIMIT // len(chunk)):
+        assert not connection.transport.closed
+        connection.protocol.data_received(chunk)
+    assert connection.transport.closed
+
+
+def test_head_that_stalls_is_dropped(connection: _Connection) -> None:
+    connection.protocol.data_received(b'GET / HTT')
+    connection.loop.timers[0].fire()
+    assert connection.transport.closed
+
+
+def test_whole_head_stops_the_timer_and_body_is_not_counted(
+    connection: _Connection,
+) -> None:
+    connection.protocol.data_received(
+        b'PUT / HTTP/1.1\r\ncontent-length: 99999\r\n\r\n'
+    )
+    assert connection.loop.timers[0].cancelled
+    connection.protocol.data_received(b'a' * (HEAD_LIMIT + 1))
+    assert not connection.transport.closed
+
+
+def test_next_head_of_a_connection_is_bounded_too(
+    connection: _Connection,
+) -> None:
+    connection.protocol.data_received(b'GET / HTTP/1.1\r\n\r\n')
+    connection.protocol.data_received(b'GET / HTT')
+    assert len(connection.loop.timers) == 2
+    connection.loop.timers[1].fire()
+    assert connection.transport.closed
