--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/cli/client.py
@@ -0,0 +1,198 @@
+"""The administration API as commands call it, over several nodes."""
+
+import dataclasses
+import datetime as dt
+from collections.abc import Callable, Iterator
+from random import Random
+from typing import Final, TypeVar
+
+import msgspec
+
+from bluebellslip._internal.cli.transport import (
+    AnswerLostError,
+    Exchange,
+    Reply,
+    Transport,
+)
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    ErrorKind,
+    NodeUnreachableError,
+    OutcomeUnknownError,
+)
+from bluebellslip._internal.models.admin import ErrorBody
+
+_Model = TypeVar('_Model', bound=msgspec.Struct)
+
+_ROUNDS: Final = 3
+_FIRST_PAUSE: Final = dt.timedelta(milliseconds=200)
+_OK: Final = 200
+_TRANSIENT: Final = frozenset((
+    ErrorKind.NOT_READY,
+    ErrorKind.OVERLOADED,
+    ErrorKind.DRAINING,
+    ErrorKind.PLATFORM_DOWN,
+    ErrorKind.PLATFORM_UNKNOWN,
+    ErrorKind.PLATFORM_GARBLED,
+))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientOptions:
+    """Whom to ask and by which right."""
+
+    nodes: tuple[str, ...]
+    token: str = ''
+
+
+class AdminClient:
+    """Calls the administration API, on another node when one is away.
+
+    Every change carries an id of its own, so sending it again is harmless.
+
+    Parameters
+    ----------
+    options
+        The nodes to try in turn, and the token.
+    transport
+        The means of exchange.
+    sleep
+        Waits for so many seconds between rounds.
+    random
+        The source of jitter.
+    """
+
+    def __init__(
+        self,
+        options: ClientOptions,
+        transport: Transport,
+        sleep: Callable[[float], None],
+        random: Random,
+    ) -> None:
+        self._options = options
+        self._transport = transport
+        self._sleep = sleep
+        self._random = random
+
+    def get(self, target: str, model: type[_Model]) -> _Model:
+        """Read from the first node that answers."""
+        return self.call('GET', target, model)
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        model: type[_Model],
+        body: msgspec.Struct | None = None,
+    ) -> _Model:
+        """Call the first node that answers.
+
+        Raises
+        ------
+        BluebellError
+            What the node answered, or that none could be reached.
+        """
+        encoded = b'' if body is None else msgspec.json.encode(body)
+        failures: list[BluebellError] = []
+        for node in self._nodes_in_turn():
+            exchange = Exchange(
+                node, method, target, self._options.token, encoded
+            )
+            try:
+                return decode_reply(self._transport.send(exchange), node, model)
+            except BluebellError as error:
+                if not _is_transient(error):
+                    raise
+                failures.append(error)
+        raise _summarise(method, failures)
+
+    def pause(self, duration: dt.timedelta) -> None:
+        """Wait before the next call."""
+        self._sleep(duration.total_seconds())
+
+    def _nodes_in_turn(self) -> Iterator[str]:
+        for turn in range(_ROUNDS):
+            if turn:
+                ceiling = _FIRST_PAUSE * 2**turn
+                self._sleep(ceiling.total_seconds() * self._random.random())
+            yield from self._options.nodes
+
+
+def decode_reply(reply: Reply, node: str, model: type[_Model]) -> _Model:
+    """Return the model that a node answered.
+
+    Raises
+    ------
+    BluebellError
+        Of the kind that the node answered.
+    """
+    if reply.status != _OK:
+        raise rebuild_error(reply, node)
+    try:
+        return msgspec.json.decode(reply.body, type=model)
+    except msgspec.MsgspecError as fault:
+        raise BluebellError(
+            'A node answered what can not be read.',
+            context={'node': node, 'found': str(fault)},
+            hint='Check that the address is the admin address of a node.',
+        ) from fault
+
+
+def rebuild_error(reply: Reply, node: str) -> BluebellError:
+    """Return the error that a node answered, as the class of its kind."""
+    try:
+        body = msgspec.json.decode(reply.body, type=ErrorBody)
+        kind = ErrorKind(body.kind)
+    except (msgspec.MsgspecError, ValueError):
+        if reply.status == _BUSY:
+            kind = ErrorKind.OVERLOADED
+        else:
+            kind = ErrorKind.INTERNAL
+        body = ErrorBody(
+            kind=kind,
+            message='A node refused the call without saying why.',
+            context={'status': str(reply.status)},
+            hint='Check that the address is the admin address of a node.',
+        )
+    error_class = _index_classes(BluebellError).get(kind, BluebellError)
+    return error_class(
+        body.message, context={**body.context, 'node': node}, hint=body.hint
+    )
+
+
+_BUSY: Final = 503
+
+
+def _index_classes(
+    base: type[BluebellError],
+) -> dict[ErrorKind, type[BluebellError]]:
+    classes = {base.kind: base}
+    for child in base.__subclasses__():
+        for kind, found in _index_classes(child).items():
+            classes.setdefault(kind, found)
+    return classes
+
+
+def _summarise(method: str, failures: list[BluebellError]) -> BluebellError:
+    """Return the error that says most of all failed attempts."""
+    if not failures:
+        return NodeUnreachableError('No node was named.')
+    last = failures[-1]
+    if method != 'GET' and any(map(_may_have_run, failures)):
+        return OutcomeUnknownError(
+            'The change may or may not have been taken in.',
+            context={**last.context, 'last': last.message},
+            hint='Repeat it with the same id; it takes effect only once.',
+        )
+    return last
+
+
+def _is_transient(error: BluebellError) -> bool:
+    return isinstance(error, NodeUnreachableError) or error.kind in _TRANSIENT
+
+
+def _may_have_run(error: BluebellError) -> bool:
+    return (
+        isinstance(error, AnswerLostError)
+        or error.kind is ErrorKind.PLATFORM_UNKNOWN
+    )
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/cli/console.py
@@ -0,0 +1,64 @@
+"""What commands print."""
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from bluebellslip._internal.exceptions import BluebellError
+from bluebellslip._internal.models.admin import ErrorBody
+
+Print = Callable[[str], None]
+
+
+def _print_out(text: str) -> None:
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
+
+
+def _print_error(text: str) -> None:
+    sys.stderr.write(f'{text}\n')
+
+
+class Console:
+    """Prints results as words or as JSON, and errors to standard error.
+
+    Parameters
+    ----------
+    as_json
+        Whether results and errors are printed as JSON, one line each.
+    """
+
+    def __init__(
+        self,
+        as_json: bool,
+        out: Print = _print_out,
+        err: Print = _print_error,
+    ) -> None:
+        self._as_json = as_json
+        self._out = out
+        self._err = err
+
+    def show(self, body: Any, words: str) -> None:
+        """Print a result in the form that was asked for."""
+        self._out(
+            msgspec.json.encode(body).decode() if self._as_json else words
+        )
+
+    def show_error(self, error: BluebellError) -> None:
+        """Print an error: what, where, and what to do."""
+        if self._as_json:
+            body = ErrorBody(
+                kind=error.kind,
+                message=error.message,
+                context=error.context,
+                hint=error.hint,
+            )
+            self._err(msgspec.json.encode(body).decode())
+            return
+        lines = [f'Error ({error.kind}): {error.message}']
+        lines += [f'  {name}: {text}' for name, text in error.context.items()]
+        if error.hint:
+            lines.append(f'  hint: {error.hint}')
+        self._err('\n'.join(lines))
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/cli/differences.py
@@ -0,0 +1,117 @@
+"""What one configuration changes of another, by name."""
+
+import dataclasses
+import enum
+from collections.abc import Iterator
+from typing import Any, Final
+
+import msgspec
+
+from bluebellslip._internal.models.config import ConfigDocument
+
+_PARTS: Final = (
+    ('classes', 'class'),
+    ('services', 'service'),
+    ('routes', 'route'),
+)
+
+
+@enum.unique
+class ChangeKind(enum.StrEnum):
+    """What happens to a named part."""
+
+    ADDED = 'added'
+    REMOVED = 'removed'
+    CHANGED = 'changed'
+
+
+class FieldChange(msgspec.Struct, frozen=True):
+    """A field whose value differs."""
+
+    field: str
+    old: str
+    new: str
+
+
+class Difference(msgspec.Struct, frozen=True):
+    """A named part that differs."""
+
+    part: str
+    name: str
+    change: ChangeKind
+    fields: tuple[FieldChange, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pair:
+    """One name's specs in both documents, as built-in types."""
+
+    old: dict[str, Any] | None
+    new: dict[str, Any] | None
+
+
+def compare_documents(
+    old: ConfigDocument, new: ConfigDocument
+) -> tuple[Difference, ...]:
+    """Return what the new document changes, in the order of the parts."""
+    whole = _compare_fields(
+        {'mesh': old.mesh, 'preference': str(old.preference)},
+        {'mesh': new.mesh, 'preference': str(new.preference)},
+    )
+    found = [
+        difference
+        for part, noun in _PARTS
+        for difference in _compare_part(
+            noun, getattr(old, part), getattr(new, part)
+        )
+    ]
+    if whole:
+        mesh = Difference('mesh', new.mesh, ChangeKind.CHANGED, whole)
+        return (mesh, *found)
+    return tuple(found)
+
+
+def describe_difference(difference: Difference) -> list[str]:
+    """Return a difference in words, its fields one a line."""
+    lines = [f'{difference.part} {difference.name}: {difference.change}']
+    lines += [
+        f'  {change.field}: {change.old} -> {change.new}'
+        for change in difference.fields
+    ]
+    return lines
+
+
+def _compare_part(noun: str, old: Any, new: Any) -> Iterator[Difference]:
+    old_specs = {spec.name: msgspec.to_builtins(spec) for spec in old}
+    new_specs = {spec.name: msgspec.to_builtins(spec) for spec in new}
+    for name in sorted(old_specs.keys() | new_specs.keys()):
+        pair = _Pair(old_specs.get(name), new_specs.get(name))
+        if pair.old != pair.new:
+            yield _describe_pair(noun, name, pair)
+
+
+def _describe_pair(noun: str, name: str, pair: _Pair) -> Difference:
+    if pair.old is None:
+        return Difference(noun, name, ChangeKind.ADDED)
+    if pair.new is None:
+        return Difference(noun, name, ChangeKind.REMOVED)
+    return Difference(
+        noun, name, ChangeKind.CHANGED, _compare_fields(pair.old, pair.new)
+    )
+
+
+def _compare_fields(
+    old: dict[str, Any], new: dict[str, Any], prefix: str = ''
+) -> tuple[FieldChange, ...]:
+    changes: list[FieldChange] = []
+    for field, before in old.items():
+        after = new.get(field)
+        if before == after:
+            continue
+        if isinstance(before, dict) and isinstance(after, dict):
+            changes += _compare_fields(before, after, f'{field}.')
+        else:
+            changes.append(
+                FieldChange(f'{prefix}{field}', str(before), str(after))
+            )
+    return tuple(changes)
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/cli/options.py
@@ -0,0 +1,67 @@
+"""Options that every command takes."""
+
+import dataclasses
+import inspect
+from collections.abc import Mapping
+from typing import Annotated, Any, Final
+
+import typer
+
+DEFAULT_NODE: Final = '127.0.0.1:7400'
+
+JsonOption = Annotated[
+    bool, typer.Option('--json', help='Print JSON instead of words.')
+]
+NodesOption = Annotated[
+    list[str],
+    typer.Option(
+        '--node',
+        help='Admin address of a node; repeat it to name others to try.',
+        envvar='BLUEBELL_NODE',
+        metavar='HOST:PORT',
+    ),
+]
+TokenOption = Annotated[
+    str,
+    typer.Option(
+        '--token',
+        help='Token; the environment keeps it out of the process list.',
+        envvar='BLUEBELL_TOKEN',
+        show_default=False,
+    ),
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommonOptions:
+    """Values of the options that every command takes."""
+
+    as_json: bool = False
+    nodes: tuple[str, ...] = (DEFAULT_NODE,)
+    token: str = ''
+
+    @classmethod
+    def pop_from(cls, arguments: dict[str, Any]) -> 'CommonOptions':
+        """Take the values out of a command's arguments."""
+        return cls(
+            as_json=arguments.pop('as_json'),
+            nodes=tuple(arguments.pop('nodes', ())),
+            token=arguments.pop('token', ''),
+        )
+
+
+def list_parameters(needs_node: bool) -> Mapping[str, inspect.Parameter]:
+    """Return the options as parameters of a callback."""
+    options: dict[str, tuple[Any, Any]] = {'as_json': (JsonOption, False)}
+    if needs_node:
+        options['nodes'] = (NodesOption, [DEFAULT_NODE])
+        options['token'] = (TokenOption, '')
+    return {
+        name: inspect.Parameter(
+            name,
+            inspect.Parameter.KEYWORD_ONLY,
+            default=default,
+            annotation=annotation,
+        )
+        for name, (annotation, default) in options.items()
+    }
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the command line, one class a module."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/commands/audit.py
@@ -0,0 +1,34 @@
+"""``bluebell audit``: what operators did."""
+
+from typing import Annotated
+
+import typer
+
+from bluebellslip._internal.cli.base_command import Command
+from bluebellslip._internal.cli.status_codes import SUCCESS
+from bluebellslip._internal.cli.wording import say_time
+from bluebellslip._internal.models.rows import AuditRow
+from bluebellslip._internal.models.views import AuditBody
+
+
+class AuditCommand(Command):
+    """Shows the newest audited actions, newest first."""
+
+    def run(
+        self,
+        limit: Annotated[int, typer.Option(help='Number of rows.')] = 50,
+    ) -> int:
+        """Show the rows."""
+        body = self._client.get(f'/v1/audit?limit={limit}', AuditBody)
+        lines = [describe_row(row) for row in body.rows]
+        self._console.show(body, '\n'.join(lines) or 'Nothing is audited yet.')
+        return SUCCESS
+
+
+def describe_row(row: AuditRow) -> str:
+    """Say who did what, and what became of it."""
+    line = (
+        f'{say_time(row.at)}  {row.who} {row.action} {row.subject}: '
+        f'{row.outcome} at revision {row.revision}'
+    )
+    return f'{line} ({row.detail})' if row.detail else line
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/commands/config_check.py
@@ -0,0 +1,84 @@
+"""``bluebell config check``: check a file without a node."""
+
+import enum
+from pathlib import Path
+from typing import Annotated, Any, ClassVar
+
+import msgspec
+import typer
+
+from bluebellslip._internal.cli.base_command import Command
+from bluebellslip._internal.cli.documents import check_config
+from bluebellslip._internal.cli.status_codes import SUCCESS
+from bluebellslip._internal.cli.wording import say_count
+from bluebellslip._internal.models.config import ConfigDocument
+from bluebellslip._internal.models.settings import NodeSettings
+from bluebellslip._internal.nodes.settings import check_settings
+from bluebellslip._internal.utils.documents import convert_tree
+from bluebellslip._internal.utils.jsonc import parse_tree, read_text
+
+
+@enum.unique
+class FileKind(enum.StrEnum):
+    """What a file holds."""
+
+    AUTO = 'auto'
+    CONFIG = 'config'
+    SETTINGS = 'settings'
+
+
+class CheckBody(msgspec.Struct, frozen=True):
+    """A file without faults."""
+
+    file: str
+    kind: FileKind
+    summary: str
+
+
+class ConfigCheckCommand(Command):
+    """Checks a configuration or node settings, and needs no node for it."""
+
+    needs_node: ClassVar[bool] = False
+
+    def run(
+        self,
+        file: Annotated[Path, typer.Argument(help='File to check.')],
+        kind: Annotated[
+            FileKind, typer.Option(help='What the file holds.')
+        ] = FileKind.AUTO,
+    ) -> int:
+        """Check the file."""
+        source = str(file)
+        tree = parse_tree(read_text(file), source)
+        found = guess_kind(tree) if kind is FileKind.AUTO else kind
+        if found is FileKind.SETTINGS:
+            summary = _check_settings(tree, source)
+        else:
+            summary = _check_config(tree, source)
+        body = CheckBody(source, found, summary)
+        self._console.show(body, f'{source} is fine: {summary}.')
+        return SUCCESS
+
+
+def guess_kind(tree: Any) -> FileKind:
+    """Tell node settings by the keys that only they have."""
+    if tree.keys() & {'node', 'listen', 'platform', 'peer_key', 'tokens'}:
+        return FileKind.SETTINGS
+    return FileKind.CONFIG
+
+
+def _check_settings(tree: Any, source: str) -> str:
+    settings = convert_tree(tree, NodeSettings, source)
+    check_settings(settings, source)
+    return f'settings of node {settings.node} in mesh {settings.mesh}'
+
+
+def _check_config(tree: Any, source: str) -> str:
+    document = convert_tree(tree, ConfigDocument, source)
+    check_config(document, source)
+    counts = ', '.join((
+        say_count(len(document.services), 'service'),
+        say_count(len(document.routes), 'route'),
+        f'classes: {len(document.classes)}',
+    ))
+    return f'configuration of mesh {document.mesh} with {counts}'
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/commands/status.py
@@ -0,0 +1,73 @@
+"""``bluebell status``: the mesh as a node sees it."""
+
+import datetime as dt
+
+from bluebellslip._internal.cli.base_command import Command
+from bluebellslip._internal.cli.status_codes import SUCCESS
+from bluebellslip._internal.cli.wording import (
+    describe_move,
+    describe_nodes,
+    say_count,
+)
+from bluebellslip._internal.models.views import PlatformView, StatusBody
+
+
+class StatusCommand(Command):
+    """Shows revision, holders, moves, leaving servers and the platform."""
+
+    def run(self) -> int:
+        """Show the status."""
+        status = self._client.get('/v1/status', StatusBody)
+        words = describe_status(status, self._clock.now())
+        self._console.show(status, words)
+        return SUCCESS
+
+
+def describe_status(status: StatusBody, now: dt.datetime) -> str:
+    """Say how the mesh stands."""
+    lines = [
+        f'mesh {status.mesh}, as {status.node} sees it',
+        _say_revision(status),
+        _say_holders(status),
+        _say_platform(status.platform),
+    ]
+    lines += _indent('moves', _list_moves(status, now))
+    lines += _indent(
+        'servers that are leaving', describe_nodes(status.draining)
+    )
+    return '\n'.join(lines)
+
+
+def _say_revision(status: StatusBody) -> str:
+    if not status.ready:
+        return 'no configuration is in force here yet: the node is not ready'
+    newest = max(status.known_head, status.platform.head)
+    if newest > status.revision:
+        return f'revision {status.revision} here; {newest} is on its way'
+    return f'revision {status.revision} is in force here'
+
+
+def _say_holders(status: StatusBody) -> str:
+    if not status.holders:
+        return 'no nodes are known'
+    parts = [
+        f'{say_count(count, "node")} at revision {revision}'
+        for revision, count in status.holders.items()
+    ]
+    return ', '.join(parts)
+
+
+def _say_platform(platform: PlatformView) -> str:
+    if platform.reachable:
+        return 'the platform answers'
+    return f'the platform does not answer: {platform.detail}'
+
+
+def _list_moves(status: StatusBody, now: dt.datetime) -> list[str]:
+    return [line for move in status.moves for line in describe_move(move, now)]
+
+
+def _indent(title: str, lines: list[str]) -> list[str]:
+    if not lines:
+        return [f'{title}: none']
+    return [f'{title}:', *(f'  {line}' for line in lines)]
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/commands/withdraw.py
@@ -0,0 +1,30 @@
+"""``bluebell withdraw``: take the move of a service back."""
+
+from typing import Annotated
+from urllib.parse import quote, urlencode
+
+import typer
+
+from bluebellslip._internal.cli.base_command import Command
+from bluebellslip._internal.cli.status_codes import SUCCESS
+from bluebellslip._internal.cli.wording import describe_move
+from bluebellslip._internal.models.views import MoveView
+
+
+class WithdrawCommand(Command):
+    """Takes the newest move of a service back."""
+
+    def run(
+        self,
+        service: Annotated[str, typer.Argument(help='Service of the move.')],
+        reason: Annotated[
+            str, typer.Option(help='Why, for the audit trail.')
+        ] = 'withdrawn by an operator',
+    ) -> int:
+        """Withdraw the move."""
+        query = urlencode({'reason': reason})
+        target = f'/v1/moves/{quote(service, safe="")}?{query}'
+        move = self._client.call('DELETE', target, MoveView)
+        words = '\n'.join(describe_move(move, self._clock.now()))
+        self._console.show(move, words)
+        return SUCCESS
--- /dev/null
+++ b/tests/unit/test_client.py
@@ -0,0 +1,91 @@
+"""Commands try node after node, and a change keeps its id."""
+
+import msgspec
+import pytest
+
+from bluebellslip._internal.cli.transport import (
+    AnswerLostError,
+    Exchange,
+    Reply,
+)
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    ConflictError,
+    ErrorKind,
+    NodeUnreachableError,
+    OutcomeUnknownError,
+)
+from bluebellslip._internal.models.admin import (
+    AppliedBody,
+    ApplyBody,
+    ErrorBody,
+)
+from bluebellslip._internal.models.views import HealthBody
+from lib.operators import FakeTransport, make_client, reply_with
+from lib.snapshots import make_document
+
+_APPLIED = AppliedBody(revision=3, digest='d3')
+
+
+def _apply(transport: FakeTransport, *nodes: str) -> AppliedBody:
+    body = ApplyBody(change='change-1', document=make_document())
+    client = make_client(transport, *nodes)
+    return client.call('PUT', '/v1/config', AppliedBody, body)
+
+
+def test_next_node_is_tried_with_the_same_id() -> None:
+    def answer(exchange: Exchange) -> Reply:
+        if exchange.node == 'n1:1':
+            raise AnswerLostError('The answer was lost.')
+        return reply_with(_APPLIED)
+
+    transport = FakeTransport(answer)
+    assert _apply(transport, 'n1:1', 'n2:1') == _APPLIED
+    assert [sent.node for sent in transport.sent] == ['n1:1', 'n2:1']
+    ids = {msgspec.json.decode(sent.body)['change'] for sent in transport.sent}
+    assert ids == {'change-1'}
+
+
+def test_lost_answer_everywhere_is_an_unknown_outcome() -> None:
+    def answer(exchange: Exchange) -> Reply:
+        raise AnswerLostError('The answer was lost.')
+
+    with pytest.raises(OutcomeUnknownError):
+        _apply(FakeTransport(answer), 'n1:1')
+
+
+def test_refused_connections_everywhere_change_nothing() -> None:
+    def answer(exchange: Exchange) -> Reply:
+        raise NodeUnreachableError('Connection refused.')
+
+    pauses: list[float] = []
+    transport = FakeTransport(answer)
+    client = make_client(transport, 'n1:1', 'n2:1', pauses=pauses)
+    with pytest.raises(NodeUnreachableError):
+        client.get('/v1/health', HealthBody)
+    assert len(transport.sent) == 6
+    assert len(pauses) == 2
+
+
+def test_refusal_for_good_is_not_tried_elsewhere() -> None:
+    refusal = ErrorBody(kind='conflict', message='Revision 4 was faster.')
+    transport = FakeTransport(lambda exchange: reply_with(refusal, 409))
+    with pytest.raises(ConflictError, match=r'Revision 4 was faster\.'):
+        _apply(transport, 'n1:1', 'n2:1')
+    assert len(transport.sent) == 1
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [
+        Reply(200, b'<html>'),
+        Reply(200, b'{"revision": "three"}'),
+        Reply(404, b'not here'),
+        Reply(500, b'{"kind": "made-up", "message": ""}'),
+    ],
+)
+def test_garbage_of_a_node_is_one_clear_error(reply: Reply) -> None:
+    with pytest.raises(BluebellError) as caught:
+        _apply(FakeTransport(lambda exchange: reply), 'n1:1')
+    assert caught.value.kind is ErrorKind.INTERNAL
+    assert caught.value.context['node'] == 'n1:1'
