Bound connections of the admin address and answer what is no HTTP

Cause: uvicorn answers malformed HTTP in plain text and uncounted, and its one bound on connections let remote clients crowd out the announcements of the server beside the node. Change: errors of the closed list before the application too, counted; connections from the instance and from elsewhere are bounded apart. Seen red: with the bound off, with one bound for both, with the plain answer.

--- a/packages/bluebellslip/src/bluebellslip/_internal/admin/app.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/app.py
@@ -23,10 +23,14 @@
     Answered,
     find_route,
 )
+from bluebellslip._internal.admin.errors import (
+    list_error_headers,
+    view_error,
+)
 from bluebellslip._internal.admin.tokens import Holder, Keyring
 from bluebellslip._internal.exceptions import BluebellError, ErrorKind
 from bluebellslip._internal.kernel.context import Context
-from bluebellslip._internal.models.admin import ErrorBody, RawBody
+from bluebellslip._internal.models.admin import RawBody
 from bluebellslip._internal.models.answers import ANSWERS
 
 logger = logging.getLogger(__name__)
@@ -165,19 +169,8 @@
 
 
 async def _send_error(send: Send, error: BluebellError) -> None:
-    answer = ANSWERS[error.kind]
-    headers = {'bluebell-error': str(error.kind)}
-    if answer.not_run:
-        headers['bluebell-not-run'] = '1'
-    if answer.retry_after is not None:
-        headers['retry-after'] = f'{answer.retry_after.total_seconds():.0f}'
-    body = ErrorBody(
-        kind=error.kind,
-        message=error.message,
-        context=error.context,
-        hint=error.hint,
-    )
-    await _send(send, answer.status, headers, body)
+    headers = list_error_headers(error)
+    await _send(send, ANSWERS[error.kind].status, headers, view_error(error))
 
 
 async def _send(
--- a/packages/bluebellslip/src/bluebellslip/_internal/admin/server.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/server.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import datetime as dt
+import functools
 import logging
 import socket
 from collections.abc import Generator
@@ -22,7 +23,6 @@
 logger = logging.getLogger(__name__)
 
 _BACKLOG: Final = 64  # connections
-_MAX_CONNECTIONS: Final = 64
 _KEEP_ALIVE: Final = dt.timedelta(seconds=5)
 _SHUTDOWN_TIMEOUT: Final = dt.timedelta(seconds=5)
 
@@ -63,14 +63,15 @@
             uvicorn.Config(
                 AdminApp(context),
                 loop='none',
-                http=BoundedProtocol,
+                http=functools.partial(  # type: ignore[arg-type]
+                    BoundedProtocol, context.counters
+                ),
                 ws='none',
                 lifespan='off',
                 log_config=None,
                 access_log=False,
                 server_header=False,
                 backlog=_BACKLOG,
-                limit_concurrency=_MAX_CONNECTIONS,
                 timeout_keep_alive=int(_KEEP_ALIVE.total_seconds()),
                 timeout_graceful_shutdown=int(
                     _SHUTDOWN_TIMEOUT.total_seconds()
--- a/tests/unit/test_admin_connections.py
+++ b/tests/unit/test_admin_connections.py
@@ -8,9 +8,11 @@
 from uvicorn.server import ServerState
 
 from bluebellslip._internal.admin.connections import (
+    CONNECTION_LIMIT,
     HEAD_LIMIT,
     BoundedProtocol,
 )
+from bluebellslip._internal.kernel.counters import NullCounters
 
 
 class _Timer:
@@ -41,8 +43,13 @@
 
 
 class _Transport:
-    def __init__(self) -> None:
+    def __init__(self, client: str) -> None:
         self.closed = False
+        self.sent = b''
+        self._addresses = {
+            'sockname': ('10.0.0.1', 7400),
+            'peername': (client, 50000),
+        }
 
     def close(self) -> None:
         self.closed = True
@@ -50,8 +57,14 @@
     def abort(self) -> None:
         self.closed = True
 
-    def get_extra_info(self, name: str) -> None:
-        """Know nothing."""
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def write(self, sent: bytes) -> None:
+        self.sent += sent
+
+    def get_extra_info(self, name: str) -> Any:
+        return self._addresses.get(name)
 
     def pause_reading(self) -> None:
         """Read on."""
@@ -61,21 +74,22 @@
 
 
 class _Connection:
-    def __init__(self) -> None:
+    def __init__(self, state: ServerState, client: str = '10.0.0.2') -> None:
         self.loop = _Loop()
-        self.transport = _Transport()
+        self.transport = _Transport(client)
+        self.counters = NullCounters()
         config = uvicorn.Config(
             cast('Any', object()), log_config=None, lifespan='off', ws='none'
         )
         self.protocol = BoundedProtocol(
-            config, ServerState(), {}, cast('Any', self.loop)
+            self.counters, config, state, {}, cast('Any', self.loop)
         )
         self.protocol.connection_made(cast('Any', self.transport))
 
 
 @pytest.fixture
 def connection() -> _Connection:
-    return _Connection()
+    return _Connection(ServerState())
 
 
 def test_head_over_the_limit_is_dropped(connection: _Connection) -> None:
@@ -85,6 +99,24 @@
         assert not connection.transport.closed
         connection.protocol.data_received(chunk)
     assert connection.transport.closed
+    assert b'"kind":"too-large"' in connection.transport.sent
+    assert connection.counters.sums == {'admin_refused': 1}
+
+
+def test_what_is_no_http_is_answered_and_counted(
+    connection: _Connection,
+) -> None:
+    connection.protocol.data_received(b'NONSENSE\r\n\r\n')
+    assert connection.transport.closed
+    assert b'"kind":"malformed"' in connection.transport.sent
+    assert connection.counters.sums == {'admin_refused': 1}
+
+
+def test_crowd_of_remote_clients_leaves_room_for_the_server_beside() -> None:
+    state = ServerState()
+    crowd = [_Connection(state) for _ in range(CONNECTION_LIMIT + 1)]
+    assert [each.transport.closed for each in crowd].count(True) == 1
+    assert not _Connection(state, client='10.0.0.1').transport.closed
 
 
 def test_head_that_stalls_is_dropped(connection: _Connection) -> None:
