--- a/packages/bluebellslip/src/bluebellslip/_internal/admin/app.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/app.py
@@ -21,6 +21,7 @@
     AdminCall,
     AdminRoute,
     Answered,
+    Audits,
     find_route,
 )
 from bluebellslip._internal.admin.errors import (
@@ -111,8 +112,8 @@
         except BluebellError as error:
             await self._audit_refusal(route, holder, subject, error)
             raise
-        if route.action and not route.port_audits:
-            await self._audit(route, holder, subject, answered)
+        if answered.is_error() and route.audits is Audits.REFUSALS:
+            await self._audit_refusal(route, holder, subject, answered.error)
         return answered
 
     def _authorise(self, route: AdminRoute, scope: AsgiScope) -> Holder:
@@ -121,19 +122,6 @@
             holder.require(route.scope)
         return holder
 
-    async def _audit(
-        self,
-        route: AdminRoute,
-        holder: Holder,
-        subject: str,
-        answered: Answered,
-    ) -> None:
-        match answered:
-            case Result(tag='ok'):
-                await self._auditor.accept(holder.name, route.action, subject)
-            case Result(error=error):
-                await self._audit_refusal(route, holder, subject, error)
-
     async def _audit_refusal(
         self,
         route: AdminRoute,
--- a/packages/bluebellslip/src/bluebellslip/_internal/admin/calls.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/calls.py
@@ -1,6 +1,7 @@
 """One call of the administration API, and the registry of its routes."""
 
 import dataclasses
+import enum
 import functools
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Final, TypeVar
@@ -73,6 +74,17 @@
             ) from error
 
 
+@enum.unique
+class Audits(enum.Enum):
+    """Which outcomes of a route's handler the application audits.
+
+    What fails before the handler hands over to a port is audited always.
+    """
+
+    NOTHING = enum.auto()
+    REFUSALS = enum.auto()
+
+
 Answered = Result[msgspec.Struct, BluebellError]
 Handler = Callable[[AdminCall], Awaitable[Answered]]
 
@@ -81,8 +93,8 @@
 class AdminRoute:
     """A route: who may call it, and what the audit calls it.
 
-    ``action`` is empty for reads, which are not audited. Where the port
-    behind the handler audits what it returns, ``port_audits`` is set.
+    ``action`` is empty for reads, which are not audited. ``audits`` leaves
+    out what the port behind the handler audits itself.
     """
 
     method: str
@@ -90,7 +102,7 @@
     handler: Handler
     scope: Scope | None
     action: str
-    port_audits: bool
+    audits: Audits
 
     def match(self, method: str, path: str) -> Mapping[str, str] | None:
         """Return the names in a path, or none where the route differs."""
@@ -118,12 +130,10 @@
     *,
     scope: Scope | None,
     action: str = '',
-    port_audits: bool = False,
+    audits: Audits = Audits.REFUSALS,
 ) -> Callable[[Handler], Handler]:
     """Return a decorator that enters a handler as a route."""
-    return functools.partial(
-        _enter_route, method, path, scope, action, port_audits
-    )
+    return functools.partial(_enter_route, method, path, scope, action, audits)
 
 
 def _enter_route(
@@ -131,10 +141,10 @@
     path: str,
     scope: Scope | None,
     action: str,
-    port_audits: bool,
+    audits: Audits,
     handler: Handler,
 ) -> Handler:
-    route = AdminRoute(method, path, handler, scope, action, port_audits)
+    route = AdminRoute(method, path, handler, scope, action, audits)
     admin_routes.register(f'{method} {path}')(route)
     return handler
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/admin/routes/config.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/routes/config.py
@@ -7,6 +7,7 @@
 from bluebellslip._internal.admin.calls import (
     AdminCall,
     Answered,
+    Audits,
     admin_route,
 )
 from bluebellslip._internal.admin.teams import check_team_change
@@ -38,7 +39,11 @@
 
 
 @admin_route(
-    'PUT', '/v1/config', scope=Scope.APPLY, action='apply', port_audits=True
+    'PUT',
+    '/v1/config',
+    scope=Scope.APPLY,
+    action='apply',
+    audits=Audits.NOTHING,
 )
 async def put_config(call: AdminCall) -> Answered:
     """Accept a change of the configuration, or say why not."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/cli/base_command.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/cli/base_command.py
@@ -1,8 +1,10 @@
 """What all commands have in common."""
 
 import abc
+import contextlib
 import secrets
 import time
+from collections.abc import Generator
 from random import SystemRandom
 from typing import Any, ClassVar, Final, Self
 
@@ -10,6 +12,7 @@
 from bluebellslip._internal.cli.console import Console
 from bluebellslip._internal.cli.options import CommonOptions
 from bluebellslip._internal.cli.transport import HttpTransport
+from bluebellslip._internal.exceptions import OutcomeUnknownError
 from bluebellslip._internal.kernel.clock import Clock, SystemClock
 
 _ID_BYTES: Final = 12
@@ -60,3 +63,14 @@
 def make_change_id() -> str:
     """Return a fresh id by which a change is recognised when repeated."""
     return secrets.token_hex(_ID_BYTES)
+
+
+@contextlib.contextmanager
+def naming_change(change: str) -> Generator[None, None, None]:
+    """Tell the id of a change whose outcome is unknown, to repeat it by."""
+    try:
+        yield
+    except OutcomeUnknownError as error:
+        error.context['change'] = change
+        error.hint = f'Repeat it with --change {change}: it runs only once.'
+        raise
--- a/packages/bluebellslip/src/bluebellslip/_internal/cli/progress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/cli/progress.py
@@ -1,12 +1,16 @@
 """What changed between two looks at the mesh."""
 
 from collections.abc import Iterator
+from typing import Final
 
 import msgspec
 
 from bluebellslip._internal.cli.wording import say_count, say_move
+from bluebellslip._internal.exceptions import NotFoundError
 from bluebellslip._internal.models.views import MoveView, StatusBody
 
+_MOVING: Final = 'moving'
+
 
 class ProgressEvent(msgspec.Struct, frozen=True):
     """A change worth a line."""
@@ -22,6 +26,12 @@
 
     def __init__(self) -> None:
         self._said: dict[str, ProgressEvent] = {}
+        self._moving: set[str] = set()
+
+    @property
+    def seen_moving(self) -> frozenset[str]:
+        """Services that were seen under way at any look."""
+        return frozenset(self._moving)
 
     def update(self, status: StatusBody) -> tuple[ProgressEvent, ...]:
         """Return what changed since the last look."""
@@ -30,6 +40,9 @@
             for event in _list_events(status)
             if self._said.get(event.subject) != event
         )
+        self._moving.update(
+            move.service for move in status.moves if move.state == _MOVING
+        )
         self._said.update({event.subject: event for event in news})
         return news
 
@@ -39,12 +52,32 @@
 
     For the whole mesh, every known node must hold the newest revision too.
     """
-    if any(move.state == 'moving' for move in status.moves):
+    if any(move.state == _MOVING for move in status.moves):
         return False
     if not whole_mesh:
         return True
     newest = str(find_newest(status))
-    return set(status.holders) <= {newest}
+    return status.ready and set(status.holders) <= {newest}
+
+
+def select_service(status: StatusBody, service: str | None) -> StatusBody:
+    """Return the status with the moves of one service only.
+
+    Raises
+    ------
+    NotFoundError
+        When the service never had a move.
+    """
+    if service is None:
+        return status
+    moves = tuple(move for move in status.moves if move.service == service)
+    if not moves:
+        raise NotFoundError(
+            'This service has had no move.',
+            context={'service': service},
+            hint=f'Begin one with "bluebell move {service} --to VERSION".',
+        )
+    return msgspec.structs.replace(status, moves=moves)
 
 
 def find_newest(status: StatusBody) -> int:
--- a/packages/bluebellslip/src/bluebellslip/_internal/cli/times.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/cli/times.py
@@ -1,4 +1,4 @@
-"""Deadlines as operators write them."""
+"""Deadlines and days as operators write them."""
 
 import datetime as dt
 
@@ -6,33 +6,42 @@
 from bluebellslip._internal.utils.durations import parse_duration
 
 
-def parse_deadline(
-    by: str | None, within: str | None, now: dt.datetime
-) -> dt.datetime:
-    """Return the deadline of ``--by`` or ``--within``.
+def parse_deadline(text: str, now: dt.datetime) -> dt.datetime:
+    """Return the deadline that a duration, a time or a date and time mean.
+
+    Parameters
+    ----------
+    text
+        A duration from now (``30m``), a time of day (``17:00``, the next
+        one) or a date and time of ISO 8601. Without a zone the machine's own
+        is meant.
+    now
+        The present, aware.
 
     Raises
     ------
     MalformedError
-        When none or both are given, or a text is no time or duration.
+        When the text is none of these.
     """
-    if (by is None) == (within is None):
-        raise MalformedError(
-            'A move needs one deadline.',
-            hint='Write either --within 30m or --by 2026-05-01T17:00+12:00.',
-        )
-    if within is not None:
-        return now + parse_duration(within)
-    return parse_moment(by or '')
+    try:
+        return now + parse_duration(text)
+    except MalformedError:
+        clock_time = _parse_clock_time(text)
+    if clock_time is None:
+        return parse_moment(text)
+    today = now.astimezone(clock_time.tzinfo)
+    moment = dt.datetime.combine(today.date(), clock_time)
+    deadline = moment.astimezone(dt.UTC)
+    return deadline if deadline > now else deadline + dt.timedelta(days=1)
 
 
 def parse_moment(text: str) -> dt.datetime:
-    """Return a time; without a zone it is this machine's local time.
+    """Return a date and time; without a zone the machine's own is meant.
 
     Raises
     ------
     MalformedError
-        When the text is no time of ISO 8601.
+        When the text is no date and time of ISO 8601.
     """
     try:
         return dt.datetime.fromisoformat(text).astimezone(dt.UTC)
@@ -40,5 +49,12 @@
         raise MalformedError(
             'A time can not be read.',
             context={'found': text},
-            hint='Write for example 2026-05-01T17:00 or with +12:00 after it.',
+            hint='Write 30m, 17:00, 2026-05-01T17:00 or with +12:00 after it.',
         ) from error
+
+
+def _parse_clock_time(text: str) -> dt.time | None:
+    try:
+        return dt.time.fromisoformat(text)
+    except ValueError:
+        return None
--- a/packages/bluebellslip/src/bluebellslip/_internal/cli/wording.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/cli/wording.py
@@ -58,11 +58,15 @@
     """Return a move with its deadline, forecast, reason and evidence."""
     until = say_until(move.deadline, now)
     lines = [say_move(move), f'  deadline {say_time(move.deadline)} ({until})']
-    if move.state == 'moving':
+    if move.state == 'moving' and not move.stopped:
         lines.append(f'  forecast {_say_forecast(move, now)}')
-        if move.reason and not move.stopped:
+        if move.reason:
             lines.append(f'  because {move.reason}')
-    lines += [f'  {_say_evidence(evidence)}' for evidence in move.evidence]
+    lines += [
+        f'  {_say_evidence(evidence)}'
+        for evidence in move.evidence
+        if evidence.old_calls or evidence.new_calls
+    ]
     return lines
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/commands/apply.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/commands/apply.py
@@ -5,7 +5,11 @@
 
 import typer
 
-from bluebellslip._internal.cli.base_command import Command, make_change_id
+from bluebellslip._internal.cli.base_command import (
+    Command,
+    make_change_id,
+    naming_change,
+)
 from bluebellslip._internal.cli.documents import load_config
 from bluebellslip._internal.cli.status_codes import SUCCESS
 from bluebellslip._internal.models.admin import AppliedBody, ApplyBody
@@ -34,7 +38,8 @@
             document=load_config(file),
             base=base,
         )
-        applied = self._client.call('PUT', '/v1/config', AppliedBody, body)
+        with naming_change(body.change):
+            applied = self._client.call('PUT', '/v1/config', AppliedBody, body)
         self._console.show(applied, describe_applied(applied))
         return SUCCESS
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/commands/audit.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/commands/audit.py
@@ -7,7 +7,7 @@
 from bluebellslip._internal.cli.base_command import Command
 from bluebellslip._internal.cli.status_codes import SUCCESS
 from bluebellslip._internal.cli.wording import say_time
-from bluebellslip._internal.models.rows import AuditRow
+from bluebellslip._internal.models.rows import AuditOutcome, AuditRow
 from bluebellslip._internal.models.views import AuditBody
 
 
@@ -27,8 +27,10 @@
 
 def describe_row(row: AuditRow) -> str:
     """Say who did what, and what became of it."""
-    line = (
-        f'{say_time(row.at)}  {row.who} {row.action} {row.subject}: '
-        f'{row.outcome} at revision {row.revision}'
-    )
-    return f'{line} ({row.detail})' if row.detail else line
+    line = f'{say_time(row.at)}  {row.who} {row.action} {row.subject}'
+    parts = [f'{line}: {row.outcome}']
+    if row.action == 'apply' and row.outcome is AuditOutcome.ACCEPTED:
+        parts.append(f'at revision {row.revision}')
+    if row.detail:
+        parts.append(f'({row.detail})')
+    return ' '.join(parts)
--- a/packages/bluebellslip/src/bluebellslip/_internal/commands/move.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/commands/move.py
@@ -5,7 +5,11 @@
 
 import typer
 
-from bluebellslip._internal.cli.base_command import Command, make_change_id
+from bluebellslip._internal.cli.base_command import (
+    Command,
+    make_change_id,
+    naming_change,
+)
 from bluebellslip._internal.cli.status_codes import SUCCESS
 from bluebellslip._internal.cli.times import parse_deadline
 from bluebellslip._internal.cli.wording import describe_move
@@ -19,15 +23,13 @@
     def run(
         self,
         service: Annotated[str, typer.Argument(help='Service to move.')],
-        version: Annotated[str, typer.Argument(help='Version to move to.')],
+        to: Annotated[str, typer.Option(help='Version to move to.')],
         by: Annotated[
-            str | None,
-            typer.Option(help='Deadline as a time of ISO 8601.'),
-        ] = None,
-        within: Annotated[
-            str | None,
-            typer.Option(help='Deadline as a duration from now, such as 30m.'),
-        ] = None,
+            str,
+            typer.Option(
+                help='Deadline: 30m from now, 17:00, or 2026-05-01T17:00.'
+            ),
+        ],
         change: Annotated[
             str | None,
             typer.Option(help='Id of an earlier attempt, to repeat it.'),
@@ -36,12 +38,13 @@
         """Begin the move."""
         now = self._clock.now()
         body = MoveBody(
-            new=version,
-            deadline=parse_deadline(by, within, now),
+            new=to,
+            deadline=parse_deadline(by, now),
             request=change or make_change_id(),
         )
         target = f'/v1/moves/{quote(service, safe="")}'
-        move = self._client.call('PUT', target, MoveView, body)
+        with naming_change(body.request):
+            move = self._client.call('PUT', target, MoveView, body)
         lines = describe_move(move, now)
         lines.append(f'Follow it with "bluebell watch {service}".')
         self._console.show(move, '\n'.join(lines))
--- a/packages/bluebellslip/src/bluebellslip/_internal/commands/registry.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/commands/registry.py
@@ -41,6 +41,7 @@
         'watch', 'WatchCommand', 'Follow moves and revisions to their end.'
     ),
     'audit': _enter('audit', 'AuditCommand', 'Show what operators did.'),
+    'report': _enter('report', 'ReportCommand', 'Tell what happened on a day.'),
     'nodes': _enter('nodes', 'NodesCommand', 'List the nodes by their place.'),
     'config check': _enter(
         'config_check',
--- a/packages/bluebellslip/src/bluebellslip/_internal/commands/status.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/commands/status.py
@@ -1,8 +1,12 @@
 """``bluebell status``: the mesh as a node sees it."""
 
 import datetime as dt
+from typing import Annotated
+
+import typer
 
 from bluebellslip._internal.cli.base_command import Command
+from bluebellslip._internal.cli.progress import select_service
 from bluebellslip._internal.cli.status_codes import SUCCESS
 from bluebellslip._internal.cli.wording import (
     describe_move,
@@ -15,9 +19,17 @@
 class StatusCommand(Command):
     """Shows revision, holders, moves, leaving servers and the platform."""
 
-    def run(self) -> int:
+    def run(
+        self,
+        service: Annotated[
+            str | None,
+            typer.Argument(help='Service whose move to show; else all.'),
+        ] = None,
+    ) -> int:
         """Show the status."""
-        status = self._client.get('/v1/status', StatusBody)
+        status = select_service(
+            self._client.get('/v1/status', StatusBody), service
+        )
         words = describe_status(status, self._clock.now())
         self._console.show(status, words)
         return SUCCESS
--- a/packages/bluebellslip/src/bluebellslip/_internal/commands/watch.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/commands/watch.py
@@ -3,14 +3,17 @@
 import datetime as dt
 from typing import Annotated, Final
 
-import msgspec
 import typer
 
 from bluebellslip._internal.cli.base_command import Command
-from bluebellslip._internal.cli.progress import Progress, is_settled
+from bluebellslip._internal.cli.progress import (
+    Progress,
+    is_settled,
+    select_service,
+)
 from bluebellslip._internal.cli.status_codes import SUCCESS, WITHDRAWN
-from bluebellslip._internal.exceptions import DeadlineError, NotFoundError
-from bluebellslip._internal.models.views import MoveView, StatusBody
+from bluebellslip._internal.exceptions import DeadlineError
+from bluebellslip._internal.models.views import StatusBody
 from bluebellslip._internal.utils.durations import parse_duration
 
 _PERIOD: Final = dt.timedelta(seconds=1)
@@ -40,7 +43,7 @@
             for event in progress.update(status):
                 self._console.show(event, event.words)
             if is_settled(status, whole_mesh=service is None):
-                return find_exit(status.moves)
+                return _find_exit(progress, status, service)
             if limit is not None and self._clock.elapsed() - started > limit:
                 raise DeadlineError(
                     'Not all was settled in time.',
@@ -50,28 +53,10 @@
             self._client.pause(_PERIOD)
 
 
-def select_service(status: StatusBody, service: str | None) -> StatusBody:
-    """Return the status with the moves of one service only.
-
-    Raises
-    ------
-    NotFoundError
-        When the service never had a move.
-    """
-    if service is None:
-        return status
-    moves = tuple(move for move in status.moves if move.service == service)
-    if not moves:
-        raise NotFoundError(
-            'This service has had no move.',
-            context={'service': service},
-            hint=f'Begin one with "bluebell move {service} VERSION".',
-        )
-    return msgspec.structs.replace(status, moves=moves)
-
-
-def find_exit(moves: tuple[MoveView, ...]) -> int:
-    """Return the status for how the moves ended."""
-    if any(move.state == 'withdrawn' for move in moves):
-        return WITHDRAWN
-    return SUCCESS
+def _find_exit(
+    progress: Progress, status: StatusBody, service: str | None
+) -> int:
+    """Return the status for how the moves that were followed ended."""
+    followed = progress.seen_moving if service is None else {service}
+    ended = {move.service for move in status.moves if move.state == 'withdrawn'}
+    return WITHDRAWN if followed & ended else SUCCESS
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/counters.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/counters.py
@@ -11,7 +11,10 @@
 from typing import Final
 
 from opentelemetry.metrics import CallbackOptions, Histogram, Observation
-from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics import (
+    AlwaysOffExemplarFilter,
+    MeterProvider,
+)
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 from opentelemetry.sdk.resources import Resource
 
@@ -66,6 +69,8 @@
             metric_readers=(reader,),
             resource=Resource(attributes),
             shutdown_on_exit=False,
+            # Exemplars point at traces, and the nodes write none.
+            exemplar_filter=AlwaysOffExemplarFilter(),
         )
         return cls(provider, reader)
 
@@ -119,8 +124,6 @@
 def _read_sums(
     sums: dict[_Labels, int], options: CallbackOptions
 ) -> Iterable[Observation]:
-    """Return one observation per set of labels, whatever their order."""
-    merged: dict[_Labels, int] = defaultdict(int)
-    for labels, amount in sums.items():
-        merged[tuple(sorted(labels))] += amount
-    return [Observation(total, dict(key)) for key, total in merged.items()]
+    # Labels in another order are another key here; OpenTelemetry adds up
+    # observations whose attributes are alike.
+    return [Observation(total, dict(labels)) for labels, total in sums.items()]
--- /dev/null
+++ b/tests/unit/test_commands.py
@@ -0,0 +1,173 @@
+"""What commands print and how they exit."""
+
+from pathlib import Path
+
+import msgspec
+import pytest
+from syrupy.assertion import SnapshotAssertion
+
+from bluebellslip._internal.cli.status_codes import (
+    DIFFERENT,
+    SUCCESS,
+)
+from bluebellslip._internal.cli.transport import (
+    AnswerLostError,
+    Exchange,
+    Reply,
+)
+from bluebellslip._internal.commands.apply import ApplyCommand
+from bluebellslip._internal.commands.audit import AuditCommand
+from bluebellslip._internal.commands.diff import DiffCommand
+from bluebellslip._internal.commands.move import MoveCommand
+from bluebellslip._internal.commands.nodes import NodesCommand
+from bluebellslip._internal.commands.report import ReportCommand
+from bluebellslip._internal.commands.status import StatusCommand
+from bluebellslip._internal.commands.withdraw import WithdrawCommand
+from bluebellslip._internal.exceptions import (
+    OutcomeUnknownError,
+)
+from bluebellslip._internal.kernel.clock import ManualClock
+from bluebellslip._internal.models.admin import AppliedBody, ConfigBody
+from bluebellslip._internal.models.config import Preference, RouteSpec
+from bluebellslip._internal.models.views import (
+    AuditBody,
+    NodesBody,
+    PlatformView,
+)
+from lib.desk import Desk
+from lib.mesh_views import (
+    MINUTE,
+    NOON,
+    make_move,
+    make_node,
+    make_rows,
+    make_status,
+)
+from lib.operators import FakeTransport, Printed, make_client
+from lib.snapshots import make_document
+
+
+def _write_document(path: Path, **fields: object) -> Path:
+    document = msgspec.structs.replace(make_document(), **fields)
+    file = path / 'mesh.json5'
+    file.write_bytes(msgspec.json.encode(document))
+    return file
+
+
+def test_status(snapshot: SnapshotAssertion) -> None:
+    desk = Desk({'/v1/status': [make_status()]})
+    assert desk.run(StatusCommand) == SUCCESS
+    assert desk.printed.text == snapshot
+
+
+def test_status_of_a_node_in_trouble(snapshot: SnapshotAssertion) -> None:
+    status = make_status(
+        ready=False,
+        holders={},
+        moves=(
+            make_move(stopped=True, reason='failures on deposits'),
+            make_move(service='artwork', state='done', evidence=()),
+            make_move(
+                service='storefront',
+                forecast=NOON + 90 * MINUTE,
+                evidence=(),
+                reason='',
+            ),
+        ),
+        draining=(),
+        platform=PlatformView(reachable=False, detail='no answer in time'),
+    )
+    desk = Desk({'/v1/status': [status]})
+    assert desk.run(StatusCommand) == SUCCESS
+    assert desk.printed.text == snapshot
+
+
+def test_json_output_is_one_document() -> None:
+    desk = Desk({'/v1/status': [make_status()]}, as_json=True)
+    desk.run(StatusCommand)
+    status = msgspec.json.decode(desk.printed.text)
+    assert status['moves'][0]['evidence'][0]['new_calls'] == 300
+
+
+def test_nodes(snapshot: SnapshotAssertion) -> None:
+    nodes = (
+        make_node('b-2', 'fd-b'),
+        make_node('a-1'),
+        msgspec.structs.replace(make_node('a-2'), service='', status='dead'),
+    )
+    desk = Desk({'/v1/nodes': [NodesBody(nodes)]})
+    assert desk.run(NodesCommand) == SUCCESS
+    assert desk.printed.text == snapshot
+
+
+def test_audit(snapshot: SnapshotAssertion) -> None:
+    desk = Desk({'/v1/audit': [AuditBody(tuple(make_rows()))]})
+    assert desk.run(AuditCommand, limit=10) == SUCCESS
+    assert desk.printed.text == snapshot
+
+
+def test_report_of_the_last_day(snapshot: SnapshotAssertion) -> None:
+    desk = Desk({'/v1/audit': [AuditBody(tuple(make_rows()))]})
+    desk.clock.advance(60 * MINUTE)
+    assert desk.run(ReportCommand, day=None) == SUCCESS
+    assert desk.printed.text == snapshot
+
+
+def test_diff(tmp_path: Path, snapshot: SnapshotAssertion) -> None:
+    old = make_document()
+    new_route = RouteSpec('stock', 'orders', '/stock', 'reads')
+    reads = msgspec.structs.replace(old.classes[0], timeout='3s')
+    file = _write_document(
+        tmp_path,
+        preference=Preference.DEADLINE,
+        classes=(reads, old.classes[1]),
+        routes=(old.routes[0], new_route),
+    )
+    desk = Desk({'/v1/config': [ConfigBody(7, 'd7', old)]})
+    assert desk.run(DiffCommand, file=file, exit_code=True) == DIFFERENT
+    assert desk.printed.text == snapshot
+
+
+def test_diff_without_differences(tmp_path: Path) -> None:
+    file = _write_document(tmp_path)
+    desk = Desk({'/v1/config': [ConfigBody(7, 'd7', make_document())]})
+    assert desk.run(DiffCommand, file=file, exit_code=True) == SUCCESS
+    assert desk.printed.text == 'The file changes nothing of revision 7.'
+
+
+@pytest.mark.parametrize(
+    'applied',
+    [
+        AppliedBody(8, 'd8'),
+        AppliedBody(8, 'd8', rebased=True),
+        AppliedBody(8, 'd8', replayed=True),
+    ],
+)
+def test_apply(
+    tmp_path: Path, applied: AppliedBody, snapshot: SnapshotAssertion
+) -> None:
+    desk = Desk({'/v1/config': [applied]})
+    arguments = {'file': _write_document(tmp_path), 'base': 7, 'change': None}
+    assert desk.run(ApplyCommand, **arguments) == SUCCESS
+    assert desk.printed.text == snapshot
+
+
+def test_lost_change_is_told_with_its_id(tmp_path: Path) -> None:
+    def lose(exchange: Exchange) -> Reply:
+        raise AnswerLostError('The answer was lost.')
+
+    client = make_client(FakeTransport(lose))
+    command = ApplyCommand(Printed().console, client, ManualClock())
+    with pytest.raises(OutcomeUnknownError, match='--change change-1:'):
+        command.run(_write_document(tmp_path), change='change-1')
+
+
+def test_move_and_withdraw(snapshot: SnapshotAssertion) -> None:
+    withdrawn = make_move(state='withdrawn', reason='wrong branch', share=0)
+    desk = Desk({'/v1/moves/orders': [make_move(evidence=()), withdrawn]})
+    desk.run(MoveCommand, service='orders', to='v2', by='30m', change=None)
+    desk.run(WithdrawCommand, service='orders', reason='wrong branch')
+    assert desk.printed.text == snapshot
+    sent = msgspec.json.decode(desk.transport.sent[0].body)
+    assert sent['deadline'] == '2026-01-01T12:30:00Z'
+    assert desk.transport.sent[1].target.endswith('?reason=wrong+branch')
