--- a/bench/telemetry.py
+++ b/bench/telemetry.py
@@ -111,14 +111,19 @@
 def measure_times() -> dict[str, float]:
     """Return nanoseconds per call by way."""
     ways = _list_ways()
-    seen: dict[str, list[float]] = {name: [] for name in ways}
-    for _ in range(_ROUNDS):
-        for name, loop in ways.items():
-            start = time.perf_counter()
-            loop(_CALLS)
-            spent = time.perf_counter() - start
-            seen[name].append(spent / _CALLS * _NS_PER_S)
-    return {name: statistics.median(samples) for name, samples in seen.items()}
+    seen = [
+        {way: _time_loop(loop) for way, loop in ways.items()}
+        for _ in range(_ROUNDS)
+    ]
+    return {
+        name: statistics.median(times[name] for times in seen) for name in ways
+    }
+
+
+def _time_loop(loop: _Loop) -> float:
+    start = time.perf_counter()
+    loop(_CALLS)
+    return (time.perf_counter() - start) / _CALLS * _NS_PER_S
 
 
 def measure_imports() -> dict[str, int]:
