--- /dev/null
+++ b/tests/lib/known_red.py
@@ -0,0 +1,54 @@
+"""The list of tests that are known to fail for a real fault."""
+
+import dataclasses
+from pathlib import Path
+
+_FIELDS = ('test', 'command', 'seen', 'issue')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownRed:
+    """One entry: the test's identifier and what was seen of it."""
+
+    test: str
+    command: str
+    seen: str
+    issue: str
+
+
+def parse_known_red(text: str) -> tuple[KnownRed, ...]:
+    """Parse the file: blocks of ``field: text`` lines, ``#`` for comments.
+
+    Raises
+    ------
+    ValueError
+        When a block lacks a field or a line is no field.
+    """
+    blocks = []
+    fields: dict[str, str] = {}
+    for line in [*text.splitlines(), '']:
+        if line.startswith('#'):
+            continue
+        if line.strip():
+            name, separator, content = line.partition(':')
+            if not separator or name not in _FIELDS:
+                raise ValueError(f'KNOWN-RED.txt: no field in {line!r}')
+            fields[name] = content.strip()
+        elif fields:
+            blocks.append(_build_entry(fields))
+            fields = {}
+    return tuple(blocks)
+
+
+def read_known_red(path: Path) -> tuple[KnownRed, ...]:
+    """Parse a file that need not exist."""
+    if not path.exists():
+        return ()
+    return parse_known_red(path.read_text(encoding='utf-8'))
+
+
+def _build_entry(fields: dict[str, str]) -> KnownRed:
+    missing = [name for name in _FIELDS if not fields.get(name)]
+    if missing:
+        raise ValueError(f'KNOWN-RED.txt: {fields} lacks {missing}')
+    return KnownRed(**fields)
