--- /dev/null
+++ b/bench/results.py
@@ -0,0 +1,82 @@
+"""Where measurements are written, and their common envelope."""
+
+import json
+import platform
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Final
+
+Scalar = str | int | float | bool | None
+Cell = Mapping[str, Scalar]
+
+FRESH: Final = Path('build/bench')
+COMMITTED: Final = Path('bench/results')
+
+
+def write_results(name: str, rows: Sequence[Cell], **facts: Scalar) -> Path:
+    """Write one measurement's rows and return the file.
+
+    Parameters
+    ----------
+    name
+        The measurement's module.
+    rows
+        One flat mapping a row; units stand in the keys.
+    facts
+        What holds for the whole run, such as the seed.
+    """
+    FRESH.mkdir(parents=True, exist_ok=True)
+    path = FRESH / f'{name}.json'
+    envelope = {
+        'name': name,
+        'python': platform.python_version(),
+        'facts': facts,
+        'rows': list(rows),
+    }
+    path.write_text(json.dumps(envelope, indent=1), encoding='utf-8')
+    return path
+
+
+def print_rows(rows: Sequence[Cell]) -> None:
+    """Print rows as one table under the first row's keys."""
+    header = list(rows[0])
+    body = [[_format_cell(row.get(key)) for key in header] for row in rows]
+    lines = [header, *body]
+    widths = [
+        max(len(line[column]) for line in lines)
+        for column in range(len(header))
+    ]
+    for line in lines:
+        print(
+            '  '.join(
+                text.rjust(width)
+                for text, width in zip(line, widths, strict=True)
+            )
+        )
+
+
+def fit_slope(points: Sequence[tuple[float, float]]) -> tuple[float, float]:
+    """Return slope and intercept of the least-squares line.
+
+    Raises
+    ------
+    ValueError
+        When there are fewer than two different abscissae.
+    """
+    count = len(points)
+    mean_x = sum(point[0] for point in points) / count
+    mean_y = sum(point[1] for point in points) / count
+    spread = sum((point[0] - mean_x) ** 2 for point in points)
+    if not spread:
+        raise ValueError('a slope needs two different abscissae')
+    together = sum(
+        (point[0] - mean_x) * (point[1] - mean_y) for point in points
+    )
+    slope = together / spread
+    return slope, mean_y - slope * mean_x
+
+
+def _format_cell(cell: Scalar) -> str:
+    if isinstance(cell, float):
+        return f'{cell:.4g}'
+    return str(cell)
