--- /dev/null
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/asgi.py
@@ -0,0 +1,67 @@
+"""A few lines of ASGI that the stand-ins share."""
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any, Final
+
+import msgspec
+
+Scope = MutableMapping[str, Any]
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+Headers = tuple[tuple[bytes, bytes], ...]
+
+JSON_TYPE: Final = (b'content-type', b'application/json')
+MAX_BODY_BYTES: Final = 1 << 25
+
+
+class Response(msgspec.Struct, frozen=True):
+    """An answer with its whole body."""
+
+    status: int
+    body: bytes = b''
+    headers: Headers = ()
+
+    @classmethod
+    def from_json(cls, tree: object, status: int = 200) -> 'Response':
+        """Encode a structure."""
+        return cls(status, msgspec.json.encode(tree), (JSON_TYPE,))
+
+
+async def read_body(receive: Receive) -> bytes:
+    """Return a request's whole body.
+
+    Raises
+    ------
+    ValueError
+        When it is longer than ``MAX_BODY_BYTES``.
+    """
+    chunks = bytearray()
+    more = True
+    while more:
+        message = await receive()
+        chunks += message.get('body', b'')
+        more = message.get('more_body', False)
+        if len(chunks) > MAX_BODY_BYTES:
+            raise ValueError('the body is too long')
+    return bytes(chunks)
+
+
+async def send_response(send: Send, response: Response) -> None:
+    """Send an answer."""
+    length = str(len(response.body)).encode()
+    await send({
+        'type': 'http.response.start',
+        'status': response.status,
+        'headers': [*response.headers, (b'content-length', length)],
+    })
+    await send({'type': 'http.response.body', 'body': response.body})
+
+
+async def break_off(send: Send) -> None:
+    """Begin an answer that the server can't end, so that it cuts the line."""
+    await send({
+        'type': 'http.response.start',
+        'status': 200,
+        'headers': [(b'content-length', b'1')],
+    })
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/platform/wire.py
@@ -0,0 +1,114 @@
+"""Bodies of the platform's HTTP interface.
+
+Bodies are JSON; binary content stands in base64. ``POST /table/transact``
+answers 200 with ``CommittedBody`` or 409 with ``RefusedBody``. ``GET
+/table/rows/KEY`` answers 200 with ``RowBody`` or 404, ``GET /table/rows``
+with ``prefix`` and ``limit`` answers ``RowsBody``. ``PUT`` and ``GET
+/objects/NAME`` carry the object itself. 503 means that nothing took effect.
+"""
+
+from typing import Final, Self
+from urllib.parse import quote
+
+import msgspec
+
+from bluebellslip._internal.kernel.ports import (
+    Condition,
+    Row,
+    Transaction,
+    Write,
+)
+
+TRANSACT_PATH: Final = '/table/transact'
+ROWS_PATH: Final = '/table/rows'
+OBJECTS_PATH: Final = '/objects'
+
+
+class ConditionBody(msgspec.Struct, frozen=True):
+    """A row must stand at this version; 0 means that it must be absent."""
+
+    key: str
+    version: int
+
+
+class WriteBody(msgspec.Struct, frozen=True):
+    """A row's new body; none deletes the row."""
+
+    key: str
+    body: bytes | None
+
+
+class TransactBody(msgspec.Struct, frozen=True):
+    """A transaction."""
+
+    conditions: tuple[ConditionBody, ...]
+    writes: tuple[WriteBody, ...]
+
+    @classmethod
+    def from_transaction(cls, transaction: Transaction) -> Self:
+        """Convert to the form on the wire."""
+        return cls(
+            tuple(
+                ConditionBody(condition.key, condition.version)
+                for condition in transaction.conditions
+            ),
+            tuple(
+                WriteBody(write.key, write.body) for write in transaction.writes
+            ),
+        )
+
+    def to_transaction(self) -> Transaction:
+        """Convert from the form on the wire."""
+        return Transaction(
+            tuple(
+                Condition(condition.key, condition.version)
+                for condition in self.conditions
+            ),
+            tuple(Write(write.key, write.body) for write in self.writes),
+        )
+
+
+class CommittedBody(msgspec.Struct, frozen=True):
+    """Versions of the written rows, in the order of the writes."""
+
+    versions: tuple[int, ...]
+
+
+class RefusedBody(msgspec.Struct, frozen=True):
+    """The first condition that did not hold, and the version found."""
+
+    key: str
+    version: int
+
+
+class RowBody(msgspec.Struct, frozen=True):
+    """A row."""
+
+    key: str
+    version: int
+    body: bytes
+
+    @classmethod
+    def from_row(cls, row: Row) -> Self:
+        """Convert to the form on the wire."""
+        return cls(row.key, row.version, row.body)
+
+    def to_row(self) -> Row:
+        """Convert from the form on the wire."""
+        return Row(self.key, self.version, self.body)
+
+
+class RowsBody(msgspec.Struct, frozen=True):
+    """Rows in the order of their keys."""
+
+    rows: tuple[RowBody, ...]
+
+
+def name_row_path(key: str) -> str:
+    """Return the path of a row."""
+    return f'{ROWS_PATH}/{quote(key)}'
+
+
+def name_object_path(name: str) -> str:
+    """Return the path of an object."""
+    return f'{OBJECTS_PATH}/{quote(name)}'
