Add the platform's client and the write path of configuration

The client maps every failure of an exchange to one of three errors: nothing took effect, a write may have, or the answer makes no sense. The acceptor stores the body under its digest, then commits head, change and audit row in one transaction. A lost answer is settled by reading the head first and the change's row after it: a transaction that depends on an older head is dead by then, so an absent row is final.

--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/acceptance/__init__.py
@@ -0,0 +1,1 @@
+"""The write path of configuration, and the audit trail."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/acceptance/audit.py
@@ -0,0 +1,95 @@
+"""The audit trail, kept in the platform's table."""
+
+import logging
+from random import Random
+from typing import Final
+
+import msgspec
+
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    PlatformGarbledError,
+    PlatformUnknownError,
+)
+from bluebellslip._internal.kernel.counters import Counters
+from bluebellslip._internal.kernel.ports import (
+    Condition,
+    Row,
+    TableService,
+    Transaction,
+    Write,
+)
+from bluebellslip._internal.models.rows import AuditRow, name_audit_key
+
+logger = logging.getLogger(__name__)
+
+AUDIT_PREFIX: Final = 'audit/'
+
+_UNIQUE_BITS: Final = 64
+_ATTEMPTS: Final = 2
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(AuditRow)
+
+
+def build_audit_write(row: AuditRow, unique: str) -> Write:
+    """Return the write of an audit row, for use in a transaction."""
+    return Write(name_audit_key(row.at, unique), _encoder.encode(row))
+
+
+class TableAuditTrail:
+    """Rows of the audit trail; see ``AuditTrail``.
+
+    Parameters
+    ----------
+    table
+        The platform's table.
+    random_source
+        Makes keys unique.
+    counters
+        Receives ``audit.rows`` by outcome.
+    """
+
+    def __init__(
+        self, table: TableService, random_source: Random, counters: Counters
+    ) -> None:
+        self._table = table
+        self._random = random_source
+        self._counters = counters
+
+    async def record(self, row: AuditRow) -> bool:
+        """Keep a row; false, and counted, when the platform is away."""
+        unique = f'{self._random.getrandbits(_UNIQUE_BITS):016x}'
+        write = build_audit_write(row, unique)
+        transaction = Transaction((Condition(write.key, 0),), (write,))
+        try:
+            await self._insert(transaction)
+        except BluebellError:
+            self._counters.add('audit.rows', outcome='lost')
+            return False
+        self._counters.add('audit.rows', outcome='kept')
+        return True
+
+    async def recent(self, limit: int) -> tuple[AuditRow, ...]:
+        """Return the newest rows, newest first; corrupt ones are counted."""
+        rows = await self._table.scan(AUDIT_PREFIX, limit)
+        decoded = (self._decode(row) for row in rows)
+        return tuple(row for row in decoded if row is not None)
+
+    async def _insert(self, transaction: Transaction) -> None:
+        """Insert once; a row that is found present is the one of before."""
+        for remaining in reversed(range(_ATTEMPTS)):
+            try:
+                await self._table.transact(transaction)
+            except (PlatformUnknownError, PlatformGarbledError):
+                if not remaining:
+                    raise
+            else:
+                return
+
+    def _decode(self, row: Row) -> AuditRow | None:
+        try:
+            return _decoder.decode(row.body)
+        except msgspec.MsgspecError:
+            self._counters.add('audit.rows', outcome='corrupt')
+            return None
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/acceptance/documents.py
@@ -0,0 +1,63 @@
+"""Accepted documents, read from the object store."""
+
+from typing import Final
+
+from bluebellslip._internal.exceptions import (
+    ConflictError,
+    InvalidConfigError,
+    PlatformGarbledError,
+)
+from bluebellslip._internal.kernel.ports import ObjectStore
+from bluebellslip._internal.models.config import SnapshotRecord
+from bluebellslip._internal.models.rows import HeadRow
+from bluebellslip._internal.utils.digests import decode_snapshot
+
+MAX_STEPS_BACK: Final = 32
+
+
+async def load_record(objects: ObjectStore, digest: str) -> SnapshotRecord:
+    """Return a stored revision.
+
+    Raises
+    ------
+    PlatformGarbledError
+        When the object is absent or corrupt.
+    """
+    body = await objects.get(digest)
+    if body is None:
+        raise PlatformGarbledError(
+            'An accepted configuration is not in the object store.',
+            context={'digest': digest},
+        )
+    try:
+        return decode_snapshot(body, digest).record
+    except InvalidConfigError as error:
+        raise PlatformGarbledError(
+            error.message, context=error.context, hint=error.hint
+        ) from error
+
+
+async def load_base(
+    objects: ObjectStore, head: HeadRow, revision: int
+) -> SnapshotRecord:
+    """Return an earlier revision by walking back from the head.
+
+    Raises
+    ------
+    ConflictError
+        When the revision lies ahead of the head or too far behind it.
+    PlatformGarbledError
+        When an object on the way is absent or corrupt.
+    """
+    steps = head.revision - revision
+    if steps < 0 or steps > MAX_STEPS_BACK or revision < 1:
+        raise ConflictError(
+            'The change was made from a revision that it can not be '
+            'merged from.',
+            context={'base': str(revision), 'revision': str(head.revision)},
+            hint='Read the newest configuration and make the change again.',
+        )
+    record = await load_record(objects, head.digest)
+    while record.revision > revision:
+        record = await load_record(objects, record.previous)
+    return record
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/acceptance/ledger.py
@@ -0,0 +1,90 @@
+"""Rows of accepted changes: how they are read, and written as one."""
+
+import datetime as dt
+from typing import Final, TypeVar
+
+import msgspec
+
+from bluebellslip._internal.acceptance.audit import build_audit_write
+from bluebellslip._internal.acceptance.submission import Head, Submission
+from bluebellslip._internal.exceptions import PlatformGarbledError
+from bluebellslip._internal.kernel.ports import (
+    Condition,
+    TableService,
+    Transaction,
+    Write,
+)
+from bluebellslip._internal.kernel.services import Accepted
+from bluebellslip._internal.models.rows import (
+    HEAD_KEY,
+    AuditOutcome,
+    AuditRow,
+    ChangeRow,
+    HeadRow,
+    name_change_key,
+)
+
+APPLY: Final = 'apply'
+
+_Structure = TypeVar('_Structure', bound=msgspec.Struct)
+
+_encode = msgspec.msgpack.Encoder().encode
+
+
+async def read_head(table: TableService) -> Head:
+    """Return the newest accepted configuration.
+
+    Raises
+    ------
+    PlatformGarbledError
+        When the row can't be decoded; further as ``TableService.read``.
+    """
+    row = await table.read(HEAD_KEY)
+    if row is None:
+        return Head.absent()
+    return Head(_decode(row.body, HeadRow), row.version)
+
+
+async def read_change(table: TableService, change: str) -> ChangeRow | None:
+    """Return an accepted change; errors as for ``read_head``."""
+    row = await table.read(name_change_key(change))
+    return None if row is None else _decode(row.body, ChangeRow)
+
+
+def build_transaction(
+    submission: Submission, head: Head, accepted: Accepted, at: dt.datetime
+) -> Transaction:
+    """Return the writes that make a change the newest, or nothing."""
+    change = submission.request.change
+    change_key = name_change_key(change)
+    head_row = HeadRow(accepted.revision, accepted.digest, change)
+    change_row = ChangeRow(
+        change, accepted.revision, accepted.digest, submission.request_digest
+    )
+    audit_row = AuditRow(
+        at=at,
+        who=submission.request.who,
+        action=APPLY,
+        subject=change,
+        outcome=AuditOutcome.ACCEPTED,
+        revision=accepted.revision,
+        detail='rebased' if accepted.rebased else '',
+    )
+    return Transaction(
+        (Condition(HEAD_KEY, head.version), Condition(change_key, 0)),
+        (
+            Write(HEAD_KEY, _encode(head_row)),
+            Write(change_key, _encode(change_row)),
+            build_audit_write(audit_row, change),
+        ),
+    )
+
+
+def _decode(body: bytes, kind: type[_Structure]) -> _Structure:
+    try:
+        return msgspec.msgpack.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise PlatformGarbledError(
+            'A row can not be decoded.',
+            context={'row': kind.__name__, 'found': str(error)},
+        ) from error
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/loading.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/loading.py
@@ -3,7 +3,10 @@
 import importlib
 from typing import Final
 
-PLUGIN_MODULES: Final[tuple[str, ...]] = ()
+PLUGIN_MODULES: Final[tuple[str, ...]] = (
+    'bluebellslip._internal.platform.plugin',
+    'bluebellslip._internal.acceptance.plugin',
+)
 
 
 def load_plugins() -> None:
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/platform/breaker.py
@@ -0,0 +1,141 @@
+"""Circuit breaker: an outage of the platform costs its callers little."""
+
+import dataclasses
+import datetime as dt
+import enum
+import logging
+from random import Random
+from typing import Final
+
+from bluebellslip._internal.kernel.clock import Clock
+
+logger = logging.getLogger(__name__)
+
+_MAX_DOUBLINGS: Final = 16
+
+
+@enum.unique
+class BreakerState(enum.Enum):
+    """Whether requests go out."""
+
+    CLOSED = 'closed'
+    OPEN = 'open'
+    HALF_OPEN = 'half-open'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BreakerLimits:
+    """When a breaker opens, and how long it stays open.
+
+    After the n-th failed probe in a row the breaker stays open for a time
+    drawn evenly from zero to ``base_delay`` doubled n times, at most
+    ``max_delay``.
+    """
+
+    failures_to_open: int = 3
+    base_delay: dt.timedelta = dt.timedelta(milliseconds=500)
+    max_delay: dt.timedelta = dt.timedelta(seconds=15)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permit:
+    """Leave to send one request; its outcome is told with it."""
+
+    generation: int
+
+
+class CircuitBreaker:
+    """Decides whether a request may go out; does no input or output.
+
+    Parameters
+    ----------
+    name
+        What stands behind the breaker, for logs.
+    clock
+        Source of time.
+    random_source
+        Source of the jitter.
+    limits
+        When to open and for how long.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        clock: Clock,
+        random_source: Random,
+        limits: BreakerLimits | None = None,
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._random = random_source
+        self._limits = limits or BreakerLimits()
+        self._state = BreakerState.CLOSED
+        self._failures = 0
+        self._failed_probes = 0
+        self._generation = 0
+        self._probe_at = dt.timedelta()
+
+    @property
+    def state(self) -> BreakerState:
+        """Whether requests go out."""
+        return self._state
+
+    def enter(self) -> Permit | None:
+        """Return leave to send, or none while the breaker is open.
+
+        The first request after the open time is the only one let through
+        until its outcome is known.
+        """
+        if self._state is BreakerState.HALF_OPEN:
+            return None
+        if self._state is BreakerState.OPEN:
+            if self._clock.elapsed() < self._probe_at:
+                return None
+            self._generation += 1
+            self._state = BreakerState.HALF_OPEN
+        return Permit(self._generation)
+
+    def succeed(self, permit: Permit) -> None:
+        """Take in that a request was answered."""
+        if permit.generation != self._generation:
+            return
+        self._failures = 0
+        self._failed_probes = 0
+        self._change(BreakerState.CLOSED)
+
+    def fail(self, permit: Permit) -> None:
+        """Take in that a request was not answered, or with nonsense."""
+        if permit.generation != self._generation:
+            return
+        self._failures += 1
+        if self._state is BreakerState.HALF_OPEN:
+            self._failed_probes += 1
+            self._open()
+        elif self._failures >= self._limits.failures_to_open:
+            self._open()
+
+    def abandon(self, permit: Permit) -> None:
+        """Take in that a request was cancelled, which tells nothing."""
+        if permit.generation != self._generation:
+            return
+        if self._state is BreakerState.HALF_OPEN:
+            self._state = BreakerState.OPEN
+
+    def _open(self) -> None:
+        doublings = min(self._failed_probes, _MAX_DOUBLINGS)
+        bound = min(
+            self._limits.base_delay * (1 << doublings), self._limits.max_delay
+        )
+        self._probe_at = self._clock.elapsed() + bound * self._random.random()
+        self._generation += 1
+        self._change(BreakerState.OPEN)
+
+    def _change(self, state: BreakerState) -> None:
+        was_open = self._state is not BreakerState.CLOSED
+        self._state = state
+        if was_open != (state is not BreakerState.CLOSED):
+            logger.warning(
+                'circuit breaker changed',
+                extra={'breaker': self._name, 'state': state.value},
+            )
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/platform/client.py
@@ -0,0 +1,77 @@
+"""The platform's table service and object store over HTTP."""
+
+from urllib.parse import urlencode
+
+import msgspec
+from expression import Result
+
+from bluebellslip._internal.kernel.ports import (
+    Committed,
+    Refused,
+    Row,
+    Transaction,
+)
+from bluebellslip._internal.platform.answers import (
+    check_stored,
+    decode_object,
+    decode_row,
+    decode_rows,
+    decode_transact,
+)
+from bluebellslip._internal.platform.transport import (
+    Effect,
+    Exchange,
+    Transport,
+)
+from bluebellslip._internal.platform.wire import (
+    ROWS_PATH,
+    TRANSACT_PATH,
+    TransactBody,
+    name_object_path,
+    name_row_path,
+)
+
+
+class HttpTable:
+    """The platform's transactional table; see ``TableService``."""
+
+    def __init__(self, transport: Transport) -> None:
+        self._transport = transport
+
+    async def read(self, key: str) -> Row | None:
+        """Return a row, or none if it is absent."""
+        exchange = Exchange(Effect.READ, 'GET', name_row_path(key))
+        return decode_row(await self._transport.send(exchange), key)
+
+    async def scan(self, prefix: str, limit: int) -> tuple[Row, ...]:
+        """Return at most ``limit`` rows by key, in the keys' order."""
+        query = urlencode({'prefix': prefix, 'limit': limit})
+        exchange = Exchange(Effect.READ, 'GET', f'{ROWS_PATH}?{query}')
+        reply = await self._transport.send(exchange)
+        return decode_rows(reply, prefix, limit)
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[Committed, Refused]:
+        """Apply a transaction as a whole or not at all."""
+        body = msgspec.json.encode(TransactBody.from_transaction(transaction))
+        exchange = Exchange(Effect.WRITE, 'POST', TRANSACT_PATH, body)
+        reply = await self._transport.send(exchange)
+        return decode_transact(reply, transaction)
+
+
+class HttpObjects:
+    """The platform's object store; see ``ObjectStore``."""
+
+    def __init__(self, transport: Transport) -> None:
+        self._transport = transport
+
+    async def put(self, name: str, body: bytes) -> None:
+        """Store an object; storing the same again changes nothing."""
+        exchange = Exchange(Effect.WRITE, 'PUT', name_object_path(name), body)
+        check_stored(await self._transport.send(exchange))
+
+    async def get(self, name: str) -> bytes | None:
+        """Return an object, or none if it is absent."""
+        exchange = Exchange(Effect.READ, 'GET', name_object_path(name))
+        return decode_object(await self._transport.send(exchange))
