Prove the write path over interleavings with lost and late answers

Two and three acceptors share one table; hypothesis chooses who goes on and whether a request is served, refused, loses its answer after effect or takes effect only later. A history checker demands linear revisions, no change lost, doubled or in force after a refusal, and order in time. The condition on the change's row is not needed while the head is read first; it stays as a second line and no test shows it.

--- /dev/null
+++ b/tests/lib/acceptors.py
@@ -0,0 +1,140 @@
+"""Acceptors over a fake platform, and what they are asked."""
+
+import datetime as dt
+from random import Random
+
+import msgspec
+from expression import Result
+
+from bluebellslip._internal.acceptance.acceptor import TableAcceptor
+from bluebellslip._internal.acceptance.audit import TableAuditTrail
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    PlatformUnknownError,
+)
+from bluebellslip._internal.kernel.clock import ManualClock
+from bluebellslip._internal.kernel.counters import NullCounters
+from bluebellslip._internal.kernel.ports import (
+    Committed,
+    ObjectStore,
+    Refused,
+    TableService,
+    Transaction,
+)
+from bluebellslip._internal.kernel.services import Accepted, ChangeRequest
+from bluebellslip._internal.models.config import (
+    ConfigDocument,
+    RouteSpec,
+    ServiceSpec,
+)
+from bluebellslip._internal.models.rows import HEAD_KEY, HeadRow
+from bluebellslip._internal.models.snapshot import Snapshot
+from bluebellslip._internal.utils.digests import decode_snapshot
+from bluebellslip_lab.history import ChangeRecord, CommitRecord, Told
+from bluebellslip_lab.store import PlatformStore
+from lib.snapshots import make_document
+
+
+class RecordingDistribution:
+    """Remembers the snapshots that were offered."""
+
+    def __init__(self) -> None:
+        self.offered: list[Snapshot] = []
+
+    def offer(self, body: bytes, digest: str) -> Snapshot:
+        snapshot = decode_snapshot(body, digest)
+        self.offered.append(snapshot)
+        return snapshot
+
+
+class RecordingStore(PlatformStore):
+    """A store that remembers every head that it was given."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.heads: list[HeadRow] = []
+
+    def transact(self, transaction: Transaction) -> Result[Committed, Refused]:
+        outcome = super().transact(transaction)
+        if outcome.is_ok():
+            self.heads.extend(
+                msgspec.msgpack.decode(write.body, type=HeadRow)
+                for write in transaction.writes
+                if write.key == HEAD_KEY and write.body is not None
+            )
+        return outcome
+
+    def commits(self) -> list[CommitRecord]:
+        """Return the history of the head, with each body's own word."""
+        return [
+            CommitRecord(
+                head.revision,
+                head.change,
+                head.digest,
+                self.load(head).record.previous,
+            )
+            for head in self.heads
+        ]
+
+    def load(self, head: HeadRow) -> Snapshot:
+        body = self.get(head.digest)
+        assert body is not None
+        return decode_snapshot(body, head.digest)
+
+
+def make_acceptor(
+    table: TableService,
+    objects: ObjectStore,
+    distribution: RecordingDistribution | None = None,
+    seed: int = 0,
+) -> TableAcceptor:
+    """Return an acceptor that never pauses."""
+    counters, random_source = NullCounters(), Random(seed)
+    return TableAcceptor(
+        table,
+        objects,
+        TableAuditTrail(table, random_source, counters),
+        distribution or RecordingDistribution(),
+        ManualClock(),
+        random_source,
+        counters,
+        base_pause=dt.timedelta(),
+    )
+
+
+def add_service(document: ConfigDocument, name: str) -> ConfigDocument:
+    """Return a document with one service and its route more."""
+    route = RouteSpec(name=name, service=name, path=f'/{name}', work='reads')
+    return msgspec.structs.replace(
+        document,
+        services=(*document.services, ServiceSpec(name=name, team=name)),
+        routes=(*document.routes, route),
+    )
+
+
+def ask(
+    change: str, document: ConfigDocument | None = None, base: int | None = None
+) -> ChangeRequest:
+    """Return a request of an operator."""
+    return ChangeRequest(
+        change=change,
+        who='ana',
+        document=document or make_document(),
+        base=base,
+    )
+
+
+def describe(
+    request: ChangeRequest,
+    outcome: Result[Accepted, BluebellError],
+    began: float,
+    ended: float,
+) -> ChangeRecord:
+    """Return a submission as its operator saw it."""
+    if outcome.is_ok():
+        told, revision = Told.DONE, outcome.ok.revision
+    elif isinstance(outcome.error, PlatformUnknownError):
+        told, revision = Told.UNKNOWN, 0
+    else:
+        told, revision = Told.NOT_DONE, 0
+    return ChangeRecord(request.change, told, began, ended, revision)
