Add the stand-in of a backend server

It announces itself to its node every second, stays within its slots and answers with the caller's nonce and a digest of what it received, so that a crossed or short answer shows. Every run is noted before the work, in a file too, so that a killed server's runs are counted. Badness is a share of failures or extra latency, from an age, a load or on a path only.

--- /dev/null
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/announcer.py
@@ -0,0 +1,62 @@
+"""Announcements of a backend server to the node beside it."""
+
+import datetime as dt
+from typing import Final
+
+import anyio
+import httpcore
+import msgspec
+
+from bluebellslip_lab.backend_app import Identity
+
+ANNOUNCE_PERIOD: Final = dt.timedelta(seconds=1)
+
+_PATH: Final = '/v1/backend'
+_TIMEOUT: Final = dt.timedelta(seconds=1)
+
+
+class Announcer:
+    """Keeps a server announced until it leaves.
+
+    Parameters
+    ----------
+    admin
+        URL of the node's admin interface.
+    token
+        Token with the scope ``announce``.
+    identity
+        What is announced.
+    """
+
+    def __init__(self, admin: str, token: str, identity: Identity) -> None:
+        self._url = f'{admin.rstrip("/")}{_PATH}'
+        self._headers = [
+            ('authorization', f'Bearer {token}'),
+            ('content-type', 'application/json'),
+        ]
+        self._body = msgspec.json.encode(identity)
+        self._leaving = False
+
+    async def run(self) -> None:
+        """Announce every period until told to leave."""
+        async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+            while not self._leaving:
+                await self._send(pool, 'PUT')
+                await anyio.sleep(ANNOUNCE_PERIOD.total_seconds())
+            await self._send(pool, 'DELETE')
+
+    def leave(self) -> None:
+        """Say at the next turn that the server leaves, then fall silent."""
+        self._leaving = True
+
+    async def _send(
+        self, pool: httpcore.AsyncConnectionPool, method: str
+    ) -> None:
+        with anyio.move_on_after(_TIMEOUT.total_seconds()):
+            try:
+                await pool.request(
+                    method, self._url, headers=self._headers, content=self._body
+                )
+            except (httpcore.NetworkError, httpcore.ProtocolError):
+                # The node is away; the next announcement finds it again.
+                await anyio.sleep(0)
--- /dev/null
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/backend_app.py
@@ -0,0 +1,194 @@
+"""The stand-in of a backend server as an ASGI application."""
+
+import hashlib
+from contextlib import ExitStack
+from pathlib import Path
+from random import Random
+from typing import Final
+
+import anyio
+import msgspec
+
+from bluebellslip._internal.kernel.clock import Clock
+from bluebellslip_lab.asgi import (
+    Headers,
+    Receive,
+    Response,
+    Scope,
+    Send,
+    send_response,
+)
+from bluebellslip_lab.behaviour import Behaviour, treat
+
+NONCE_HEADER: Final = b'lab-nonce'
+KEY_HEADER: Final = b'idempotency-key'
+VERSION_HEADER: Final = b'lab-version'
+RUNS_PATH: Final = '/lab/runs'
+HEALTH_PATH: Final = '/lab/health'
+
+_FULL: Final = Response(
+    503,
+    b'{"kind":"full"}',
+    ((b'bluebell-not-run', b'1'), (b'retry-after', b'1')),
+)
+
+
+class Run(msgspec.Struct, frozen=True):
+    """One run of a request, noted before the work begins."""
+
+    nonce: str
+    key: str
+    path: str
+    server: str
+
+
+class Echo(msgspec.Struct, frozen=True):
+    """The body of every answer: whose it is, and what was received."""
+
+    nonce: str
+    service: str
+    version: str
+    path: str
+    sha256: str
+    received: int
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """What a server says of itself."""
+
+    service: str
+    version: str
+    address: str
+    slots: int
+    connections: int
+
+
+class Journal:
+    """Runs in memory and, where a path is given, in a file as well.
+
+    The file outlives a killed process, so that its runs are counted too.
+    """
+
+    def __init__(self, path: Path | None) -> None:
+        self._runs: list[Run] = []
+        self._file = None if path is None else path.open('ab', buffering=0)
+
+    @property
+    def runs(self) -> tuple[Run, ...]:
+        """All runs so far."""
+        return tuple(self._runs)
+
+    def note(self, run: Run) -> None:
+        """Keep a run."""
+        self._runs.append(run)
+        if self._file is not None:
+            self._file.write(b'%b\n' % msgspec.json.encode(run))
+
+
+class BackendApp:
+    """Serves echoes, within its slots.
+
+    Parameters
+    ----------
+    identity
+        Service, version, address and limits.
+    behaviour
+        How calls fare.
+    clock
+        Tells the server's age.
+    random_source
+        Decides what behaviour leaves open.
+    journal
+        Receives every run.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        behaviour: Behaviour,
+        clock: Clock,
+        random_source: Random,
+        journal: Journal,
+    ) -> None:
+        self._identity = identity
+        self._behaviour = behaviour
+        self._clock = clock
+        self._random = random_source
+        self._journal = journal
+        self._started = clock.elapsed()
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that run now."""
+        return self._in_flight
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answer one request."""
+        if scope['path'] == RUNS_PATH:
+            await send_response(send, Response.from_json(self._journal.runs))
+        elif scope['path'] == HEALTH_PATH:
+            await send_response(send, Response(200, b'ok'))
+        elif self._in_flight >= self._identity.slots:
+            await send_response(send, _FULL)
+        else:
+            with ExitStack() as stack:
+                self._in_flight += 1
+                stack.callback(self._end_one)
+                await send_response(send, await self._work(scope, receive))
+
+    def _end_one(self) -> None:
+        self._in_flight -= 1
+
+    async def _work(self, scope: Scope, receive: Receive) -> Response:
+        headers = dict(scope['headers'])
+        nonce = headers.get(NONCE_HEADER, b'').decode('latin-1')
+        self._journal.note(
+            Run(
+                nonce=nonce,
+                key=headers.get(KEY_HEADER, b'').decode('latin-1'),
+                path=scope['path'],
+                server=self._identity.address,
+            )
+        )
+        digest, received = await _hash_body(receive)
+        treatment = treat(
+            self._behaviour,
+            self._clock.elapsed() - self._started,
+            self._in_flight,
+            scope['path'],
+            self._random,
+        )
+        await anyio.sleep(treatment.delay.total_seconds())
+        echo = Echo(
+            nonce=nonce,
+            service=self._identity.service,
+            version=self._identity.version,
+            path=scope['path'],
+            sha256=digest,
+            received=received,
+        )
+        return self._respond(echo, 500 if treatment.fails else 200)
+
+    def _respond(self, echo: Echo, status: int) -> Response:
+        headers: Headers = (
+            (NONCE_HEADER, echo.nonce.encode('latin-1')),
+            (VERSION_HEADER, echo.version.encode()),
+        )
+        answer = Response.from_json(echo, status)
+        return Response(status, answer.body, (*answer.headers, *headers))
+
+
+async def _hash_body(receive: Receive) -> tuple[str, int]:
+    digest, received, more = hashlib.sha256(), 0, True
+    while more:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise ConnectionError('the request was cut off')
+        chunk = message.get('body', b'')
+        digest.update(chunk)
+        received += len(chunk)
+        more = message.get('more_body', False)
+    return digest.hexdigest(), received
--- /dev/null
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/behaviour.py
@@ -0,0 +1,76 @@
+"""How a stand-in of a backend server behaves: good, failing or slow."""
+
+import dataclasses
+import datetime as dt
+from random import Random
+from typing import Annotated, Final
+
+import msgspec
+
+_NonNegative = Annotated[float, msgspec.Meta(ge=0)]
+_Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
+_MS: Final = dt.timedelta(milliseconds=1)
+
+
+class Badness(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What is wrong with a version, and when it shows.
+
+    ``fail_share`` of the calls fail and all take ``extra_ms`` longer, once
+    the server has run for ``after_s``, while at least ``in_flight`` requests
+    run, on paths that begin with ``path``.
+    """
+
+    fail_share: _Fraction = 0
+    extra_ms: _NonNegative = 0
+    after_s: _NonNegative = 0
+    in_flight: Annotated[int, msgspec.Meta(ge=0)] = 0
+    path: str = '/'
+
+
+class Behaviour(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A server's behaviour.
+
+    A call takes ``latency_ms`` and up to ``spread_ms`` more; within the
+    first ``cold_s`` after the start it takes ``cold_ms`` more.
+    """
+
+    latency_ms: _NonNegative = 2
+    spread_ms: _NonNegative = 2
+    cold_s: _NonNegative = 0
+    cold_ms: _NonNegative = 0
+    bad: Badness | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Treatment:
+    """What happens to one call."""
+
+    delay: dt.timedelta
+    fails: bool
+
+
+def treat(
+    behaviour: Behaviour,
+    age: dt.timedelta,
+    in_flight: int,
+    path: str,
+    random_source: Random,
+) -> Treatment:
+    """Decide how a call fares on a server that has run for ``age``."""
+    delay_ms = behaviour.latency_ms
+    delay_ms += behaviour.spread_ms * random_source.random()
+    seconds = age.total_seconds()
+    if seconds < behaviour.cold_s:
+        delay_ms += behaviour.cold_ms
+    bad = behaviour.bad
+    if bad is None or not _shows(bad, seconds, in_flight, path):
+        return Treatment(delay_ms * _MS, fails=False)
+    fails = random_source.random() < bad.fail_share
+    return Treatment((delay_ms + bad.extra_ms) * _MS, fails)
+
+
+def _shows(bad: Badness, seconds: float, in_flight: int, path: str) -> bool:
+    if seconds < bad.after_s or in_flight < bad.in_flight:
+        return False
+    return path.startswith(bad.path)
