--- /dev/null
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/children.py
@@ -0,0 +1,116 @@
+"""Processes that an experiment starts, and their certain end."""
+
+import datetime as dt
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from types import TracebackType
+from typing import Final, Self
+
+_GRACE: Final = dt.timedelta(seconds=12)
+_NICE_KILL: Final = dt.timedelta(seconds=2)
+
+
+class Children:
+    """Processes by name; all are ended when the block is left.
+
+    Only processes started here are signalled, each by its own id.
+
+    Parameters
+    ----------
+    directory
+        Receives each process's output as ``NAME.log``.
+    """
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+        self._statuses: dict[str, int] = {}
+
+    @property
+    def statuses(self) -> dict[str, int]:
+        """Exit statuses of those that were ended by SIGTERM."""
+        return dict(self._statuses)
+
+    def start(self, name: str, module: str, *arguments: str) -> int:
+        """Run a Python module as a process and return its id."""
+        with self._log_path(name).open('ab') as log:
+            process = subprocess.Popen(
+                [sys.executable, '-m', module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+        self._running[name] = process
+        return process.pid
+
+    def is_running(self, name: str) -> bool:
+        """Tell whether a process runs."""
+        process = self._running.get(name)
+        return process is not None and process.poll() is None
+
+    def pid(self, name: str) -> int:
+        """Return the id of a process."""
+        return self._running[name].pid
+
+    def kill(self, name: str) -> None:
+        """End a process without warning."""
+        process = self._running.pop(name)
+        process.kill()
+        process.wait()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process from running until it is thawed."""
+        os.kill(self._running[name].pid, signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen process run on."""
+        os.kill(self._running[name].pid, signal.SIGCONT)
+
+    def terminate(self, names: Sequence[str]) -> None:
+        """Ask processes to stop gracefully, and wait until they have."""
+        leaving = {name: self._running.pop(name) for name in names}
+        for process in leaving.values():
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        for name, ending in leaving.items():
+            self._statuses[name] = _wait(ending, _GRACE)
+
+    def names(self, prefix: str = '') -> tuple[str, ...]:
+        """Return the names of those not yet ended."""
+        return tuple(name for name in self._running if name.startswith(prefix))
+
+    def read_log(self, name: str) -> str:
+        """Return what a process wrote."""
+        return self._log_path(name).read_text(errors='replace')
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for process in self._running.values():
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        for ending in self._running.values():
+            _wait(ending, _NICE_KILL)
+        self._running.clear()
+
+    def _log_path(self, name: str) -> Path:
+        return self._directory / f'{name}.log'
+
+
+def _wait(process: subprocess.Popen[bytes], grace: dt.timedelta) -> int:
+    try:
+        return process.wait(grace.total_seconds())
+    except subprocess.TimeoutExpired:
+        process.kill()
+        return process.wait()
