Carry authenticated messages between nodes

Cause: nodes need a cheap way to tell each other facts and a way for what does not fit a datagram. Ruled out: generated protobuf messages, since the codec of msgspec needs no generator; long-lived streams, which would need framing of our own.

--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Transport between nodes: datagrams and exchanges, both authenticated."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/peers/exchanges.py
@@ -0,0 +1,166 @@
+"""Exchanges between nodes: unary calls of one service over grpclib."""
+
+import datetime as dt
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Cardinality, Handler, Status
+from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from bluebellslip._internal.exceptions import BluebellError, PeerGarbledError
+from bluebellslip._internal.kernel.counters import Counters
+from bluebellslip._internal.models.identity import Address
+from bluebellslip._internal.models.messages import PeerMessage
+from bluebellslip._internal.peers.codec import PeerCodec
+
+_METHOD: Final = '/bluebellslip.Peer/Exchange'
+_MAX_CHANNELS: Final = 16
+
+_Answerer = Callable[[Any], Awaitable[PeerMessage]]
+
+
+class ExchangeCodec(CodecBase):
+    """The peer codec in the form that grpclib takes.
+
+    Parameters
+    ----------
+    codec
+        Encoding of the messages.
+    counters
+        Where bytes are counted.
+    """
+
+    __content_subtype__ = 'msgpack'
+
+    def __init__(self, codec: PeerCodec, counters: Counters) -> None:
+        self._codec = codec
+        self._counters = counters
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Encode one message."""
+        packet = self._codec.encode(message)
+        self._counters.add('peer_bytes_sent', len(packet))
+        return packet
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """Check and decode one message."""
+        self._counters.add('peer_bytes_received', len(data))
+        return self._codec.decode(data)
+
+
+class ExchangeServer:
+    """Answers exchanges by the handlers of their message kinds.
+
+    Parameters
+    ----------
+    codec
+        Encoding of the messages.
+    counters
+        Where refusals are counted.
+    """
+
+    def __init__(self, codec: ExchangeCodec, counters: Counters) -> None:
+        self._counters = counters
+        self._handlers: dict[type[PeerMessage], _Answerer] = {}
+        self._server = Server([self], codec=codec)
+
+    def enter(self, kind: type[PeerMessage], handler: _Answerer) -> None:
+        """Answer exchanges of a kind by the handler."""
+        self._handlers[kind] = handler
+
+    async def open(self, listen: Address) -> None:
+        """Listen."""
+        await self._server.start(listen.host, listen.port)
+
+    async def close(self) -> None:
+        """Stop listening and end what runs."""
+        self._server.close()
+        await self._server.wait_closed()
+
+    async def _exchange(
+        self, stream: 'Stream[PeerMessage, PeerMessage]'
+    ) -> None:
+        try:
+            request = await stream.recv_message()
+        except PeerGarbledError as error:
+            self._counters.add('peer_exchanges_refused')
+            raise GRPCError(Status.UNAUTHENTICATED) from error
+        handler = self._handlers.get(type(request)) if request else None
+        if request is None or handler is None:
+            self._counters.add('peer_exchanges_refused')
+            raise GRPCError(Status.UNIMPLEMENTED)
+        try:
+            answer = await handler(request)
+        except BluebellError as error:
+            raise GRPCError(Status.UNAVAILABLE, error.message) from error
+        await stream.send_message(answer)
+
+    def _map_methods(self) -> dict[str, Handler]:
+        return {
+            _METHOD: Handler(
+                self._exchange,
+                Cardinality.UNARY_UNARY,
+                PeerMessage,
+                PeerMessage,
+            )
+        }
+
+    __mapping__ = _map_methods  # the name that grpclib looks for
+
+
+class ExchangeClient:
+    """Connections to peers, the least recently used closed beyond a cap.
+
+    Parameters
+    ----------
+    codec
+        Encoding of the messages.
+    counters
+        Where failures are counted.
+    """
+
+    def __init__(self, codec: ExchangeCodec, counters: Counters) -> None:
+        self._codec = codec
+        self._counters = counters
+        self._channels: OrderedDict[Address, Channel] = OrderedDict()
+
+    async def ask(
+        self, to: Address, message: PeerMessage, timeout: dt.timedelta
+    ) -> PeerMessage:
+        """Send and wait for the answer; see ``PeerLink.ask``."""
+        method = self._find_method(to)
+        try:
+            return await method(message, timeout=timeout.total_seconds())
+        except (GRPCError, StreamTerminatedError, OSError) as error:
+            self._discard(to)
+            self._counters.add('peer_exchanges_failed')
+            raise TimeoutError(f'{to} did not answer') from error
+        except PeerGarbledError:
+            self._discard(to)
+            self._counters.add('peer_exchanges_refused')
+            raise
+
+    def close(self) -> None:
+        """Close every connection."""
+        for address in tuple(self._channels):
+            self._discard(address)
+
+    def _find_method(
+        self, to: Address
+    ) -> 'UnaryUnaryMethod[PeerMessage, PeerMessage]':
+        channel = self._channels.pop(to, None)
+        if channel is None:
+            channel = Channel(to.host, to.port, codec=self._codec)
+        self._channels[to] = channel
+        while len(self._channels) > _MAX_CHANNELS:
+            self._discard(next(iter(self._channels)))
+        return UnaryUnaryMethod(channel, _METHOD, PeerMessage, PeerMessage)
+
+    def _discard(self, address: Address) -> None:
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
