Find out which members live and tell everyone

Cause: there is no list of backend servers, and no coordination service. Change: state machines without input and output for probing, suspicion, refutation by incarnation, draining, gossip and anti-entropy, and a plug-in that drives them.

--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/broadcast.py
@@ -0,0 +1,100 @@
+"""From news in the store of facts to messages."""
+
+from random import Random
+from typing import Final
+
+from bluebellslip._internal.kernel.clock import Clock
+from bluebellslip._internal.kernel.counters import Counters
+from bluebellslip._internal.kernel.facts import FactStore
+from bluebellslip._internal.membership.gossip import GossipQueue
+from bluebellslip._internal.membership.messages import Gossip
+from bluebellslip._internal.membership.outbox import Outbox
+from bluebellslip._internal.membership.roster import Roster
+from bluebellslip._internal.membership.selection import pick_members
+from bluebellslip._internal.membership.times import GOSSIP_BYTES
+from bluebellslip._internal.models.facts import (
+    Fact,
+    MemberFact,
+    MemberStatus,
+)
+from bluebellslip._internal.models.identity import NodeId
+from bluebellslip._internal.utils.buckets import TokenBucket
+
+FANOUT: Final = 4  # members that urgent facts are sent to at once
+
+_BYTES_PER_SECOND: Final = 8192
+_BURST_BYTES: Final = 65536
+_MESSAGE_BYTES: Final = FANOUT * GOSSIP_BYTES // 2  # charged for one flush
+
+
+class Broadcaster:
+    """Queues every fact that is news and sends urgent ones at once.
+
+    The rate of sending is bounded; beyond it facts wait in the queue, which
+    is bounded as well.
+
+    Parameters
+    ----------
+    facts
+        The store whose news is followed.
+    queue
+        Facts that wait.
+    clock
+        Time.
+    random
+        Source of randomness.
+    counters
+        Where events are counted.
+    """
+
+    def __init__(
+        self,
+        facts: FactStore,
+        queue: GossipQueue,
+        clock: Clock,
+        random: Random,
+        counters: Counters,
+    ) -> None:
+        self._queue = queue
+        self._random = random
+        self._counters = counters
+        self._budget = TokenBucket(clock, _BYTES_PER_SECOND, _BURST_BYTES)
+        self._last: dict[NodeId, MemberFact] = {}
+        facts.subscribe(Fact, self._follow)
+
+    def flush(
+        self, roster: Roster, outbox: Outbox, sender: NodeId, revision: int
+    ) -> None:
+        """Send urgent facts to a few members."""
+        while self._queue.urgent:
+            members = pick_members(roster, FANOUT, self._random)
+            if not members or not self._budget.take(_MESSAGE_BYTES):
+                return
+            facts = self._queue.take(len(members))
+            size = sum(len(bytes(fact)) for fact in facts)
+            self._counters.add('gossip_bytes', size * len(members))
+            for member in members:
+                outbox.post(member.peer, Gossip(sender, revision, facts))
+
+    def forget(self, node: NodeId) -> None:
+        """Drop what is kept of a member."""
+        self._last.pop(node, None)
+
+    def _follow(self, fact: Fact) -> None:
+        urgent = fact.urgent
+        if isinstance(fact, MemberFact):
+            urgent = self._is_urgent(fact)
+            self._last[fact.node] = fact
+        self._queue.add(fact, urgent=urgent)
+
+    def _is_urgent(self, fact: MemberFact) -> bool:
+        if fact.status is MemberStatus.SUSPECT:
+            return False
+        previous = self._last.get(fact.node)
+        if previous is None:
+            return True
+        return (previous.incarnation, previous.status, previous.backend) != (
+            fact.incarnation,
+            fact.status,
+            fact.backend,
+        )
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/messages.py
@@ -0,0 +1,106 @@
+"""Messages of membership between nodes."""
+
+import datetime as dt
+from typing import ClassVar
+
+import msgspec
+
+from bluebellslip._internal.models.identity import Address, NodeId
+from bluebellslip._internal.models.messages import PeerMessage, peer_messages
+
+_EXCHANGE_BYTES = 1 << 20
+
+
+@peer_messages.register('ping')
+class Ping(PeerMessage, frozen=True, tag='ping', array_like=True):
+    """A probe; only the named target answers it.
+
+    ``revision`` is the configuration in force at the sender, ``facts`` are
+    encoded facts that ride along.
+    """
+
+    number: int
+    sender: NodeId
+    target: NodeId
+    revision: int
+    facts: tuple[msgspec.Raw, ...] = ()
+
+
+@peer_messages.register('ack')
+class Ack(PeerMessage, frozen=True, tag='ack', array_like=True):
+    """The answer to a probe.
+
+    ``remembered`` is the greatest revision that the sender knows to have
+    been in force at the receiver.
+    """
+
+    number: int
+    sender: NodeId
+    revision: int
+    remembered: int
+    facts: tuple[msgspec.Raw, ...] = ()
+
+
+@peer_messages.register('preq')
+class PingRequest(PeerMessage, frozen=True, tag='preq', array_like=True):
+    """A wish that the receiver probe a member for the sender."""
+
+    number: int
+    sender: NodeId
+    target: NodeId
+    address: Address
+    facts: tuple[msgspec.Raw, ...] = ()
+
+
+@peer_messages.register('gossip')
+class Gossip(PeerMessage, frozen=True, tag='gossip', array_like=True):
+    """Facts that do not wait for a probe."""
+
+    sender: NodeId
+    revision: int
+    facts: tuple[msgspec.Raw, ...]
+
+
+@peer_messages.register('sync')
+class SyncRequest(PeerMessage, frozen=True, tag='sync', array_like=True):
+    """The sender's digests, one for each bucket of facts."""
+
+    sender: NodeId
+    revision: int
+    digests: bytes
+
+    max_bytes: ClassVar[int] = _EXCHANGE_BYTES
+
+
+@peer_messages.register('syncsum')
+class SyncSummary(PeerMessage, frozen=True, tag='syncsum', array_like=True):
+    """Keys and ranks of all facts in the buckets that differ."""
+
+    sender: NodeId
+    revision: int
+    remembered: int
+    buckets: bytes
+    entries: tuple[tuple[str, tuple[int, ...]], ...]
+
+    max_bytes: ClassVar[int] = _EXCHANGE_BYTES
+
+
+@peer_messages.register('syncget')
+class SyncExchange(PeerMessage, frozen=True, tag='syncget', array_like=True):
+    """Keys that the sender wants, and facts that the receiver lacks."""
+
+    sender: NodeId
+    wanted: tuple[str, ...]
+    facts: tuple[msgspec.Raw, ...]
+
+    max_bytes: ClassVar[int] = _EXCHANGE_BYTES
+
+
+@peer_messages.register('syncfacts')
+class SyncFacts(PeerMessage, frozen=True, tag='syncfacts', array_like=True):
+    """The wanted facts, or when to come back for them."""
+
+    facts: tuple[msgspec.Raw, ...]
+    retry_after: dt.timedelta | None = None
+
+    max_bytes: ClassVar[int] = _EXCHANGE_BYTES
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/record.py
@@ -0,0 +1,123 @@
+"""The node's own record."""
+
+import datetime as dt
+from typing import Any, Final
+
+import msgspec
+
+from bluebellslip._internal.kernel.clock import Clock
+from bluebellslip._internal.kernel.facts import FactStore
+from bluebellslip._internal.membership.times import MembershipTimes
+from bluebellslip._internal.models.facts import (
+    Backend,
+    MemberFact,
+    MemberStatus,
+)
+
+_MS: Final = dt.timedelta(milliseconds=1)
+_EPOCH: Final = dt.datetime(1970, 1, 1, tzinfo=dt.UTC)
+_REFRESH_PER_MEMBER: Final = dt.timedelta(milliseconds=500)
+
+
+def compute_incarnation(clock: Clock) -> int:
+    """Return the incarnation of a node that starts now."""
+    return (clock.now() - _EPOCH) // _MS
+
+
+class OwnRecord:
+    """Changes of the node's own fact, which only the node itself makes.
+
+    Parameters
+    ----------
+    first
+        The fact at the start.
+    facts
+        The store that every change is entered into.
+    clock
+        Time, for the lease of the announcement.
+    times
+        Periods of membership.
+    """
+
+    def __init__(
+        self,
+        first: MemberFact,
+        facts: FactStore,
+        clock: Clock,
+        times: MembershipTimes,
+    ) -> None:
+        self._fact = first
+        self._facts = facts
+        self._clock = clock
+        self._times = times
+        self._renewed = clock.elapsed()
+        self._refreshed = clock.elapsed()
+        self._departed = False
+        facts.merge((first,))
+
+    @property
+    def fact(self) -> MemberFact:
+        """The record as it stands."""
+        return self._fact
+
+    @property
+    def draining(self) -> bool:
+        """Whether the node is leaving."""
+        return self._fact.status is not MemberStatus.ALIVE
+
+    def announce(self, backend: Backend) -> None:
+        """Take in an announcement and renew its lease."""
+        self._renewed = self._clock.elapsed()
+        if backend != self._fact.backend:
+            self._change(backend=backend)
+
+    def expire(self) -> bool:
+        """Withdraw a backend server that is announced no longer."""
+        if self._fact.backend is None:
+            return False
+        silence = self._clock.elapsed() - self._renewed
+        if silence <= self._times.announcement:
+            return False
+        self._change(backend=None)
+        return True
+
+    def refresh(self, revision: int, members: int) -> None:
+        """Enter the revision in force, seldom enough for a large mesh.
+
+        The period grows with the members, so that the mesh as a whole makes
+        a constant number of such changes a second.
+        """
+        if revision <= self._fact.applied:
+            return
+        now = self._clock.elapsed()
+        if now - self._refreshed >= _REFRESH_PER_MEMBER * (members + 1):
+            self._refreshed = now
+            self._change(applied=revision)
+
+    def leave(self) -> None:
+        """Mark the node as draining."""
+        if not self.draining:
+            self._change(status=MemberStatus.DRAINING)
+
+    def depart(self) -> None:
+        """Mark the node as gone; this is not refuted."""
+        self._departed = True
+        self._change(status=MemberStatus.DEAD, backend=None)
+
+    def refute(self, seen: MemberFact) -> bool:
+        """Contradict what others say of this node, if it is not so."""
+        if self._departed or seen.rank <= self._fact.rank:
+            return False
+        self.renew(seen.incarnation)
+        return True
+
+    def renew(self, seen: int = 0) -> None:
+        """Begin a new incarnation, above every one that was seen."""
+        incarnation = max(seen, self._fact.incarnation) + 1
+        self._change(incarnation=incarnation)
+
+    def _change(self, **changes: Any) -> None:
+        self._fact = msgspec.structs.replace(
+            self._fact, changed=self._fact.changed + 1, **changes
+        )
+        self._facts.merge((self._fact,))
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/roster.py
@@ -0,0 +1,119 @@
+"""The members by where they stand."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from bluebellslip._internal.kernel.facts import FactStore
+from bluebellslip._internal.models.facts import MemberFact, MemberStatus
+from bluebellslip._internal.models.identity import (
+    Locality,
+    NodeId,
+)
+
+
+class Roster:
+    """All other members, indexed by region and failure domain.
+
+    Parameters
+    ----------
+    facts
+        The store whose members are followed.
+    own
+        The node itself, which is left out.
+    locality
+        Where the node itself stands.
+    """
+
+    def __init__(
+        self, facts: FactStore, own: NodeId, locality: Locality
+    ) -> None:
+        self._own = own
+        self._locality = locality
+        self._members: dict[NodeId, MemberFact] = {}
+        self._by_domain: dict[Locality, dict[NodeId, MemberFact]] = defaultdict(
+            dict
+        )
+        self._dead: dict[NodeId, MemberFact] = {}
+        self._region_lists: dict[str, tuple[MemberFact, ...]] = {}
+        facts.subscribe(MemberFact, self._follow)
+
+    @property
+    def region(self) -> str:
+        """The node's own region."""
+        return self._locality.region
+
+    @property
+    def regions(self) -> tuple[str, ...]:
+        """Regions that have live members."""
+        return tuple({
+            locality.region
+            for locality, members in self._by_domain.items()
+            if members
+        })
+
+    @property
+    def dead(self) -> tuple[MemberFact, ...]:
+        """Tombstones."""
+        return tuple(self._dead.values())
+
+    @property
+    def live_count(self) -> int:
+        """Number of other members that are not dead."""
+        return len(self._members) - len(self._dead)
+
+    def find(self, node: NodeId) -> MemberFact | None:
+        """Return a member."""
+        return self._members.get(node)
+
+    def in_region(self, region: str) -> tuple[MemberFact, ...]:
+        """Return the live members of a region."""
+        cached = self._region_lists.get(region)
+        if cached is None:
+            cached = tuple(self._iterate(region))
+            self._region_lists[region] = cached
+        return cached
+
+    def in_domain(self, locality: Locality) -> tuple[MemberFact, ...]:
+        """Return the live members of a failure domain."""
+        return tuple(self._by_domain.get(locality, {}).values())
+
+    def elsewhere(self) -> tuple[MemberFact, ...]:
+        """Return the live members of all other regions."""
+        return tuple(
+            member
+            for region in self.regions
+            if region != self._locality.region
+            for member in self.in_region(region)
+        )
+
+    def everyone(self) -> tuple[MemberFact, ...]:
+        """Return all live members."""
+        return (*self.in_region(self._locality.region), *self.elsewhere())
+
+    def forget(self, node: NodeId) -> None:
+        """Drop a tombstone."""
+        self._dead.pop(node, None)
+        self._members.pop(node, None)
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def _iterate(self, region: str) -> Iterator[MemberFact]:
+        for locality, members in self._by_domain.items():
+            if locality.region == region:
+                yield from members.values()
+
+    def _follow(self, fact: MemberFact) -> None:
+        if fact.node == self._own:
+            return
+        previous = self._members.get(fact.node)
+        if previous is not None:
+            self._by_domain[previous.locality].pop(fact.node, None)
+            self._region_lists.pop(previous.locality.region, None)
+        self._members[fact.node] = fact
+        self._dead.pop(fact.node, None)
+        if fact.status is MemberStatus.DEAD:
+            self._dead[fact.node] = fact
+            return
+        self._by_domain[fact.locality][fact.node] = fact
+        self._region_lists.pop(fact.locality.region, None)
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/seeds.py
@@ -0,0 +1,103 @@
+"""Where a node finds the mesh: its settings and the platform's table."""
+
+import datetime as dt
+from typing import Final
+
+import msgspec
+
+from bluebellslip._internal.exceptions import BluebellError
+from bluebellslip._internal.kernel.clock import Clock
+from bluebellslip._internal.kernel.counters import Counters
+from bluebellslip._internal.kernel.ports import (
+    Row,
+    TableService,
+    Transaction,
+    Write,
+)
+from bluebellslip._internal.models.identity import Address, NodeId
+from bluebellslip._internal.models.rows import SeedRow, name_seed_key
+
+_SEED_PREFIX: Final = 'seed/'
+_SEED_LIMIT: Final = 64
+_SEED_LIFE: Final = dt.timedelta(minutes=10)
+
+_decoder: Final = msgspec.msgpack.Decoder(SeedRow)
+
+
+class Seeds:
+    """Addresses of nodes that may know the mesh.
+
+    Either source may be away: then the other one has to do.
+
+    Parameters
+    ----------
+    own
+        The node itself.
+    address
+        Where the node itself listens to peers.
+    configured
+        Addresses of the settings.
+    table
+        The platform's table.
+    clock
+        Time.
+    counters
+        Where failures are counted.
+    """
+
+    def __init__(
+        self,
+        own: NodeId,
+        address: Address,
+        configured: tuple[Address, ...],
+        table: TableService,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        self._own = own
+        self._address = address
+        self._configured = tuple(seed for seed in configured if seed != address)
+        self._table = table
+        self._clock = clock
+        self._counters = counters
+
+    @property
+    def configured(self) -> tuple[Address, ...]:
+        """Addresses of the settings, but for the node's own."""
+        return self._configured
+
+    async def find(self) -> tuple[Address, ...]:
+        """Return the addresses in the table, but for the node's own."""
+        rows = await self._scan()
+        return tuple(row.peer for row in rows if row.peer != self._address)
+
+    async def renew(self) -> None:
+        """Enter the node into the table and drop rows that are old."""
+        body = msgspec.msgpack.encode(
+            SeedRow(self._own, self._address, self._clock.now())
+        )
+        old = [
+            Write(name_seed_key(row.node), None)
+            for row in await self._scan()
+            if self._clock.now() - row.renewed > _SEED_LIFE
+        ]
+        own = Write(name_seed_key(self._own), body)
+        try:
+            await self._table.transact(Transaction((), (own, *old)))
+        except BluebellError:
+            self._counters.add('seed_writes_failed')
+
+    async def _scan(self) -> tuple[SeedRow, ...]:
+        try:
+            rows = await self._table.scan(_SEED_PREFIX, _SEED_LIMIT)
+        except BluebellError:
+            self._counters.add('seed_reads_failed')
+            return ()
+        return tuple(seed for seed in map(self._decode, rows) if seed)
+
+    def _decode(self, row: Row) -> SeedRow | None:
+        try:
+            return _decoder.decode(row.body)
+        except msgspec.MsgspecError:
+            self._counters.add('seed_rows_refused')
+            return None
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/synchronizer.py
@@ -0,0 +1,149 @@
+"""Anti-entropy with peers, and the first contact with the mesh."""
+
+import datetime as dt
+import logging
+from random import Random
+from typing import Final
+
+import anyio
+
+from bluebellslip._internal.exceptions import PeerGarbledError
+from bluebellslip._internal.kernel.counters import Counters
+from bluebellslip._internal.kernel.ports import PeerLink
+from bluebellslip._internal.membership.core import MembershipCore
+from bluebellslip._internal.membership.messages import (
+    SyncFacts,
+    SyncSummary,
+)
+from bluebellslip._internal.membership.seeds import Seeds
+from bluebellslip._internal.membership.selection import (
+    knows_address,
+    pick_members,
+)
+from bluebellslip._internal.membership.times import MembershipTimes
+from bluebellslip._internal.models.identity import Address
+from bluebellslip._internal.utils.backoff import FullJitter, jitter
+
+logger = logging.getLogger(__name__)
+
+_TIMEOUT: Final = dt.timedelta(seconds=2)
+_ROUNDS: Final = 8  # exchanges in a row with one peer
+_FIRST_WAIT: Final = dt.timedelta(milliseconds=200)
+_MOST_WAIT: Final = dt.timedelta(seconds=5)
+
+
+class Synchronizer:
+    """Keeps the store of facts equal to those of the peers.
+
+    Parameters
+    ----------
+    core
+        The node's view of the members.
+    link
+        Way to the peers.
+    seeds
+        Where the mesh may be found.
+    times
+        Periods of membership.
+    random
+        Source of randomness.
+    counters
+        Where events are counted.
+    """
+
+    def __init__(
+        self,
+        core: MembershipCore,
+        link: PeerLink,
+        seeds: Seeds,
+        times: MembershipTimes,
+        random: Random,
+        counters: Counters,
+    ) -> None:
+        self._core = core
+        self._link = link
+        self._seeds = seeds
+        self._times = times
+        self._random = random
+        self._counters = counters
+        self._wanted = anyio.Event()
+
+    def hurry(self) -> None:
+        """Begin the next exchange now."""
+        self._wanted.set()
+
+    async def run(self) -> None:
+        """Find the mesh, then exchange facts for ever."""
+        while True:
+            if not self._core.roster.live_count:
+                await self._join()
+            await self._sync_member()
+            with anyio.move_on_after(
+                jitter(self._times.sync_period, self._random).total_seconds()
+            ):
+                await self._wanted.wait()
+            self._wanted = anyio.Event()
+
+    async def watch_seeds(self) -> None:
+        """Look now and then for seeds that are no members here.
+
+        Two parts of a mesh that forgot each other meet again this way.
+        """
+        while True:
+            wait = jitter(self._times.seed_period, self._random)
+            await anyio.sleep(wait.total_seconds())
+            for address in self._seeds.configured:
+                if not knows_address(self._core.roster, address):
+                    await self.sync(address)
+
+    async def sync(self, address: Address) -> bool:
+        """Exchange facts with a peer until nothing differs."""
+        try:
+            return await self._sync_rounds(address)
+        except (TimeoutError, PeerGarbledError):
+            self._counters.add('syncs_failed')
+            return False
+
+    async def _join(self) -> None:
+        backoff = FullJitter(self._random, _FIRST_WAIT, _MOST_WAIT)
+        while not self._core.roster.live_count:
+            if not await self._sync_first(self._seeds.configured):
+                await self._sync_first(await self._seeds.find())
+            await anyio.sleep(backoff.next_wait().total_seconds())
+        logger.info('joined', extra={'node': self._core.own})
+
+    async def _sync_first(self, addresses: tuple[Address, ...]) -> bool:
+        order = self._random.sample(addresses, len(addresses))
+        for address in order:
+            if await self.sync(address):
+                return True
+        return False
+
+    async def _sync_member(self) -> None:
+        for member in pick_members(self._core.roster, 1, self._random):
+            await self.sync(member.peer)
+
+    async def _sync_rounds(self, address: Address) -> bool:
+        for _ in range(_ROUNDS):
+            if not await self._sync_once(address):
+                return True
+        return True
+
+    async def _sync_once(self, address: Address) -> bool:
+        self._counters.add('syncs')
+        summary = await self._link.ask(
+            address, self._core.sync.request(), _TIMEOUT
+        )
+        if not isinstance(summary, SyncSummary):
+            raise PeerGarbledError('An exchange had an unexpected answer.')
+        exchange = self._core.sync.continue_with(summary)
+        if exchange is None:
+            return False
+        answer = await self._link.ask(address, exchange, _TIMEOUT)
+        if not isinstance(answer, SyncFacts):
+            raise PeerGarbledError('An exchange had an unexpected answer.')
+        if answer.retry_after is not None:
+            wait = answer.retry_after * (1 + self._random.random())
+            await anyio.sleep(wait.total_seconds())
+            return True
+        return self._core.intake.receive(answer.facts) > 0
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/utils/buckets.py
@@ -0,0 +1,46 @@
+"""Token buckets."""
+
+import datetime as dt
+
+from bluebellslip._internal.kernel.clock import Clock
+
+
+class TokenBucket:
+    """A bound on a rate, with room for bursts.
+
+    Parameters
+    ----------
+    clock
+        Time.
+    rate
+        Tokens that are added each second.
+    burst
+        Tokens that the bucket holds at most; it starts full.
+    """
+
+    def __init__(self, clock: Clock, rate: float, burst: float) -> None:
+        self._clock = clock
+        self._rate = rate
+        self._burst = burst
+        self._tokens = burst
+        self._filled = clock.elapsed()
+
+    def take(self, amount: float = 1) -> bool:
+        """Take tokens if there are enough."""
+        self._fill()
+        if self._tokens < amount:
+            return False
+        self._tokens -= amount
+        return True
+
+    def wait(self, amount: float = 1) -> dt.timedelta:
+        """Return the time until so many tokens are there."""
+        self._fill()
+        missing = max(0, amount - self._tokens)
+        return dt.timedelta(seconds=missing / self._rate)
+
+    def _fill(self) -> None:
+        now = self._clock.elapsed()
+        added = (now - self._filled).total_seconds() * self._rate
+        self._tokens = min(self._burst, self._tokens + added)
+        self._filled = now
