--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution: how an accepted configuration comes into force everywhere."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/delta.py
@@ -0,0 +1,148 @@
+"""Differences between two revisions of a configuration."""
+
+from collections.abc import Iterable
+from typing import Final, Generic, TypeVar
+
+import msgspec
+
+from bluebellslip._internal.exceptions import InvalidConfigError
+from bluebellslip._internal.models.config import (
+    ClassSpec,
+    ConfigDocument,
+    Preference,
+    RouteSpec,
+    ServiceSpec,
+    SnapshotRecord,
+)
+
+_Spec = TypeVar('_Spec', ClassSpec, RouteSpec, ServiceSpec)
+
+
+class PartDelta(msgspec.Struct, Generic[_Spec], frozen=True, array_like=True):
+    """Changes of one list: names that go, entries that come, and where."""
+
+    removed: tuple[str, ...]
+    placed: tuple[tuple[int, _Spec], ...]
+
+
+class Delta(msgspec.Struct, frozen=True, array_like=True):
+    """What leads from one revision to another."""
+
+    base: int
+    base_digest: str
+    revision: int
+    digest: str
+    previous: str
+    mesh: str
+    preference: Preference
+    classes: PartDelta[ClassSpec]
+    services: PartDelta[ServiceSpec]
+    routes: PartDelta[RouteSpec]
+
+
+_encoder: Final = msgspec.msgpack.Encoder()
+_decoder: Final = msgspec.msgpack.Decoder(Delta)
+
+
+def build_delta(
+    base: SnapshotRecord,
+    base_digest: str,
+    record: SnapshotRecord,
+    digest: str,
+) -> bytes | None:
+    """Return the encoded difference, or none where it would not serve.
+
+    A difference does not serve when entries that stay have changed their
+    order.
+    """
+    old, new = base.document, record.document
+    delta = Delta(
+        base=base.revision,
+        base_digest=base_digest,
+        revision=record.revision,
+        digest=digest,
+        previous=record.previous,
+        mesh=new.mesh,
+        preference=new.preference,
+        classes=_compare(old.classes, new.classes),
+        services=_compare(old.services, new.services),
+        routes=_compare(old.routes, new.routes),
+    )
+    if _assemble(base, delta) != record:
+        return None
+    return _encoder.encode(delta)
+
+
+def decode_delta(encoded: bytes) -> Delta:
+    """Decode a difference.
+
+    Raises
+    ------
+    InvalidConfigError
+        When it can't be decoded.
+    """
+    try:
+        return _decoder.decode(encoded)
+    except msgspec.MsgspecError as error:
+        raise InvalidConfigError(
+            'A delta can not be decoded.', context={'found': str(error)}
+        ) from error
+
+
+def apply_delta(
+    base: SnapshotRecord, base_digest: str, delta: Delta
+) -> SnapshotRecord:
+    """Return the record that a difference leads to.
+
+    Raises
+    ------
+    InvalidConfigError
+        When the difference starts from another revision or content.
+    """
+    if (base.revision, base_digest) != (delta.base, delta.base_digest):
+        raise InvalidConfigError(
+            'A delta starts from another revision.',
+            context={
+                'found': str(delta.base),
+                'in force': str(base.revision),
+            },
+        )
+    return _assemble(base, delta)
+
+
+def _assemble(base: SnapshotRecord, delta: Delta) -> SnapshotRecord:
+    document = base.document
+    return SnapshotRecord(
+        revision=delta.revision,
+        previous=delta.previous,
+        document=ConfigDocument(
+            mesh=delta.mesh,
+            preference=delta.preference,
+            classes=_change(document.classes, delta.classes),
+            services=_change(document.services, delta.services),
+            routes=_change(document.routes, delta.routes),
+        ),
+    )
+
+
+def _compare(old: Iterable[_Spec], new: Iterable[_Spec]) -> PartDelta[_Spec]:
+    before = {spec.name: spec for spec in old}
+    after = {spec.name for spec in new}
+    return PartDelta(
+        removed=tuple(name for name in before if name not in after),
+        placed=tuple(
+            (index, spec)
+            for index, spec in enumerate(new)
+            if before.get(spec.name) != spec
+        ),
+    )
+
+
+def _change(
+    specs: tuple[_Spec, ...], delta: PartDelta[_Spec]
+) -> tuple[_Spec, ...]:
+    gone = {*delta.removed, *(spec.name for _, spec in delta.placed)}
+    changed = [spec for spec in specs if spec.name not in gone]
+    for index, spec in delta.placed:
+        changed.insert(index, spec)
+    return tuple(changed)
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/holder.py
@@ -0,0 +1,169 @@
+"""The configuration in force with what others may ask of it."""
+
+import dataclasses
+import logging
+from collections import OrderedDict
+from typing import Final
+
+from bluebellslip._internal.distribution.delta import (
+    apply_delta,
+    build_delta,
+    decode_delta,
+)
+from bluebellslip._internal.distribution.messages import (
+    PullReply,
+    PullRequest,
+)
+from bluebellslip._internal.exceptions import InvalidConfigError
+from bluebellslip._internal.kernel.applied import AppliedConfig, Applying
+from bluebellslip._internal.kernel.counters import Counters
+from bluebellslip._internal.models.snapshot import Snapshot
+from bluebellslip._internal.utils.buckets import TokenBucket
+from bluebellslip._internal.utils.digests import (
+    decode_snapshot,
+    encode_record,
+)
+
+logger = logging.getLogger(__name__)
+
+_DELTAS: Final = 32  # revisions back that can be led on by deltas
+_DELTA_BYTES: Final = 16384  # longest delta that is kept
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _KeptDelta:
+    base: int
+    encoded: bytes
+
+
+class ConfigHolder:
+    """Applies bodies and deltas, and answers those who lag behind.
+
+    Parameters
+    ----------
+    applied
+        The pointer to the configuration in force.
+    admission
+        Bound on whole bodies that are handed out.
+    counters
+        Where events are counted.
+    """
+
+    def __init__(
+        self,
+        applied: AppliedConfig,
+        admission: TokenBucket,
+        counters: Counters,
+    ) -> None:
+        self._applied = applied
+        self._admission = admission
+        self._counters = counters
+        self._latest: Snapshot | None = None
+        self._body = b''
+        self._deltas: OrderedDict[int, _KeptDelta] = OrderedDict()
+
+    @property
+    def revision(self) -> int:
+        """The revision in force; 0 for none."""
+        return self._applied.revision
+
+    @property
+    def digest(self) -> str:
+        """The digest of the body in force."""
+        return '' if self._latest is None else self._latest.digest
+
+    @property
+    def newest_delta(self) -> bytes | None:
+        """The delta that led to the revision in force, if there is one."""
+        kept = self._deltas.get(self.revision)
+        return None if kept is None else kept.encoded
+
+    def take_body(self, body: bytes, digest: str) -> Snapshot:
+        """Check a body and put it in force, unless it is not newer.
+
+        Raises
+        ------
+        InvalidConfigError
+            When the body is corrupt or its references don't hold; nothing
+            of it is applied.
+        """
+        snapshot = decode_snapshot(body, digest)
+        self._check_twin(snapshot)
+        if self._applied.apply(snapshot) is Applying.STALE:
+            self._counters.add('configs_stale')
+            return snapshot
+        self._counters.add('configs_applied')
+        self._remember(snapshot, body)
+        return snapshot
+
+    def take_delta(self, encoded: bytes) -> Snapshot:
+        """Check a delta against what is in force and apply it.
+
+        Raises
+        ------
+        InvalidConfigError
+            When it starts elsewhere, leads elsewhere than it says, or what
+            it leads to does not hold; nothing of it is applied.
+        """
+        delta = decode_delta(encoded)
+        if self._latest is None:
+            raise InvalidConfigError('A delta came before any revision.')
+        record = apply_delta(self._latest.record, self._latest.digest, delta)
+        return self.take_body(encode_record(record), delta.digest)
+
+    def answer(self, request: PullRequest) -> PullReply:
+        """Return what leads a peer to the revision in force."""
+        if self._latest is None or request.revision >= self.revision:
+            return PullReply(self.revision, self.digest)
+        deltas = self._find_deltas(request.revision)
+        if deltas:
+            self._counters.add('deltas_served')
+            return PullReply(self.revision, self.digest, deltas)
+        if not self._admission.take():
+            self._counters.add('snapshots_refused')
+            return PullReply(
+                self.revision,
+                self.digest,
+                retry_after=self._admission.wait(),
+            )
+        self._counters.add('snapshots_served')
+        return PullReply(self.revision, self.digest, body=self._body)
+
+    def _check_twin(self, snapshot: Snapshot) -> None:
+        if self._latest is None or snapshot.revision != self.revision:
+            return
+        if snapshot.digest != self._latest.digest:
+            self._counters.add('configs_refused', reason='twin')
+            raise InvalidConfigError(
+                'Two configurations claim one revision.',
+                context={
+                    'revision': str(snapshot.revision),
+                    'found': snapshot.digest,
+                    'in force': self._latest.digest,
+                },
+            )
+
+    def _remember(self, snapshot: Snapshot, body: bytes) -> None:
+        if self._latest is not None:
+            self._remember_delta(self._latest, snapshot)
+        self._latest = snapshot
+        self._body = body
+        logger.info('configuration applied', extra={'revision': self.revision})
+
+    def _remember_delta(self, base: Snapshot, snapshot: Snapshot) -> None:
+        delta = build_delta(
+            base.record, base.digest, snapshot.record, snapshot.digest
+        )
+        if delta is None or len(delta) > _DELTA_BYTES:
+            self._deltas.clear()
+            return
+        self._deltas[snapshot.revision] = _KeptDelta(base.revision, delta)
+        while len(self._deltas) > _DELTAS:
+            self._deltas.popitem(last=False)
+
+    def _find_deltas(self, revision: int) -> tuple[bytes, ...]:
+        found: list[bytes] = []
+        for kept in self._deltas.values():
+            if found or kept.base == revision:
+                found.append(kept.encoded)
+        return tuple(found)
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/loading.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/loading.py
@@ -3,7 +3,11 @@
 import importlib
 from typing import Final
 
-PLUGIN_MODULES: Final[tuple[str, ...]] = ()
+PLUGIN_MODULES: Final[tuple[str, ...]] = (
+    'bluebellslip._internal.peers.plugin',
+    'bluebellslip._internal.membership.plugin',
+    'bluebellslip._internal.distribution.plugin',
+)
 
 
 def load_plugins() -> None:
--- /dev/null
+++ b/tests/functional/test_peers.py
@@ -0,0 +1,55 @@
+"""Nodes on real sockets find each other and bring configurations in force."""
+
+import contextlib
+
+import pytest
+
+from bluebellslip._internal.models.facts import Backend
+from bluebellslip._internal.models.identity import (
+    Address,
+    ServiceName,
+    VersionName,
+)
+from bluebellslip._internal.utils.digests import (
+    compute_digest,
+    encode_record,
+)
+from lib.peers import FakePlatform, RealNode, make_settings, wait_until
+from lib.snapshots import make_record
+
+PORT = 21000
+
+
+@pytest.mark.anyio
+async def test_nodes_join_and_apply_an_offer() -> None:
+    platform = FakePlatform()
+    seed = f'127.0.0.1:{PORT}'
+    nodes = [
+        RealNode(make_settings(number, PORT, (seed,)), platform)
+        for number in range(3)
+    ]
+    backend = Backend(
+        ServiceName('orders'),
+        VersionName('v1'),
+        Address('127.0.0.1', 1),
+        slots=12,
+        connections=120,
+    )
+    async with contextlib.AsyncExitStack() as stack:
+        for node in nodes:
+            await stack.enter_async_context(node.running())
+        await wait_until(
+            lambda: all(
+                node.membership.core.roster.live_count == 2 for node in nodes
+            )
+        )
+        body = encode_record(make_record(1))
+        nodes[2].distribution.offer(body, compute_digest(body))
+        nodes[1].membership.announce(backend)
+        await wait_until(
+            lambda: all(
+                node.context.applied.revision == 1
+                and node.context.directory.endpoints(backend.service)
+                for node in nodes
+            )
+        )
