--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/__init__.py
@@ -0,0 +1,1 @@
+"""The path of calls: listeners, choice of server, admission, retries."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/call.py
@@ -0,0 +1,154 @@
+"""A call: a request with its route, deadline and place in a chain."""
+
+import dataclasses
+import datetime as dt
+from typing import Final
+from urllib.parse import unquote
+
+from bluebellslip._internal.calls import headers as names
+from bluebellslip._internal.calls.request import InboundRequest
+from bluebellslip._internal.exceptions import (
+    KeyMissingError,
+    MalformedError,
+    NotFoundError,
+    NotReadyError,
+    TooLargeError,
+)
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.models.config import RunRule
+from bluebellslip._internal.models.identity import ServiceName
+from bluebellslip._internal.models.snapshot import Route, Snapshot
+
+MAX_KEY_BYTES: Final = 128
+MAX_DEPTH: Final = 64
+_DOT_SEGMENTS: Final = frozenset(('.', '..'))
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """What the nodes on both sides need to know of a request.
+
+    ``deadline`` is on the node's monotonic clock. ``key`` is the idempotency
+    key; once-only work always has one.
+    """
+
+    request: InboundRequest
+    service: ServiceName
+    route: Route
+    deadline: dt.timedelta
+    depth: int
+    key: str
+
+    @property
+    def is_once(self) -> bool:
+        """Whether the work may run once at most."""
+        return self.route.work.runs is RunRule.ONCE
+
+    def remaining(self, now: dt.timedelta) -> dt.timedelta:
+        """Return the time until the deadline."""
+        return self.deadline - now
+
+
+def open_call(context: Context, request: InboundRequest) -> Call:
+    """Check a request's head and find its route.
+
+    Raises
+    ------
+    BluebellError
+        With the reason why the request can't be served; it did not run.
+    """
+    snapshot = context.applied.current
+    if snapshot is None:
+        raise NotReadyError('The node holds no configuration yet.')
+    service = _find_service(snapshot, names.read_host(request.headers))
+    path = read_path(request.target)
+    route = snapshot.match(service, request.method.decode('latin-1'), path)
+    if route is None:
+        raise NotFoundError(
+            'No route takes this request.',
+            context={'service': service, 'path': path},
+            hint='Declare a route for it, or correct the path.',
+        )
+    call = Call(
+        request=request,
+        service=service,
+        route=route,
+        deadline=context.clock.elapsed() + _read_timeout(request, route),
+        depth=names.read_number(request.headers, names.DEPTH) or 0,
+        key=_read_key(request),
+    )
+    _check(call)
+    return call
+
+
+def read_path(target: bytes) -> str:
+    """Return the decoded path of a request's target.
+
+    Raises
+    ------
+    MalformedError
+        When the target is no absolute path, or holds dot segments, by which
+        a server could read another path than the route was chosen for.
+    """
+    text = target.decode('latin-1').partition('?')[0]
+    path = unquote(text) if '%' in text else text
+    if not path.startswith('/') or not _DOT_SEGMENTS.isdisjoint(
+        path.split('/')
+    ):
+        raise MalformedError(
+            'The target must be an absolute path without dot segments.',
+            context={'found': text},
+        )
+    return path
+
+
+def _check(call: Call) -> None:
+    if call.is_once and not call.key:
+        raise KeyMissingError(
+            'This work runs once at most and needs an idempotency key.',
+            context={'route': call.route.name},
+            hint='Send the header idempotency-key, the same on each repeat.',
+        )
+    if call.depth > MAX_DEPTH:
+        raise MalformedError(
+            'The chain of calls is too deep.',
+            context={'depth': str(call.depth), 'limit': str(MAX_DEPTH)},
+            hint='Look for services that call each other in a circle.',
+        )
+    limit = call.route.work.max_body_bytes
+    length = names.read_number(call.request.headers, names.CONTENT_LENGTH)
+    if length is not None and length > limit:
+        raise TooLargeError(
+            'The body is larger than its class of work allows.',
+            context={'limit': f'{limit} bytes', 'found': f'{length} bytes'},
+            hint="Raise the class's max_body_bytes or send less.",
+        )
+    call.request.body.limit_to(limit)
+
+
+def _find_service(snapshot: Snapshot, host: str) -> ServiceName:
+    for name in (host, host.removesuffix(f'.{snapshot.mesh}')):
+        if name in snapshot.routes:
+            return ServiceName(name)
+    return ServiceName(host.partition('.')[0])
+
+
+def _read_timeout(request: InboundRequest, route: Route) -> dt.timedelta:
+    told = names.read_number(request.headers, names.TIMEOUT_MS)
+    if told is None:
+        return route.work.timeout
+    limit = int(route.work.timeout / dt.timedelta(milliseconds=1))
+    return dt.timedelta(milliseconds=min(told, limit))
+
+
+def _read_key(request: InboundRequest) -> str:
+    text = names.find_header(request.headers, names.IDEMPOTENCY_KEY) or b''
+    key = text.decode('latin-1')
+    if len(key) > MAX_KEY_BYTES or not (key.isascii() and key.isprintable()):
+        raise MalformedError(
+            'An idempotency key must be short printable ASCII.',
+            context={'limit': f'{MAX_KEY_BYTES} bytes'},
+        )
+    if '/' in key or ' ' in key:
+        raise MalformedError('An idempotency key has no slash and no blank.')
+    return key
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/choice.py
@@ -0,0 +1,180 @@
+"""Choice of a server by own evidence, with hints as a tie-breaker."""
+
+import dataclasses
+import datetime as dt
+from collections.abc import Sequence
+from random import Random
+from typing import Final
+
+from bluebellslip._internal.kernel.clock import Clock
+from bluebellslip._internal.kernel.directory import Endpoint
+from bluebellslip._internal.models.identity import Locality, NodeId
+
+RAMP: Final = dt.timedelta(seconds=10)
+LEAST_WEIGHT: Final = 0.1
+FAILURES_TO_EJECT: Final = 5
+FIRST_EJECTION: Final = dt.timedelta(seconds=1)
+LONGEST_EJECTION: Final = dt.timedelta(seconds=30)
+MAX_EJECTED_SHARE: Final = 0.5
+SPILL_LOAD: Final = 0.8
+RESTART_GAP: Final = 1000  # steps of an incarnation
+HINT_LIFE: Final = dt.timedelta(seconds=1)
+_SUSPECT_FACTOR: Final = 2.0
+_MAX_DOUBLINGS: Final = 5
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    """What this node knows of an endpoint."""
+
+    incarnation: int
+    known_since: dt.timedelta
+    in_flight: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: dt.timedelta = dt.timedelta()
+    hint: float = 0
+    hint_at: dt.timedelta = dt.timedelta()
+
+    def is_before(self, endpoint: Endpoint) -> bool:
+        """Tell whether the node has started anew since.
+
+        A node that refutes a suspicion raises its incarnation by one only.
+        """
+        return endpoint.incarnation > self.incarnation + RESTART_GAP
+
+
+class Balancer:
+    """Evidence about the endpoints that this node calls.
+
+    Parameters
+    ----------
+    clock
+        The node's clock.
+    random_source
+        Source of the two choices.
+    locality
+        Where the node stands.
+    """
+
+    def __init__(
+        self, clock: Clock, random_source: Random, locality: Locality
+    ) -> None:
+        self._clock = clock
+        self._random = random_source
+        self._locality = locality
+        self._records: dict[NodeId, _Record] = {}
+
+    def pick(self, candidates: Sequence[Endpoint]) -> Endpoint | None:
+        """Choose a server; none if there is no candidate.
+
+        The own failure domain is preferred while its choice has room, then
+        the own region.
+        """
+        if not candidates:
+            return None
+        now = self._clock.elapsed()
+        healthy = self._leave_out_ejected(candidates, now)
+        best: Endpoint | None = None
+        for tier in self._tiers(healthy):
+            best = self._pick_of_two(tier, now)
+            if self._occupancy(best, now) < SPILL_LOAD:
+                return best
+        return self._pick_of_two(healthy, now)
+
+    def begin(self, endpoint: Endpoint) -> None:
+        """Count a call that is sent to a server."""
+        self._find(endpoint).in_flight += 1
+
+    def end(self, endpoint: Endpoint, *, failed: bool | None) -> None:
+        """Count a call's end; none tells nothing of the server."""
+        record = self._find(endpoint)
+        record.in_flight -= 1
+        if failed is None:
+            return
+        if not failed:
+            record.failures = 0
+            record.ejections = 0
+            return
+        record.failures += 1
+        if record.failures >= FAILURES_TO_EJECT:
+            self._eject(record)
+
+    def hint(self, endpoint: Endpoint, load: float) -> None:
+        """Take in a load that the server's node told, 1 for all slots."""
+        record = self._find(endpoint)
+        record.hint = min(1, max(0, load))
+        record.hint_at = self._clock.elapsed()
+
+    def is_ejected(self, endpoint: Endpoint) -> bool:
+        """Tell whether a server is left out for its failures."""
+        record = self._find(endpoint)
+        return self._clock.elapsed() < record.ejected_until
+
+    def forget(self, node: NodeId) -> None:
+        """Drop what is known of a server that is gone."""
+        record = self._records.get(node)
+        if record is not None and record.in_flight == 0:
+            del self._records[node]
+
+    def _find(self, endpoint: Endpoint) -> _Record:
+        record = self._records.get(endpoint.node)
+        if record is None or record.is_before(endpoint):
+            record = _Record(endpoint.incarnation, self._clock.elapsed())
+            self._records[endpoint.node] = record
+        return record
+
+    def _eject(self, record: _Record) -> None:
+        doublings = min(record.ejections, _MAX_DOUBLINGS)
+        pause = min(LONGEST_EJECTION, FIRST_EJECTION * 2**doublings)
+        record.ejected_until = self._clock.elapsed() + pause
+        record.ejections += 1
+        record.failures = 0
+
+    def _leave_out_ejected(
+        self, candidates: Sequence[Endpoint], now: dt.timedelta
+    ) -> Sequence[Endpoint]:
+        healthy = [
+            candidate
+            for candidate in candidates
+            if now >= self._find(candidate).ejected_until
+        ]
+        ejected = len(candidates) - len(healthy)
+        if ejected > len(candidates) * MAX_EJECTED_SHARE:
+            return candidates
+        return healthy
+
+    def _tiers(self, candidates: Sequence[Endpoint]) -> list[list[Endpoint]]:
+        near: list[Endpoint] = []
+        regional: list[Endpoint] = []
+        for candidate in candidates:
+            if candidate.locality == self._locality:
+                near.append(candidate)
+            elif candidate.locality.region == self._locality.region:
+                regional.append(candidate)
+        return [tier for tier in (near, regional) if tier]
+
+    def _pick_of_two(
+        self, candidates: Sequence[Endpoint], now: dt.timedelta
+    ) -> Endpoint:
+        if len(candidates) == 1:
+            return candidates[0]
+        first = self._random.randrange(len(candidates))
+        step = 1 + self._random.randrange(len(candidates) - 1)
+        one = candidates[first]
+        other = candidates[(first + step) % len(candidates)]
+        if self._cost(other, now) < self._cost(one, now):
+            return other
+        return one
+
+    def _occupancy(self, endpoint: Endpoint, now: dt.timedelta) -> float:
+        record = self._find(endpoint)
+        fresh = max(0, 1 - (now - record.hint_at) / HINT_LIFE)
+        return record.in_flight / endpoint.backend.slots + record.hint * fresh
+
+    def _cost(self, endpoint: Endpoint, now: dt.timedelta) -> float:
+        age = (now - self._find(endpoint).known_since) / RAMP
+        weight = min(1.0, max(LEAST_WEIGHT, age))
+        own = 1 / endpoint.backend.slots
+        cost = (self._occupancy(endpoint, now) + own) / weight
+        return cost * _SUSPECT_FACTOR if endpoint.suspect else cost
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/egress.py
@@ -0,0 +1,291 @@
+"""Calls from beside this node: choice of server, and retries."""
+
+import dataclasses
+import datetime as dt
+from collections import defaultdict
+from collections.abc import Collection
+from typing import Final, Self
+
+from bluebellslip._internal.calls import headers as names
+from bluebellslip._internal.calls.budget import RetryBudget
+from bluebellslip._internal.calls.call import Call, open_call
+from bluebellslip._internal.calls.choice import Balancer
+from bluebellslip._internal.calls.exchange import (
+    Exchange,
+    Upload,
+    relay_answer,
+)
+from bluebellslip._internal.calls.headers import Header
+from bluebellslip._internal.calls.pool import ConnectionPool
+from bluebellslip._internal.calls.refusals import (
+    MAX_REFUSAL_BYTES,
+    restore_error,
+)
+from bluebellslip._internal.calls.request import InboundRequest
+from bluebellslip._internal.calls.response_reader import ResponseHead
+from bluebellslip._internal.calls.tally import Tally
+from bluebellslip._internal.calls.versions import (
+    choose_side,
+    select_candidates,
+)
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    DrainingError,
+    ErrorKind,
+    NoServerError,
+)
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.directory import Endpoint
+from bluebellslip._internal.models.identity import (
+    NodeId,
+    ServiceName,
+    VersionName,
+)
+
+MAX_ATTEMPTS: Final = 3
+_SERVER_ERROR: Final = 500
+_PERCENT: Final = 100
+_MILLISECOND: Final = dt.timedelta(milliseconds=1)
+_ELSEWHERE: Final = frozenset((
+    ErrorKind.OVERLOADED,
+    ErrorKind.DRAINING,
+    ErrorKind.VERSION_STOPPED,
+    ErrorKind.NO_SERVER,
+    ErrorKind.NOT_READY,
+))
+_FREE: Final = frozenset((ErrorKind.DRAINING, ErrorKind.VERSION_STOPPED))
+_EJECTING: Final = frozenset((
+    ErrorKind.NO_SERVER,
+    ErrorKind.SERVER_FAILED,
+    ErrorKind.DEADLINE_EXCEEDED,
+    ErrorKind.INTERNAL,
+))
+
+
+@dataclasses.dataclass(slots=True)
+class _Refused:
+    """An attempt that another server may be asked to repeat.
+
+    ``not_run`` says that the attempt surely did not run.
+    """
+
+    error: BluebellError
+    endpoint: Endpoint
+    not_run: bool
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """Attempts of one call so far."""
+
+    upload: Upload
+    wants_new: bool
+    tried: set[NodeId] = dataclasses.field(default_factory=set)
+    stopped: set[VersionName] = dataclasses.field(default_factory=set)
+
+
+class EgressHandler:
+    """Answers calls by asking a server of the service that they name.
+
+    Parameters
+    ----------
+    context
+        The node's shared state.
+    pool
+        Connections to other nodes.
+    """
+
+    def __init__(self, context: Context, pool: ConnectionPool) -> None:
+        self._context = context
+        self._pool = pool
+        self._balancer = Balancer(
+            context.clock, context.random, context.locality
+        )
+        self._budgets: dict[ServiceName, RetryBudget] = defaultdict(RetryBudget)
+        self._closed = False
+        self.in_flight = Tally()
+
+    @property
+    def balancer(self) -> Balancer:
+        """Evidence about the servers that are called."""
+        return self._balancer
+
+    def close(self) -> None:
+        """Refuse new calls from now on."""
+        self._closed = True
+
+    async def handle(self, request: InboundRequest) -> None:
+        """Answer a request; errors raised become answers."""
+        if self._closed:
+            raise DrainingError('The node is leaving.')
+        call = open_call(self._context, request)
+        left = call.remaining(self._context.clock.elapsed())
+        request.expire_after(left.total_seconds())
+        with self.in_flight:
+            await self._forward(call)
+
+    async def _forward(self, call: Call) -> None:
+        budget = self._budgets[call.service]
+        budget.earn()
+        progress = _Progress(Upload(call.request), self._choose_side(call))
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            refused = await self._attempt(call, progress)
+            if refused is None:
+                return
+            last = attempt == MAX_ATTEMPTS
+            if last or not self._may_repeat(call, progress, refused, budget):
+                raise refused.error
+            self._context.counters.add(
+                'calls.retries', kind=refused.error.kind.value
+            )
+
+    def _choose_side(self, call: Call) -> bool:
+        split = self._context.moves.split(call.service)
+        if split is None:
+            return False
+        sticky = names.find_header(call.request.headers, names.STICKY)
+        key = sticky or call.key.encode() or None
+        return choose_side(split, key, self._context.random)
+
+    def _choose(self, call: Call, progress: _Progress) -> Endpoint:
+        split = self._context.moves.split(call.service)
+        endpoints = [
+            endpoint
+            for endpoint in self._context.directory.endpoints(call.service)
+            if endpoint.node not in progress.tried
+            and endpoint.backend.version not in progress.stopped
+        ]
+        chosen = self._balancer.pick(
+            select_candidates(endpoints, split, wants_new=progress.wants_new)
+        )
+        if chosen is None:
+            raise NoServerError(
+                'The service has no server that takes this call.',
+                context={'service': call.service},
+                hint='Look whether its servers announce themselves.',
+            )
+        return chosen
+
+    async def _attempt(
+        self, call: Call, progress: _Progress
+    ) -> _Refused | None:
+        endpoint = self._choose(call, progress)
+        progress.tried.add(endpoint.node)
+        reply = call.request.reply
+        ran_before = reply.ran
+        with (
+            Exchange(self._pool, endpoint.ingress) as exchange,
+            _Watch(self._balancer, endpoint, call.request) as watch,
+        ):
+            try:
+                refusal = await self._exchange(call, progress, exchange, watch)
+            except BluebellError as error:
+                watch.fail_by(error)
+                return _Refused(error, endpoint, not_run=not reply.ran)
+        if refusal is not None and refusal.not_run:
+            reply.ran = ran_before
+        return refusal
+
+    async def _exchange(
+        self,
+        call: Call,
+        progress: _Progress,
+        exchange: Exchange,
+        watch: '_Watch',
+    ) -> _Refused | None:
+        await exchange.open()
+        call.request.reply.ran = True
+        head = await exchange.send(
+            call.request, self._make_headers(call), progress.upload
+        )
+        watch.see(head)
+        if names.find_header(head.headers, names.ERROR) is None:
+            await relay_answer(call.request, head, exchange.connection)
+            return None
+        body = exchange.connection.body
+        body.limit_to(MAX_REFUSAL_BYTES)
+        error = restore_error(await body.read_all())
+        watch.fail_by(error)
+        return _Refused(
+            error,
+            watch.endpoint,
+            not_run=names.find_header(head.headers, names.NOT_RUN) is not None,
+        )
+
+    def _make_headers(self, call: Call) -> list[Header]:
+        left = call.remaining(self._context.clock.elapsed())
+        fields = names.pass_request_headers(call.request.headers)
+        fields.extend((
+            (names.TIMEOUT_MS, b'%d' % max(1, left // _MILLISECOND)),
+            (names.DEPTH, b'%d' % (call.depth + 1)),
+        ))
+        return fields
+
+    def _may_repeat(
+        self,
+        call: Call,
+        progress: _Progress,
+        refused: _Refused,
+        budget: RetryBudget,
+    ) -> bool:
+        if call.request.reply.started or not progress.upload.replayable:
+            return False
+        kind = refused.error.kind
+        if kind is ErrorKind.VERSION_STOPPED:
+            progress.stopped.add(refused.endpoint.backend.version)
+            progress.wants_new = False
+        if not is_repeatable(kind, not_run=refused.not_run, once=call.is_once):
+            return False
+        if not self._has_other(call, progress.tried):
+            return False
+        return kind in _FREE or budget.spend()
+
+    def _has_other(self, call: Call, tried: Collection[NodeId]) -> bool:
+        return any(
+            endpoint.node not in tried
+            for endpoint in self._context.directory.endpoints(call.service)
+        )
+
+
+class _Watch:
+    """Evidence that one attempt gives about its server."""
+
+    def __init__(
+        self, balancer: Balancer, endpoint: Endpoint, request: InboundRequest
+    ) -> None:
+        self.endpoint = endpoint
+        self._balancer = balancer
+        self._request = request
+        self._failed: bool | None = None
+
+    def __enter__(self) -> Self:
+        self._balancer.begin(self.endpoint)
+        return self
+
+    def __exit__(self, *raised: object) -> None:
+        """Count the attempt's end; a call that ran out of time failed."""
+        failed = True if self._request.expired else self._failed
+        self._balancer.end(self.endpoint, failed=failed)
+
+    def see(self, head: ResponseHead) -> None:
+        """Take in an answer's status and load."""
+        self._failed = head.status >= _SERVER_ERROR
+        load = names.find_header(head.headers, names.LOAD)
+        if load is not None and load.isdigit():
+            self._balancer.hint(self.endpoint, int(load) / _PERCENT)
+
+    def fail_by(self, error: BluebellError) -> None:
+        """Take in an error; refusals tell nothing of the server."""
+        self._failed = True if error.kind in _EJECTING else None
+
+
+def is_repeatable(kind: ErrorKind, *, not_run: bool, once: bool) -> bool:
+    """Tell whether another server may be asked after an error.
+
+    Work that surely did not run may be asked for anywhere. An exchange that
+    broke off may be repeated for idempotent work; once-only work goes out
+    under its key, and the claim keeps it from running twice.
+    """
+    if not_run:
+        return kind in _ELSEWHERE
+    return kind is ErrorKind.SERVER_FAILED and not once
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
@@ -0,0 +1,189 @@
+"""One request sent to one server, and the answer passed back."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Final, Self
+
+from bluebellslip._internal.calls import headers as names
+from bluebellslip._internal.calls.framing import (
+    LAST_CHUNK,
+    build_request_head,
+    frame_chunk,
+)
+from bluebellslip._internal.calls.headers import Header
+from bluebellslip._internal.calls.outbound import OutboundConnection
+from bluebellslip._internal.calls.pool import ConnectionPool
+from bluebellslip._internal.calls.request import InboundRequest
+from bluebellslip._internal.calls.response_reader import ResponseHead
+from bluebellslip._internal.exceptions import BluebellError
+from bluebellslip._internal.models.identity import Address
+
+REPLAY_BYTES: Final = 64 * 1024
+_HEAD: Final = b'HEAD'
+
+
+class Upload:
+    """The body of a request; while it is short it can be sent again."""
+
+    def __init__(self, request: InboundRequest) -> None:
+        self._body = request.body
+        self._request = request
+        self._log: list[bytes] = []
+        self._size = 0
+        self._replayable = True
+
+    @property
+    def replayable(self) -> bool:
+        """Whether all that was read is still held."""
+        return self._replayable
+
+    @property
+    def whole(self) -> bytes | None:
+        """The whole body, if it came in and is short."""
+        if not self._body.complete or not self._replayable:
+            return None
+        if self._size + self._body.size > REPLAY_BYTES:
+            return None
+        if self._body.size:
+            self._keep(self._body.take())
+        return b''.join(self._log)
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body from its start."""
+        self._request.invite_body()
+        for kept in tuple(self._log):
+            yield kept
+        while chunk := await self._body.read():
+            self._keep(chunk)
+            yield chunk
+
+    def _keep(self, chunk: bytes) -> None:
+        self._size += len(chunk)
+        if self._size <= REPLAY_BYTES:
+            self._log.append(chunk)
+        else:
+            self._replayable = False
+            self._log.clear()
+
+
+class Exchange:
+    """A request and its answer over one connection of the pool.
+
+    A context manager: its end gives the connection back, or closes it too
+    when the exchange is not over.
+    """
+
+    def __init__(self, pool: ConnectionPool, address: Address) -> None:
+        self._pool = pool
+        self._address = address
+        self._connection: OutboundConnection | None = None
+        self._sending: asyncio.Task[None] | None = None
+
+    @property
+    def connection(self) -> OutboundConnection:
+        """The connection, once it is open."""
+        if self._connection is None:
+            raise RuntimeError('the exchange is not open')
+        return self._connection
+
+    async def open(self, *, fresh: bool = False) -> None:
+        """Take a connection; errors as of ``ConnectionPool.acquire``."""
+        self._connection = await self._pool.acquire(self._address, fresh=fresh)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *raised: object) -> None:
+        if self._sending is not None:
+            self._sending.cancel()
+        if self._connection is not None:
+            self._pool.release(self._address, self._connection)
+            self._connection = None
+
+    async def send(
+        self,
+        request: InboundRequest,
+        headers: list[Header],
+        upload: Upload,
+    ) -> ResponseHead:
+        """Send a request and return the head of its answer.
+
+        Raises
+        ------
+        BluebellError
+            When the server broke off, or the caller did.
+        """
+        headless = request.method == _HEAD
+        body = upload.whole
+        if body is None:
+            self._begin_streaming(request, headers, upload)
+        else:
+            if body or names.find_header(request.headers, names.CONTENT_LENGTH):
+                headers.append((names.CONTENT_LENGTH, b'%d' % len(body)))
+            head = build_request_head(request.method, request.target, headers)
+            self.connection.begin(head + body, headless=headless, whole=True)
+        return await self.connection.response()
+
+    def _begin_streaming(
+        self,
+        request: InboundRequest,
+        headers: list[Header],
+        upload: Upload,
+    ) -> None:
+        length = names.find_header(request.headers, names.CONTENT_LENGTH)
+        if length is None:
+            headers.append((names.TRANSFER_ENCODING, b'chunked'))
+        else:
+            headers.append((names.CONTENT_LENGTH, length))
+        self.connection.begin(
+            build_request_head(request.method, request.target, headers),
+            headless=request.method == _HEAD,
+            whole=False,
+        )
+        self._sending = asyncio.get_running_loop().create_task(
+            self._send_body(self.connection, upload, chunked=length is None)
+        )
+
+    async def _send_body(
+        self, connection: OutboundConnection, upload: Upload, *, chunked: bool
+    ) -> None:
+        try:
+            await _copy_body(connection, upload, chunked=chunked)
+        except BluebellError as error:
+            connection.fail(error)
+
+
+async def _copy_body(
+    connection: OutboundConnection, upload: Upload, *, chunked: bool
+) -> None:
+    async for chunk in upload.chunks():
+        connection.send(frame_chunk(chunk) if chunked else chunk)
+        await connection.drain()
+    if chunked:
+        connection.send(LAST_CHUNK)
+    connection.end_request()
+
+
+async def relay_answer(
+    request: InboundRequest,
+    head: ResponseHead,
+    connection: OutboundConnection,
+    extra: tuple[Header, ...] = (),
+) -> None:
+    """Pass an answer on, as fast as the caller takes it.
+
+    Raises
+    ------
+    ServerFailedError
+        When the answer broke off.
+    """
+    fields = names.pass_response_headers(head.headers)
+    fields.extend(extra)
+    request.reply.start(head.status, fields, head.length)
+    body = connection.body
+    while not body.complete:
+        chunk = await body.read()
+        if chunk:
+            request.reply.write(chunk)
+            await request.reply.drain()
+    request.reply.finish(body.take())
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/gate.py
@@ -0,0 +1,115 @@
+"""Waiting for a slot of the server beside this node."""
+
+import asyncio
+import datetime as dt
+
+from bluebellslip._internal.calls.admission import (
+    AdmissionQueue,
+    Ticket,
+    TicketState,
+)
+from bluebellslip._internal.calls.call import Call
+from bluebellslip._internal.exceptions import OverloadedError
+from bluebellslip._internal.kernel.clock import Clock
+
+
+class Gate:
+    """The admission queue, for coroutines.
+
+    Parameters
+    ----------
+    clock
+        The node's clock.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._queue = AdmissionQueue(clock, slots=1)
+
+    @property
+    def load(self) -> float:
+        """Slots taken and waited for, as a share of all."""
+        taken = self._queue.in_use + self._queue.waiting
+        return taken / max(1, self._queue.slots)
+
+    @property
+    def in_use(self) -> int:
+        """Slots taken."""
+        return self._queue.in_use
+
+    def resize(self, slots: int) -> None:
+        """Follow the number of slots that the server announces."""
+        if slots != self._queue.slots:
+            self._queue.resize(slots)
+
+    async def enter(self, call: Call) -> Ticket:
+        """Return a ticket that holds a slot.
+
+        Raises
+        ------
+        OverloadedError
+            When the call can't begin in time.
+        """
+        ticket = Ticket(call.route.work.priority, call.depth, call.deadline)
+        self._queue.offer(ticket)
+        if ticket.state is TicketState.WAITING:
+            await self._wait(ticket)
+        if ticket.state is TicketState.REFUSED:
+            raise OverloadedError(
+                'The server has no slot in time for this call.',
+                context={'slots': str(self._queue.slots)},
+                hint='Come back after the time in retry-after.',
+            )
+        return ticket
+
+    def leave(self, ticket: Ticket) -> None:
+        """Free the slot of a ticket."""
+        self._queue.release(ticket)
+
+    async def _wait(self, ticket: Ticket) -> None:
+        loop = asyncio.get_running_loop()
+        changed = loop.create_future()
+        ticket.on_change = lambda: _tell(changed)
+        timer = loop.call_later(
+            self._time_to_start(ticket).total_seconds(),
+            self._queue.refuse_late,
+        )
+        try:
+            await changed
+        except asyncio.CancelledError:
+            self._give_up(ticket)
+            raise
+        finally:
+            ticket.on_change = None
+            timer.cancel()
+
+    def _give_up(self, ticket: Ticket) -> None:
+        if ticket.state is TicketState.ADMITTED:
+            self._queue.release(ticket)
+        else:
+            self._queue.withdraw(ticket)
+
+    def _time_to_start(self, ticket: Ticket) -> dt.timedelta:
+        latest = ticket.deadline - self._queue.service_time
+        return max(dt.timedelta(), latest - self._clock.elapsed())
+
+
+class Holding:
+    """A context in which a ticket's slot is held."""
+
+    __slots__ = ('_gate', '_ticket')
+
+    def __init__(self, gate: Gate, ticket: Ticket) -> None:
+        self._gate = gate
+        self._ticket = ticket
+
+    def __enter__(self) -> None:
+        """Hold the slot, which the ticket already has."""
+
+    def __exit__(self, *raised: object) -> None:
+        self._gate.leave(self._ticket)
+
+
+def _tell(changed: 'asyncio.Future[None]') -> None:
+    if not changed.done():
+        changed.set_result(None)
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/outbound.py
@@ -0,0 +1,126 @@
+"""Client side of a connection.
+
+A connection carries one exchange at a time. It goes back to the pool only
+after a whole answer to a whole request; anything else closes it, so that no
+late or crossed answer can reach another caller.
+"""
+
+import asyncio
+from typing import Final
+
+from bluebellslip._internal.calls.response_reader import (
+    ResponseHead,
+    ResponseReader,
+)
+from bluebellslip._internal.calls.streams import ReadBuffer, WriteGate
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    ServerFailedError,
+)
+
+_WRITE_HIGH_BYTES: Final = 64 * 1024
+
+
+class OutboundConnection(asyncio.Protocol):
+    """A connection to a server.
+
+    ``body`` is that of the newest exchange's answer.
+    """
+
+    body: ReadBuffer
+
+    def __init__(self) -> None:
+        self._gate = WriteGate()
+        self._reader = ResponseReader()
+        self._sent = True
+
+    @property
+    def reusable(self) -> bool:
+        """Whether no exchange is open and the connection in order."""
+        return self._reader.usable and self._sent and self._reader.answered
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to follow a connection."""
+        self._transport: asyncio.Transport = transport  # type: ignore[assignment]
+        self._transport.set_write_buffer_limits(high=_WRITE_HIGH_BYTES)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Turn what is missing into an error."""
+        self._gate.open()
+        self._reader.end_input(clean=exc is None)
+
+    def pause_writing(self) -> None:
+        """Hold the request back while the server reads slowly."""
+        self._gate.close()
+
+    def resume_writing(self) -> None:
+        """Let the request go on."""
+        self._gate.open()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Parse input; what is no answer closes the connection."""
+        try:
+            self._reader.feed(chunk)
+        except ServerFailedError as error:
+            self.fail(error)
+
+    def begin(self, message: bytes, *, headless: bool, whole: bool) -> None:
+        """Start an exchange.
+
+        Parameters
+        ----------
+        message
+            The request's head, and its body where that is at hand.
+        headless
+            Whether the answer has no body, as for HEAD.
+        whole
+            Whether the request ends here.
+        """
+        self._answer: asyncio.Future[ResponseHead] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.body = ReadBuffer(self._transport)
+        self._reader.expect(self._answer, self.body, headless=headless)
+        self._sent = whole
+        self._transport.write(message)
+
+    def send(self, chunk: bytes) -> None:
+        """Send a part of the request's body."""
+        self._transport.write(chunk)
+
+    def end_request(self) -> None:
+        """Mark the request as sent in whole."""
+        self._sent = True
+
+    async def drain(self) -> None:
+        """Return when the server keeps up.
+
+        Raises
+        ------
+        ServerFailedError
+            When the server closed the connection.
+        """
+        if not self._gate.is_open:
+            await self._gate.wait()
+        if self._transport.is_closing():
+            raise ServerFailedError('The server closed the connection.')
+
+    async def response(self) -> ResponseHead:
+        """Return the answer's head.
+
+        Raises
+        ------
+        ServerFailedError
+            When the server broke off or sent what is no answer.
+        """
+        return await self._answer
+
+    def fail(self, error: BluebellError) -> None:
+        """Give the exchange up for a reason."""
+        self._reader.fail(error)
+        self.abort()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._reader.usable = False
+        self._transport.abort()
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/pool.py
@@ -0,0 +1,105 @@
+"""Warm connections to servers, by address."""
+
+import asyncio
+from collections import defaultdict
+from typing import Final
+
+from bluebellslip._internal.calls.outbound import OutboundConnection
+from bluebellslip._internal.exceptions import NoServerError, OverloadedError
+from bluebellslip._internal.kernel.counters import Counters
+from bluebellslip._internal.models.identity import Address
+
+MAX_IDLE: Final = 64
+MAX_CONNECTIONS: Final = 256
+CONNECT_TIMEOUT_S: Final = 0.5
+
+
+class ConnectionPool:
+    """Connections by address; idle ones are kept for the next exchange.
+
+    Parameters
+    ----------
+    counters
+        Counts of connections opened and reused.
+    """
+
+    def __init__(self, counters: Counters) -> None:
+        self._counters = counters
+        self._idle: dict[Address, list[OutboundConnection]] = defaultdict(list)
+        self._open: dict[Address, int] = defaultdict(int)
+
+    async def acquire(
+        self, address: Address, *, fresh: bool = False
+    ) -> OutboundConnection:
+        """Return a connection that no other exchange uses.
+
+        Raises
+        ------
+        NoServerError
+            When the server can't be reached; nothing was sent.
+        OverloadedError
+            When too many connections to it are open; nothing was sent.
+        """
+        idle = self._idle[address]
+        while idle and not fresh:
+            connection = idle.pop()
+            if connection.reusable:
+                self._open[address] += 1
+                return connection
+        if self._open[address] >= MAX_CONNECTIONS:
+            raise OverloadedError(
+                'Too many connections to one server are open.',
+                context={'address': str(address)},
+            )
+        return await self._connect(address)
+
+    def release(self, address: Address, connection: OutboundConnection) -> None:
+        """Take a connection back, or close it if its exchange is not over."""
+        self._open[address] -= 1
+        idle = self._idle[address]
+        if connection.reusable and len(idle) < MAX_IDLE:
+            idle.append(connection)
+        else:
+            connection.abort()
+
+    async def warm(self, address: Address, count: int) -> None:
+        """Open connections until the given number is idle."""
+        while len(self._idle[address]) < count:
+            connection = await self._connect(address)
+            self._open[address] -= 1
+            self._idle[address].append(connection)
+
+    def keep_only(self, addresses: set[Address]) -> None:
+        """Close idle connections to servers that are gone."""
+        for address in tuple(self._idle):
+            if address not in addresses:
+                self._close_idle(address)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in tuple(self._idle):
+            self._close_idle(address)
+
+    async def _connect(self, address: Address) -> OutboundConnection:
+        loop = asyncio.get_running_loop()
+        self._open[address] += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    OutboundConnection, address.host, address.port
+                )
+        except OSError as error:
+            self._open[address] -= 1
+            raise NoServerError(
+                'A server can not be reached.',
+                context={'address': str(address), 'found': str(error)},
+            ) from error
+        except asyncio.CancelledError:
+            self._open[address] -= 1
+            raise
+        self._counters.add('calls.connections_opened')
+        return connection
+
+    def _close_idle(self, address: Address) -> None:
+        for connection in self._idle.pop(address, []):
+            connection.abort()
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/refusals.py
@@ -0,0 +1,46 @@
+"""Errors of the closed list as bodies of answers, and back."""
+
+from typing import Final
+
+import msgspec
+
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    ErrorKind,
+    ServerFailedError,
+)
+
+MAX_REFUSAL_BYTES: Final = 16 * 1024
+
+_BY_KIND: Final = {kind.kind: kind for kind in BluebellError.__subclasses__()}
+
+
+class _Refusal(msgspec.Struct, frozen=True):
+    kind: ErrorKind
+    message: str
+    context: dict[str, str] = {}
+    hint: str = ''
+
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(_Refusal)
+
+
+def describe_error(error: BluebellError) -> bytes:
+    """Return an error as the body of an answer."""
+    return _encoder.encode(
+        _Refusal(error.kind, error.message, error.context, error.hint)
+    )
+
+
+def restore_error(body: bytes) -> BluebellError:
+    """Return the error that another node answered."""
+    try:
+        refusal = _decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        return ServerFailedError(
+            "A node's refusal can not be decoded.",
+            context={'found': str(error)},
+        )
+    kind = _BY_KIND.get(refusal.kind, BluebellError)
+    return kind(refusal.message, context=refusal.context, hint=refusal.hint)
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/reply.py
@@ -0,0 +1,171 @@
+"""The reply to a request: a whole answer, a stream, or a refusal."""
+
+import asyncio
+import datetime as dt
+from collections.abc import Sequence
+from typing import Final, Protocol
+
+from bluebellslip._internal.calls import headers as names
+from bluebellslip._internal.calls.framing import (
+    CONTINUE,
+    LAST_CHUNK,
+    build_response_head,
+    frame_chunk,
+)
+from bluebellslip._internal.calls.headers import Header
+from bluebellslip._internal.calls.refusals import describe_error
+from bluebellslip._internal.calls.streams import WriteGate
+from bluebellslip._internal.exceptions import BluebellError
+from bluebellslip._internal.models.answers import ANSWERS
+
+_BODILESS: Final = frozenset((204, 304))
+_CLOSE: Final = (b'connection', b'close')
+_CHUNKED: Final = (names.TRANSFER_ENCODING, b'chunked')
+_JSON: Final = (b'content-type', b'application/json')
+
+
+class LeavingState(Protocol):
+    """The listener's part that a reply depends on."""
+
+    @property
+    def leaving(self) -> bool:
+        """Whether connections are to be closed after their reply."""
+
+
+class Reply:
+    """Writes one reply to a connection.
+
+    ``ran`` is set as soon as the request may have run; from then on no
+    refusal promises the contrary. ``held_back`` is the time that the reply
+    waited for a slow caller.
+
+    Parameters
+    ----------
+    transport
+        Where the reply goes.
+    gate
+        What holds the reply back while the caller reads slowly.
+    state
+        The listener's state.
+    headless
+        Whether the request was for the head only.
+    keep_alive
+        Whether the caller may use the connection again.
+    modern
+        Whether the caller understands chunked bodies.
+    """
+
+    def __init__(
+        self,
+        transport: asyncio.Transport,
+        gate: WriteGate,
+        state: LeavingState,
+        *,
+        headless: bool = False,
+        keep_alive: bool = False,
+        modern: bool = True,
+    ) -> None:
+        self.ran = False
+        self.held_back = dt.timedelta()
+        self.started = False
+        self._transport = transport
+        self._gate = gate
+        self._state = state
+        self._headless = headless
+        self._keep_alive = keep_alive
+        self._modern = modern
+        self._head = b''
+        self._chunked = False
+        self._ended = False
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the reply ended in a way that leaves the connection open."""
+        return self._ended and self._keep_alive
+
+    def spoil(self) -> None:
+        """Close the connection after the reply."""
+        self._keep_alive = False
+
+    def invite_body(self) -> None:
+        """Tell a caller that waits for it to send the body."""
+        self._transport.write(CONTINUE)
+
+    def start(
+        self, status: int, headers: Sequence[Header], length: int | None
+    ) -> None:
+        """Begin the reply; without a length it is sent in chunks."""
+        if self._state.leaving:
+            self._keep_alive = False
+        fields = list(headers)
+        if length is not None and status not in _BODILESS:
+            fields.append((names.CONTENT_LENGTH, b'%d' % length))
+        elif self._allows_body(status):
+            fields.extend(self._mark_end())
+        if not self._keep_alive:
+            fields.append(_CLOSE)
+        self.started = True
+        self._head = build_response_head(status, fields)
+
+    def write(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+        framed = frame_chunk(chunk) if self._chunked else chunk
+        self._transport.write(self._take_head() + framed)
+
+    async def drain(self) -> None:
+        """Return when the caller keeps up."""
+        if self._gate.is_open:
+            return
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        await self._gate.wait()
+        self.held_back += dt.timedelta(seconds=loop.time() - begun)
+
+    def finish(self, chunk: bytes = b'') -> None:
+        """Send the last part of the body."""
+        tail = chunk
+        if self._chunked:
+            framed = frame_chunk(chunk) if chunk else b''
+            tail = framed + LAST_CHUNK
+        self._transport.write(self._take_head() + tail)
+        self._ended = True
+
+    def respond(
+        self, status: int, headers: Sequence[Header], body: bytes
+    ) -> None:
+        """Send a whole reply."""
+        self.start(status, headers, len(body))
+        self.finish(body if self._allows_body(status) else b'')
+
+    def refuse(self, error: BluebellError) -> None:
+        """Reply by an error of the closed list.
+
+        A reply that has begun is broken off instead, so that the caller
+        never takes it for a whole one.
+        """
+        if self.started:
+            self._transport.abort()
+            return
+        answer = ANSWERS[error.kind]
+        fields = [_JSON, (names.ERROR, error.kind.value.encode())]
+        if answer.not_run and not self.ran:
+            fields.append((names.NOT_RUN, b'1'))
+        if answer.retry_after is not None:
+            seconds = max(1, round(answer.retry_after.total_seconds()))
+            fields.append((names.RETRY_AFTER, b'%d' % seconds))
+        self.respond(answer.status, fields, describe_error(error))
+
+    def _mark_end(self) -> list[Header]:
+        if self._modern:
+            self._chunked = True
+            return [_CHUNKED]
+        self._keep_alive = False
+        return []
+
+    def _allows_body(self, status: int) -> bool:
+        return not self._headless and status not in _BODILESS
+
+    def _take_head(self) -> bytes:
+        head = self._head
+        self._head = b''
+        return head
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
@@ -0,0 +1,56 @@
+"""A request of a caller."""
+
+import asyncio
+import dataclasses
+
+from bluebellslip._internal.calls import headers as names
+from bluebellslip._internal.calls.headers import Header
+from bluebellslip._internal.calls.reply import Reply
+from bluebellslip._internal.calls.streams import ReadBuffer
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class InboundRequest:
+    """One request, and the reply to it.
+
+    ``expired`` tells that the call's time ran out before its reply ended.
+    """
+
+    method: bytes
+    target: bytes
+    headers: list[Header]
+    body: ReadBuffer
+    reply: Reply
+    expired: bool = False
+    _task: asyncio.Task[None] | None = None
+    _timer: asyncio.TimerHandle | None = None
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection may serve another request."""
+        return self.reply.reusable and self.body.complete
+
+    def bind(self, task: asyncio.Task[None]) -> None:
+        """Name the task that answers the request."""
+        self._task = task
+
+    def expire_after(self, seconds: float) -> None:
+        """Cancel the answering task when the time is over."""
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(seconds, self._expire)
+
+    def settle(self) -> None:
+        """Stop the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def invite_body(self) -> None:
+        """Tell a caller that waits for it to send the body."""
+        expects = names.find_header(self.headers, names.EXPECT)
+        if expects is not None and not self.body.complete:
+            self.reply.invite_body()
+
+    def _expire(self) -> None:
+        self.expired = True
+        if self._task is not None:
+            self._task.cancel()
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
@@ -0,0 +1,157 @@
+"""Answers out of bytes, by the httptools response parser."""
+
+import asyncio
+import dataclasses
+from typing import Final
+
+import httptools
+
+from bluebellslip._internal.calls.headers import (
+    CONTENT_LENGTH,
+    TRANSFER_ENCODING,
+    Header,
+)
+from bluebellslip._internal.calls.streams import ReadBuffer
+from bluebellslip._internal.exceptions import BluebellError, ServerFailedError
+
+MAX_HEAD_BYTES: Final = 64 * 1024
+_INFORMATIONAL_END: Final = 200
+
+
+@dataclasses.dataclass(slots=True)
+class ResponseHead:
+    """Status and headers of an answer.
+
+    ``length`` is none where the answer's end is marked otherwise.
+    """
+
+    status: int
+    headers: list[Header]
+    length: int | None
+
+
+class ResponseReader:
+    """Parser of one connection's answers.
+
+    ``usable`` turns false as soon as the connection must not carry another
+    exchange; ``answered`` tells that the newest exchange's answer is whole.
+    """
+
+    def __init__(self) -> None:
+        self.usable = True
+        self.answered = True
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[Header] = []
+        self._head_size = 0
+        self._answer: asyncio.Future[ResponseHead] | None = None
+        self._body: ReadBuffer | None = None
+        self._headless = False
+        self._until_close = False
+
+    def expect(
+        self,
+        answer: asyncio.Future[ResponseHead],
+        body: ReadBuffer,
+        *,
+        headless: bool,
+    ) -> None:
+        """Begin an exchange; ``headless`` if its answer has no body."""
+        self._answer = answer
+        self._body = body
+        self._headless = headless
+        self._until_close = False
+        self.answered = False
+
+    def feed(self, chunk: bytes) -> None:
+        """Parse input.
+
+        Raises
+        ------
+        ServerFailedError
+            When it is no answer, or one that nothing asked for.
+        """
+        if self.answered or not self.usable:
+            raise ServerFailedError('The server sent what nothing asked for.')
+        try:
+            self._parser.feed_data(chunk)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            raise ServerFailedError(
+                'The server sent what is no answer.',
+                context={'found': str(error)},
+            ) from error
+
+    def end_input(self, *, clean: bool) -> None:
+        """Take in the connection's end, which may be the answer's too."""
+        self.usable = False
+        if self._until_close and clean:
+            self._finish()
+        self.fail(ServerFailedError('The server closed the connection.'))
+
+    def fail(self, error: BluebellError) -> None:
+        """Let who waits for the rest of the answer see an error."""
+        if self._body is not None:
+            self._body.fail(error)
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_exception(error)
+            self._answer.exception()
+
+    def on_message_begin(self) -> None:
+        """Start a new head; a second answer spoils the connection."""
+        self._headers = []
+        self._head_size = 0
+        if self.answered:
+            self.usable = False
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Take in a header."""
+        self._head_size += len(name) + len(text)
+        if self._head_size > MAX_HEAD_BYTES:
+            raise ServerFailedError('The head of the answer is too large.')
+        self._headers.append((name.lower(), text))
+
+    def on_headers_complete(self) -> None:
+        """Hand the head over; informational ones are left out."""
+        status = self._parser.get_status_code()
+        if status < _INFORMATIONAL_END or self.answered:
+            return
+        self._until_close = _ends_at_close(self._headers)
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_result(_make_head(status, self._headers))
+        if self._headless:
+            self.usable = False
+            self._finish()
+
+    def on_body(self, chunk: bytes) -> None:
+        """Take in a part of the body."""
+        if self._body is not None and not self.answered:
+            self._body.feed(chunk)
+
+    def on_message_complete(self) -> None:
+        """Mark the answer as whole."""
+        if self._parser.get_status_code() < _INFORMATIONAL_END:
+            return
+        if not self._parser.should_keep_alive():
+            self.usable = False
+        self._finish()
+
+    def _finish(self) -> None:
+        self.answered = True
+        if self._body is not None:
+            self._body.finish()
+
+
+def _make_head(status: int, headers: list[Header]) -> ResponseHead:
+    length = None
+    for name, text in headers:
+        if name == CONTENT_LENGTH and text.isdigit():
+            length = int(text)
+    return ResponseHead(status, headers, length)
+
+
+def _ends_at_close(headers: list[Header]) -> bool:
+    return not any(
+        name in {CONTENT_LENGTH, TRANSFER_ENCODING} for name, _ in headers
+    )
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/streams.py
@@ -0,0 +1,168 @@
+"""Bounded buffers between a transport and the coroutines that use it."""
+
+import asyncio
+from collections import deque
+from typing import Final
+
+from bluebellslip._internal.exceptions import BluebellError, TooLargeError
+
+HIGH_WATER_BYTES: Final = 64 * 1024
+LOW_WATER_BYTES: Final = 16 * 1024
+
+
+class ReadBuffer:
+    """Bytes that came in and were not read yet.
+
+    The transport is paused while the buffer holds more than its high-water
+    mark, so that a slow reader holds back the sender.
+
+    Parameters
+    ----------
+    transport
+        Where the bytes come from.
+    """
+
+    __slots__ = (
+        '_chunks',
+        '_error',
+        '_limit',
+        '_paused',
+        '_size',
+        '_total',
+        '_transport',
+        '_waiter',
+        'complete',
+    )
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        self._chunks: deque[bytes] = deque()
+        self._size = 0
+        self._total = 0
+        self._limit: int | None = None
+        self._paused = False
+        self._error: BluebellError | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self.complete = False
+
+    @property
+    def size(self) -> int:
+        """Bytes held."""
+        return self._size
+
+    def limit_to(self, limit: int) -> None:
+        """Refuse more bytes in all than the limit."""
+        self._limit = limit
+        self._check_limit()
+
+    def feed(self, chunk: bytes) -> None:
+        """Take in bytes."""
+        if self._error is not None:
+            return
+        self._chunks.append(chunk)
+        self._size += len(chunk)
+        self._total += len(chunk)
+        self._check_limit()
+        if self._size > HIGH_WATER_BYTES and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+        self._wake()
+
+    def finish(self) -> None:
+        """Mark the end of the body."""
+        self.complete = True
+        self._wake()
+
+    def fail(self, error: BluebellError) -> None:
+        """Let readers see an error, unless the body is whole."""
+        if not self.complete and self._error is None:
+            self._error = error
+            self._wake()
+
+    def take(self) -> bytes:
+        """Return all that is held, without waiting."""
+        taken = b''.join(self._chunks)
+        self._chunks.clear()
+        self._size = 0
+        self._resume()
+        return taken
+
+    async def read(self) -> bytes:
+        """Return the next bytes, or none at the end.
+
+        Raises
+        ------
+        BluebellError
+            When the body broke off or is too large.
+        """
+        while not self._chunks or self._error is not None:
+            if self._error is not None:
+                raise self._error
+            if self.complete:
+                return b''
+            await self._wait()
+        return self.take()
+
+    async def read_all(self) -> bytes:
+        """Return the whole body, which the limit bounds."""
+        parts = []
+        while chunk := await self.read():
+            parts.append(chunk)
+        return b''.join(parts)
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        await self._waiter
+        self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    def _resume(self) -> None:
+        if self._paused and self._size <= LOW_WATER_BYTES:
+            self._paused = False
+            self._transport.resume_reading()
+
+    def _check_limit(self) -> None:
+        if self._limit is not None and self._total > self._limit:
+            self._error = TooLargeError(
+                'The body is larger than its class of work allows.',
+                context={'limit': f'{self._limit} bytes'},
+                hint="Raise the class's max_body_bytes or send less.",
+            )
+            self._wake()
+
+
+class WriteGate:
+    """Holds writers back while the transport's buffer is full."""
+
+    __slots__ = ('_open', '_waiters')
+
+    def __init__(self) -> None:
+        self._open = True
+        self._waiters: list[asyncio.Future[None]] = []
+
+    @property
+    def is_open(self) -> bool:
+        """Whether writers may go on."""
+        return self._open
+
+    def close(self) -> None:
+        """Hold writers back."""
+        self._open = False
+
+    def open(self) -> None:
+        """Let writers go on."""
+        self._open = True
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+        self._waiters.clear()
+
+    async def wait(self) -> None:
+        """Return when writers may go on."""
+        while not self._open:
+            waiter = asyncio.get_running_loop().create_future()
+            self._waiters.append(waiter)
+            await waiter
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/witness.py
@@ -0,0 +1,114 @@
+"""Outcomes of calls, as evidence about versions."""
+
+import asyncio
+import datetime as dt
+from types import TracebackType
+from typing import Final
+
+from bluebellslip._internal.calls.call import Call
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    ErrorKind,
+    NotFoundError,
+)
+from bluebellslip._internal.kernel.clock import Clock
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.ports import EvidenceSink, Outcome, Verdict
+from bluebellslip._internal.models.facts import Backend
+
+_SERVER_ERROR: Final = 500
+
+
+class Sight:
+    """What is seen of one call at the server; use as context manager."""
+
+    __slots__ = ('_backend', '_begun', '_call', '_clock', '_sink', '_status')
+
+    def __init__(
+        self,
+        sink: EvidenceSink | None,
+        clock: Clock,
+        call: Call,
+        backend: Backend,
+    ) -> None:
+        self._sink = sink
+        self._clock = clock
+        self._call = call
+        self._backend = backend
+        self._status = 0
+        self._begun = dt.timedelta()
+
+    def see(self, status: int) -> None:
+        """Take in the answer's status."""
+        self._status = status
+
+    def __enter__(self) -> 'Sight':
+        self._begun = self._clock.elapsed()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if self._sink is None:
+            return
+        spent = self._clock.elapsed() - self._begun
+        self._sink.record(
+            Outcome(
+                service=self._call.service,
+                version=self._backend.version,
+                route=self._call.route.name,
+                verdict=self._judge(error),
+                latency=spent - self._call.request.reply.held_back,
+            )
+        )
+
+    def _judge(self, error: BaseException | None) -> Verdict:
+        request = self._call.request
+        if error is None:
+            failed = self._status >= _SERVER_ERROR
+            return Verdict.FAILED if failed else Verdict.SUCCEEDED
+        if not request.reply.ran:
+            return Verdict.NOT_RUN
+        if isinstance(error, asyncio.CancelledError):
+            return Verdict.FAILED if request.expired else Verdict.CANCELLED
+        if isinstance(error, BluebellError):
+            return _judge_error(error)
+        return Verdict.CANCELLED
+
+
+class Witness:
+    """Maker of sights.
+
+    Parameters
+    ----------
+    sink
+        Receiver of outcomes; none where nothing asks for them.
+    clock
+        The node's clock.
+    """
+
+    def __init__(self, sink: EvidenceSink | None, clock: Clock) -> None:
+        self._sink = sink
+        self._clock = clock
+
+    @classmethod
+    def from_context(cls, context: Context) -> 'Witness':
+        """Use the receiver that the node provides, if it does."""
+        try:
+            sink = context.ports.get(EvidenceSink)
+        except NotFoundError:
+            return cls(None, context.clock)
+        return cls(sink, context.clock)
+
+    def watch(self, call: Call, backend: Backend) -> Sight:
+        """Return a sight of one call."""
+        return Sight(self._sink, self._clock, call, backend)
+
+
+def _judge_error(error: BluebellError) -> Verdict:
+    if error.kind is ErrorKind.SERVER_FAILED:
+        return Verdict.FAILED
+    return Verdict.CANCELLED
--- a/packages/bluebellslip/src/bluebellslip/_internal/exceptions.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/exceptions.py
@@ -167,3 +167,39 @@
     """A message of a peer that can't be decoded or verified."""
 
     kind = ErrorKind.PEER_GARBLED
+
+
+class KeyMissingError(BluebellError):
+    """Once-only work without an idempotency key."""
+
+    kind = ErrorKind.KEY_MISSING
+
+
+class KeyReusedError(BluebellError):
+    """An idempotency key that already stands for another request."""
+
+    kind = ErrorKind.KEY_REUSED
+
+
+class VersionStoppedError(BluebellError):
+    """Work refused before it ran, since the version was taken back."""
+
+    kind = ErrorKind.VERSION_STOPPED
+
+
+class NoServerError(BluebellError):
+    """Work refused before it ran, since no server could be reached."""
+
+    kind = ErrorKind.NO_SERVER
+
+
+class DeadlineExceededError(BluebellError):
+    """Work whose time ran out; it may or may not have run."""
+
+    kind = ErrorKind.DEADLINE_EXCEEDED
+
+
+class ServerFailedError(BluebellError):
+    """A server that broke off an exchange; it may or may not have run."""
+
+    kind = ErrorKind.SERVER_FAILED
--- /dev/null
+++ b/tests/functional/test_calls_forwarding.py
@@ -0,0 +1,47 @@
+"""Calls over two hops: whole answers, refusals, and the not-run promise."""
+
+import pytest
+
+from lib.calls import Caller, FakeServer, MeshNode, answering, call_once
+
+
+@pytest.mark.anyio
+async def test_call_passes_two_hops() -> None:
+    async with FakeServer(answering(b'hello')).serving() as server:
+        front, back = MeshNode('front'), MeshNode('back')
+        back.host('storefront', server.address)
+        front.know(back)
+        async with front.running(), back.running():
+            caller = await Caller.open(front.egress)
+            for _ in range(3):
+                got = await caller.call('/samples/1', bluebell_depth='2')
+                assert (got.status, got.body) == (200, b'hello')
+            caller.close()
+        assert server.connections == 1
+        assert server.seen[0].headers['bluebell-depth'] == '3'
+        assert int(server.seen[0].headers['bluebell-timeout-ms']) <= 2000
+        assert len(back.sink.outcomes) == 3
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ('options', 'status', 'kind'),
+    [
+        ({'path': '/nowhere'}, 404, 'not-found'),
+        ({'path': '/samples/../deposits'}, 400, 'malformed'),
+        ({'path': '/samples', 'service': 'storefront'}, 503, 'no-server'),
+        (
+            {'path': '/deposits', 'service': 'orders', 'method': 'POST'},
+            428,
+            'idempotency-key-missing',
+        ),
+    ],
+)
+async def test_refusals_promise_not_run(
+    options: dict[str, str], status: int, kind: str
+) -> None:
+    async with MeshNode('front').running() as front:
+        got = await call_once(front.egress, **options)
+        assert got.status == status
+        assert got.headers['bluebell-error'] == kind
+        assert got.headers['bluebell-not-run'] == '1'
--- /dev/null
+++ b/tests/lib/calls.py
@@ -0,0 +1,316 @@
+"""A small mesh in one process: fake servers and nodes' call paths."""
+
+import asyncio
+import contextlib
+import dataclasses
+import datetime as dt
+import itertools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from random import Random
+
+import anyio
+
+from bluebellslip._internal.calls.plugin import CallsPlugin
+from bluebellslip._internal.kernel.clock import SystemClock
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.counters import NullCounters
+from bluebellslip._internal.kernel.ports import (
+    EvidenceSink,
+    Outcome,
+    TableService,
+)
+from bluebellslip._internal.kernel.services import Membership
+from bluebellslip._internal.models.facts import (
+    Backend,
+    MemberFact,
+    MemberStatus,
+)
+from bluebellslip._internal.models.identity import (
+    Address,
+    Locality,
+    NodeId,
+    ServiceName,
+    VersionName,
+)
+from bluebellslip._internal.models.settings import (
+    ListenSettings,
+    NodeSettings,
+    PlatformSettings,
+)
+from lib.snapshots import make_snapshot
+
+HOST = '127.0.0.41'
+_ports = itertools.count(23_100)
+
+Behaviour = Callable[
+    [asyncio.StreamReader, asyncio.StreamWriter, 'SeenRequest'],
+    Awaitable[None],
+]
+
+
+@dataclasses.dataclass
+class SeenRequest:
+    """A request as a fake server saw it."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class FakeServer:
+    """A backend server that answers as a test tells it to."""
+
+    def __init__(self, behave: Behaviour) -> None:
+        self.seen: list[SeenRequest] = []
+        self.connections = 0
+        self.address = Address(HOST, next(_ports))
+        self._behave = behave
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    @contextlib.asynccontextmanager
+    async def serving(self) -> AsyncIterator['FakeServer']:
+        server = await asyncio.start_server(
+            self._serve, self.address.host, self.address.port
+        )
+        try:
+            yield self
+        finally:
+            server.close()
+            self.kill()
+
+    def kill(self) -> None:
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while (request := await read_request(reader)) is not None:
+                self.seen.append(request)
+                await self._behave(reader, writer, request)
+                await writer.drain()
+        self._writers.discard(writer)
+        writer.close()
+
+
+async def read_request(reader: asyncio.StreamReader) -> SeenRequest | None:
+    try:
+        head = await reader.readuntil(b'\r\n\r\n')
+    except asyncio.IncompleteReadError:
+        return None
+    line, *rest = head.decode().split('\r\n')
+    headers = {}
+    for text in rest:
+        name, _, content = text.partition(': ')
+        headers[name.lower()] = content
+    body = b''
+    if 'content-length' in headers:
+        body = await reader.readexactly(int(headers['content-length']))
+    elif 'transfer-encoding' in headers:
+        body = await _read_chunks(reader)
+    return SeenRequest(line, headers, body)
+
+
+async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
+    body = b''
+    while size := int(await reader.readline(), 16):
+        body += await reader.readexactly(size)
+        await reader.readline()
+    await reader.readline()
+    return body
+
+
+def whole(body: bytes, status: int = 200) -> bytes:
+    return b'HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n%b' % (
+        status,
+        len(body),
+        body,
+    )
+
+
+def answering(body: bytes, status: int = 200) -> Behaviour:
+    async def behave(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request: SeenRequest,
+    ) -> None:
+        writer.write(whole(body, status))
+
+    return behave
+
+
+class FakeMembership:
+    """The announcement of the server beside one node."""
+
+    def __init__(self) -> None:
+        self.own_backend: Backend | None = None
+        self.draining = False
+
+    def announce(self, backend: Backend) -> None:
+        self.own_backend = backend
+
+    def leave(self) -> None:
+        self.draining = True
+
+
+class FakeSink:
+    """Keeps the outcomes."""
+
+    def __init__(self) -> None:
+        self.outcomes: list[Outcome] = []
+
+    def record(self, outcome: Outcome) -> None:
+        self.outcomes.append(outcome)
+
+
+class MeshNode:
+    """The call path of one node."""
+
+    def __init__(
+        self, name: str, domain: str = 'a', table: TableService | None = None
+    ) -> None:
+        self.egress = Address(HOST, next(_ports))
+        self.ingress = Address(HOST, next(_ports))
+        settings = NodeSettings(
+            node=name,
+            mesh='mesh',
+            region='north',
+            failure_domain=domain,
+            listen=ListenSettings(
+                egress=str(self.egress),
+                ingress=str(self.ingress),
+                peer='127.0.0.41:1',
+                admin='127.0.0.41:2',
+            ),
+            platform=PlatformSettings(
+                table='http://127.0.0.41:3', objects='http://127.0.0.41:3'
+            ),
+            peer_key='0123456789abcdef',
+        )
+        self.counters = NullCounters()
+        self.context = Context.from_settings(
+            settings, SystemClock(), Random(1), self.counters
+        )
+        self.membership = FakeMembership()
+        self.sink = FakeSink()
+        self.context.ports.provide(Membership, self.membership)
+        self.context.ports.provide(EvidenceSink, self.sink)
+        if table is not None:
+            self.context.ports.provide(TableService, table)
+        self.context.applied.apply(make_snapshot(1))
+        self.plugin = CallsPlugin.from_context(self.context)
+
+    def host(
+        self,
+        service: str,
+        address: Address,
+        version: str = 'v1',
+        slots: int = 4,
+    ) -> None:
+        self.membership.own_backend = Backend(
+            ServiceName(service), VersionName(version), address, slots, 100
+        )
+
+    def fact(self, incarnation: int = 1) -> MemberFact:
+        context = self.context
+        return MemberFact(
+            node=context.node,
+            incarnation=incarnation,
+            status=MemberStatus.ALIVE,
+            changed=0,
+            locality=context.locality,
+            peer=context.peer_address,
+            ingress=self.ingress,
+            applied=1,
+            backend=self.membership.own_backend,
+        )
+
+    def know(self, *others: 'MeshNode') -> None:
+        self.context.facts.merge(other.fact() for other in others)
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator['MeshNode']:
+        async with anyio.create_task_group() as group:
+            await group.start(self.plugin.run)
+            yield self
+            group.cancel_scope.cancel()
+
+
+@dataclasses.dataclass
+class Got:
+    """An answer as a caller got it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class Caller:
+    """A caller with one connection."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def open(cls, address: Address) -> 'Caller':
+        return cls(*await asyncio.open_connection(address.host, address.port))
+
+    async def call(
+        self,
+        path: str,
+        *,
+        method: str = 'GET',
+        service: str = 'storefront',
+        body: bytes = b'',
+        **headers: str,
+    ) -> Got:
+        lines = [f'{method} {path} HTTP/1.1', f'host: {service}']
+        for name, text in headers.items():
+            lines.append(f'{name.replace("_", "-")}: {text}')
+        if body:
+            lines.append(f'content-length: {len(body)}')
+        head = '\r\n'.join([*lines, '', ''])
+        self.writer.write(head.encode() + body)
+        return await self.receive()
+
+    async def receive(self) -> Got:
+        head = await self.reader.readuntil(b'\r\n\r\n')
+        line, *rest = head.decode().split('\r\n')
+        fields = dict(text.split(': ', 1) for text in rest if text)
+        if 'content-length' in fields:
+            size = int(fields['content-length'])
+            body = await self.reader.readexactly(size)
+        elif 'transfer-encoding' in fields:
+            body = await _read_chunks(self.reader)
+        else:
+            body = b''
+        return Got(int(line.split()[1]), fields, body)
+
+    def close(self) -> None:
+        self.writer.transport.abort()
+
+
+async def call_once(address: Address, path: str, **options: str) -> Got:
+    caller = await Caller.open(address)
+    try:
+        return await caller.call(path, **options)  # type: ignore[arg-type]
+    finally:
+        caller.close()
+
+
+def locality(domain: str, region: str = 'north') -> Locality:
+    return Locality(region, domain)
+
+
+def milliseconds(count: float) -> dt.timedelta:
+    return dt.timedelta(milliseconds=count)
+
+
+def node_id(name: str) -> NodeId:
+    return NodeId(name)
