--- a/tests/lib/calls.py
+++ b/tests/lib/calls.py
@@ -5,7 +5,9 @@
 import dataclasses
 import datetime as dt
 import itertools
-from collections.abc import AsyncIterator, Awaitable, Callable
+import os
+import socket
+from collections.abc import AsyncGenerator, Awaitable, Callable
 from random import Random
 
 import anyio
@@ -39,7 +41,7 @@
 )
 from lib.snapshots import make_snapshot
 
-HOST = '127.0.0.41'
+HOST = f'127.0.0.{10 + os.getpid() % 240}'
 _ports = itertools.count(23_100)
 
 Behaviour = Callable[
@@ -48,6 +50,15 @@
 ]
 
 
+def free_address() -> Address:
+    """Return an address that nothing listens at."""
+    for port in _ports:
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return Address(HOST, port)
+    raise AssertionError('unreachable')
+
+
 @dataclasses.dataclass
 class SeenRequest:
     """A request as a fake server saw it."""
@@ -63,12 +74,12 @@
     def __init__(self, behave: Behaviour) -> None:
         self.seen: list[SeenRequest] = []
         self.connections = 0
-        self.address = Address(HOST, next(_ports))
+        self.address = free_address()
         self._behave = behave
         self._writers: set[asyncio.StreamWriter] = set()
 
     @contextlib.asynccontextmanager
-    async def serving(self) -> AsyncIterator['FakeServer']:
+    async def serving(self) -> AsyncGenerator['FakeServer', None]:
         server = await asyncio.start_server(
             self._serve, self.address.host, self.address.port
         )
@@ -88,10 +99,12 @@
         self.connections += 1
         self._writers.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while (request := await read_request(reader)) is not None:
+            request = await read_request(reader)
+            while request is not None:
                 self.seen.append(request)
                 await self._behave(reader, writer, request)
                 await writer.drain()
+                request = await read_request(reader)
         self._writers.discard(writer)
         writer.close()
 
@@ -106,10 +119,8 @@
     for text in rest:
         name, _, content = text.partition(': ')
         headers[name.lower()] = content
-    body = b''
-    if 'content-length' in headers:
-        body = await reader.readexactly(int(headers['content-length']))
-    elif 'transfer-encoding' in headers:
+    body = await reader.readexactly(int(headers.get('content-length', 0)))
+    if 'transfer-encoding' in headers:
         body = await _read_chunks(reader)
     return SeenRequest(line, headers, body)
 
@@ -172,8 +183,8 @@
     def __init__(
         self, name: str, domain: str = 'a', table: TableService | None = None
     ) -> None:
-        self.egress = Address(HOST, next(_ports))
-        self.ingress = Address(HOST, next(_ports))
+        self.egress = free_address()
+        self.ingress = free_address()
         settings = NodeSettings(
             node=name,
             mesh='mesh',
@@ -232,11 +243,13 @@
         self.context.facts.merge(other.fact() for other in others)
 
     @contextlib.asynccontextmanager
-    async def running(self) -> AsyncIterator['MeshNode']:
+    async def running(self) -> AsyncGenerator['MeshNode', None]:
         async with anyio.create_task_group() as group:
             await group.start(self.plugin.run)
-            yield self
-            group.cancel_scope.cancel()
+            try:
+                yield self
+            finally:
+                group.cancel_scope.cancel()
 
 
 @dataclasses.dataclass
@@ -283,13 +296,10 @@
         head = await self.reader.readuntil(b'\r\n\r\n')
         line, *rest = head.decode().split('\r\n')
         fields = dict(text.split(': ', 1) for text in rest if text)
-        if 'content-length' in fields:
-            size = int(fields['content-length'])
-            body = await self.reader.readexactly(size)
-        elif 'transfer-encoding' in fields:
+        size = int(fields.get('content-length', 0))
+        body = await self.reader.readexactly(size)
+        if 'transfer-encoding' in fields:
             body = await _read_chunks(self.reader)
-        else:
-            body = b''
         return Got(int(line.split()[1]), fields, body)
 
     def close(self) -> None:
