Run once-only work under claims in the table

A claim row is inserted before the work runs, conditional on its absence and with a token of its own; a lost answer is settled by reading the row back. The outcome is stored after. Transactions carry the claims of many requests. A claim that was released keeps its row, so that its version never starts over and a late write can't free another holder's claim.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/admission.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/admission.py
@@ -84,6 +84,9 @@
 class AdmissionQueue:
     """Slots of one server and the requests that wait for them.
 
+    ``slots`` is the number that the server runs at once, ``in_use`` how many
+    are taken.
+
     Parameters
     ----------
     clock
@@ -94,22 +97,12 @@
 
     def __init__(self, clock: Clock, slots: int) -> None:
         self._clock = clock
-        self._slots = slots
-        self._in_use = 0
+        self.slots = slots
+        self.in_use = 0
         self._service = ServiceEstimate()
         self._sequence = itertools.count()
         self._heap: list[tuple[tuple[int, int], int, Ticket]] = []
 
-    @property
-    def slots(self) -> int:
-        """Requests that the server runs at once."""
-        return self._slots
-
-    @property
-    def in_use(self) -> int:
-        """Slots taken."""
-        return self._in_use
-
     @property
     def waiting(self) -> int:
         """Requests in the queue."""
@@ -120,15 +113,25 @@
         """Typical time that a request holds its slot."""
         return self._service.typical
 
+    @property
+    def _has_slot(self) -> bool:
+        return self.in_use < self.slots and not self._heap
+
     def resize(self, slots: int) -> None:
         """Follow the number that the server announces."""
-        self._slots = slots
+        self.slots = slots
         self._grant()
 
+    def accepts(self, ticket: Ticket) -> bool:
+        """Tell whether a ticket would be admitted or queued now."""
+        if self._has_slot:
+            return True
+        return self._can_wait(ticket, self._clock.elapsed())
+
     def offer(self, ticket: Ticket) -> None:
         """Admit, queue or refuse; a better ticket displaces the last one."""
         now = self._clock.elapsed()
-        if self._in_use < self._slots and not self._heap:
+        if self._has_slot:
             self._admit(ticket, now)
             return
         if not self._can_wait(ticket, now):
@@ -136,13 +139,13 @@
             return
         entry = (ticket.order, next(self._sequence), ticket)
         heapq.heappush(self._heap, entry)
-        if len(self._heap) > self._slots * QUEUE_PER_SLOT:
+        if len(self._heap) > self.slots * QUEUE_PER_SLOT:
             self._displace()
 
     def release(self, ticket: Ticket) -> None:
         """Free the slot of a ticket that was admitted."""
         self._service.learn(self._clock.elapsed() - ticket.started)
-        self._in_use -= 1
+        self.in_use -= 1
         self._grant()
 
     def withdraw(self, ticket: Ticket) -> None:
@@ -164,7 +167,7 @@
 
     def _can_wait(self, ticket: Ticket, now: dt.timedelta) -> bool:
         ahead = sum(1 for entry in self._heap if entry[0] <= ticket.order)
-        wait = self._service.expect_wait(ahead, self._slots)
+        wait = self._service.expect_wait(ahead, self.slots)
         if wait > MAX_WAIT:
             return False
         return now + wait + self.service_time <= ticket.deadline
@@ -176,13 +179,13 @@
         last[2].become(TicketState.REFUSED)
 
     def _admit(self, ticket: Ticket, now: dt.timedelta) -> None:
-        self._in_use += 1
+        self.in_use += 1
         ticket.started = now
         ticket.become(TicketState.ADMITTED)
 
     def _grant(self) -> None:
         now = self._clock.elapsed()
-        while self._heap and self._in_use < self._slots:
+        while self._heap and self.in_use < self.slots:
             ticket = heapq.heappop(self._heap)[2]
             if ticket.is_late(now, self.service_time):
                 ticket.become(TicketState.REFUSED)
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
@@ -100,6 +100,18 @@
             self._pool.release(self._address, self._connection)
             self._connection = None
 
+    async def send_whole(
+        self, request: InboundRequest, headers: list[Header], body: bytes
+    ) -> ResponseHead:
+        """Send a request whose body is at hand; errors as of ``send``."""
+        if body or names.find_header(request.headers, names.CONTENT_LENGTH):
+            headers.append((names.CONTENT_LENGTH, b'%d' % len(body)))
+        head = build_request_head(request.method, request.target, headers)
+        self.connection.begin(
+            head + body, headless=request.method == _HEAD, whole=True
+        )
+        return await self.connection.response()
+
     async def send(
         self,
         request: InboundRequest,
@@ -113,15 +125,10 @@
         BluebellError
             When the server broke off, or the caller did.
         """
-        headless = request.method == _HEAD
         body = upload.whole
-        if body is None:
-            self._begin_streaming(request, headers, upload)
-        else:
-            if body or names.find_header(request.headers, names.CONTENT_LENGTH):
-                headers.append((names.CONTENT_LENGTH, b'%d' % len(body)))
-            head = build_request_head(request.method, request.target, headers)
-            self.connection.begin(head + body, headless=headless, whole=True)
+        if body is not None:
+            return await self.send_whole(request, headers, body)
+        self._begin_streaming(request, headers, upload)
         return await self.connection.response()
 
     def _begin_streaming(
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/gate.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/gate.py
@@ -42,6 +42,10 @@
         if slots != self._queue.slots:
             self._queue.resize(slots)
 
+    def has_room(self, call: Call) -> bool:
+        """Tell whether a call would be admitted or queued now."""
+        return self._queue.accepts(self._make_ticket(call))
+
     async def enter(self, call: Call) -> Ticket:
         """Return a ticket that holds a slot.
 
@@ -50,7 +54,7 @@
         OverloadedError
             When the call can't begin in time.
         """
-        ticket = Ticket(call.route.work.priority, call.depth, call.deadline)
+        ticket = self._make_ticket(call)
         self._queue.offer(ticket)
         if ticket.state is TicketState.WAITING:
             await self._wait(ticket)
@@ -83,6 +87,9 @@
             ticket.on_change = None
             timer.cancel()
 
+    def _make_ticket(self, call: Call) -> Ticket:
+        return Ticket(call.route.work.priority, call.depth, call.deadline)
+
     def _give_up(self, ticket: Ticket) -> None:
         if ticket.state is TicketState.ADMITTED:
             self._queue.release(ticket)
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/ingress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/ingress.py
@@ -1,9 +1,12 @@
 """Calls from other nodes to the server beside this one."""
 
-import datetime as dt
 from typing import Final
 
 from bluebellslip._internal.calls import headers as names
+from bluebellslip._internal.calls.backend import (
+    check_version,
+    make_server_headers,
+)
 from bluebellslip._internal.calls.call import Call, open_call
 from bluebellslip._internal.calls.exchange import (
     Exchange,
@@ -12,6 +15,7 @@
 )
 from bluebellslip._internal.calls.gate import Gate, Holding
 from bluebellslip._internal.calls.headers import Header
+from bluebellslip._internal.calls.once import OnceRunner
 from bluebellslip._internal.calls.pool import ConnectionPool
 from bluebellslip._internal.calls.request import InboundRequest
 from bluebellslip._internal.calls.tally import Tally
@@ -19,13 +23,11 @@
 from bluebellslip._internal.exceptions import (
     DrainingError,
     NoServerError,
-    VersionStoppedError,
 )
 from bluebellslip._internal.kernel.context import Context
 from bluebellslip._internal.kernel.services import Membership
 from bluebellslip._internal.models.facts import Backend
 
-_MILLISECOND: Final = dt.timedelta(milliseconds=1)
 _PERCENT: Final = 100
 
 
@@ -42,6 +44,10 @@
         The server's announcement.
     witness
         Receiver of outcomes.
+    gate
+        The server's slots.
+    once
+        What runs once-only work.
     """
 
     def __init__(
@@ -50,20 +56,18 @@
         pool: ConnectionPool,
         membership: Membership,
         witness: Witness,
+        gate: Gate,
+        once: OnceRunner,
     ) -> None:
         self._context = context
         self._pool = pool
         self._membership = membership
         self._witness = witness
-        self._gate = Gate(context.clock)
+        self._once = once
+        self._gate = gate
         self._leaving = False
         self.in_flight = Tally()
 
-    @property
-    def gate(self) -> Gate:
-        """The server's slots."""
-        return self._gate
-
     def leave(self) -> None:
         """Refuse new calls from now on."""
         self._leaving = True
@@ -86,24 +90,17 @@
                 'No server of this service stands beside this node.',
                 context={'service': call.service, 'node': self._context.node},
             )
-        self._check_version(backend)
+        check_version(self._context, backend)
         return backend
 
-    def _check_version(self, backend: Backend) -> None:
-        if self._context.moves.is_stopped(backend.service, backend.version):
-            raise VersionStoppedError(
-                'This version of the service was taken back.',
-                context={
-                    'service': backend.service,
-                    'version': backend.version,
-                },
-            )
-
     async def _admit(self, call: Call, backend: Backend) -> None:
         self._gate.resize(min(backend.slots, backend.connections))
+        if call.is_once:
+            await self._once.run(call, backend)
+            return
         ticket = await self._gate.enter(call)
         with Holding(self._gate, ticket):
-            self._check_version(backend)
+            check_version(self._context, backend)
             await self._run(call, backend)
 
     async def _run(self, call: Call, backend: Backend) -> None:
@@ -114,23 +111,16 @@
         ):
             await exchange.open()
             request.reply.ran = True
+            sight.send()
+            left = call.remaining(self._context.clock.elapsed())
             head = await exchange.send(
-                request, self._make_headers(call), Upload(request)
+                request, make_server_headers(call, left), Upload(request)
             )
             sight.see(head.status)
             await relay_answer(
                 request, head, exchange.connection, self._make_hints()
             )
 
-    def _make_headers(self, call: Call) -> list[Header]:
-        left = call.remaining(self._context.clock.elapsed())
-        fields = names.pass_request_headers(call.request.headers)
-        fields.extend((
-            (names.TIMEOUT_MS, b'%d' % max(1, left // _MILLISECOND)),
-            (names.DEPTH, b'%d' % call.depth),
-        ))
-        return fields
-
     def _make_hints(self) -> tuple[Header, ...]:
         load = min(1, self._gate.load)
         return ((names.LOAD, b'%d' % round(load * _PERCENT)),)
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/plugin.py
@@ -8,10 +8,13 @@
 from anyio.abc import TaskStatus
 
 from bluebellslip._internal.calls.egress import EgressHandler
+from bluebellslip._internal.calls.gate import Gate
 from bluebellslip._internal.calls.ingress import IngressHandler
 from bluebellslip._internal.calls.listener import Listener
+from bluebellslip._internal.calls.once import OnceRunner
 from bluebellslip._internal.calls.pool import ConnectionPool
 from bluebellslip._internal.calls.witness import Witness
+from bluebellslip._internal.claims.keeper import ClaimKeeper
 from bluebellslip._internal.kernel.context import Context
 from bluebellslip._internal.kernel.plugin import Plugin, Stage, plugins
 from bluebellslip._internal.kernel.services import Membership
@@ -40,8 +43,14 @@
         listen = context.settings.listen
         self._pool = ConnectionPool(counters)
         self._egress = EgressHandler(context, self._pool)
+        witness = Witness.from_context(context)
+        gate = Gate(context.clock)
+        self._keeper = ClaimKeeper.from_context(context)
+        self._once = OnceRunner(
+            context, self._pool, witness, gate, self._keeper.ledger
+        )
         self._ingress = IngressHandler(
-            context, self._pool, membership, Witness.from_context(context)
+            context, self._pool, membership, witness, gate, self._once
         )
         self._egress_listener = Listener(
             Address.from_text(listen.egress), self._egress, counters
@@ -65,7 +74,9 @@
             contextlib.closing(self._egress_listener),
             contextlib.closing(self._ingress_listener),
         ):
-            await self._sweep()
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._keeper.run)
+                group.start_soon(self._sweep)
 
     def leave(self) -> None:
         """Refuse new calls to the server; its own calls go on."""
@@ -77,6 +88,8 @@
         """Wait for calls of others, then for those of the own server."""
         while self._ingress.in_flight.count:
             await anyio.sleep(_DRAIN_POLL.total_seconds())
+        while self._once.pending:
+            await anyio.sleep(_DRAIN_POLL.total_seconds())
         self._egress.close()
         while self._egress.in_flight.count:
             await anyio.sleep(_DRAIN_POLL.total_seconds())
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/witness.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/witness.py
@@ -17,12 +17,27 @@
 from bluebellslip._internal.models.facts import Backend
 
 _SERVER_ERROR: Final = 500
+_FAILURES: Final = frozenset((
+    ErrorKind.SERVER_FAILED,
+    ErrorKind.DEADLINE_EXCEEDED,
+))
 
 
 class Sight:
-    """What is seen of one call at the server; use as context manager."""
+    """What is seen of one call at the server; use as context manager.
 
-    __slots__ = ('_backend', '_begun', '_call', '_clock', '_sink', '_status')
+    ``sent`` tells that the server may have run the request.
+    """
+
+    __slots__ = (
+        '_backend',
+        '_begun',
+        '_call',
+        '_clock',
+        '_sink',
+        '_status',
+        'sent',
+    )
 
     def __init__(
         self,
@@ -36,8 +51,13 @@
         self._call = call
         self._backend = backend
         self._status = 0
+        self.sent = False
         self._begun = dt.timedelta()
 
+    def send(self) -> None:
+        """Note that the server may run the request from now on."""
+        self.sent = True
+
     def see(self, status: int) -> None:
         """Take in the answer's status."""
         self._status = status
@@ -70,7 +90,7 @@
         if error is None:
             failed = self._status >= _SERVER_ERROR
             return Verdict.FAILED if failed else Verdict.SUCCEEDED
-        if not request.reply.ran:
+        if not self.sent:
             return Verdict.NOT_RUN
         if isinstance(error, asyncio.CancelledError):
             return Verdict.FAILED if request.expired else Verdict.CANCELLED
@@ -109,6 +129,4 @@
 
 
 def _judge_error(error: BluebellError) -> Verdict:
-    if error.kind is ErrorKind.SERVER_FAILED:
-        return Verdict.FAILED
-    return Verdict.CANCELLED
+    return Verdict.FAILED if error.kind in _FAILURES else Verdict.CANCELLED
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once work: claims in the platform's table."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/claims/keeper.py
@@ -0,0 +1,68 @@
+"""Upkeep of claims: group commit, lost claims, and expiry."""
+
+import datetime as dt
+from typing import Final
+
+import anyio
+
+from bluebellslip._internal.claims.commit import GroupCommit
+from bluebellslip._internal.claims.ledger import ClaimLedger
+from bluebellslip._internal.claims.sweep import ClaimSweeper
+from bluebellslip._internal.exceptions import BluebellError, NotFoundError
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.ports import TableService
+
+_ORPHAN_PERIOD: Final = dt.timedelta(seconds=1)
+_SWEEP_PERIOD: Final = dt.timedelta(minutes=10)
+
+
+class ClaimKeeper:
+    """What claims need in the background.
+
+    Parameters
+    ----------
+    context
+        The node's shared state.
+    table
+        The platform's table; none where the node has none.
+    """
+
+    def __init__(self, context: Context, table: TableService | None) -> None:
+        self._context = context
+        self.ledger: ClaimLedger | None = None
+        if table is not None:
+            self._commit = GroupCommit(table, context.counters)
+            self._sweeper = ClaimSweeper(context, table)
+            self.ledger = ClaimLedger(context, table, self._commit)
+
+    @classmethod
+    def from_context(cls, context: Context) -> 'ClaimKeeper':
+        """Use the table that the node provides, if it does."""
+        try:
+            table = context.ports.get(TableService)
+        except NotFoundError:
+            return cls(context, None)
+        return cls(context, table)
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+        if self.ledger is None:
+            return
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._commit.run)
+            group.start_soon(self._release_orphans, self.ledger)
+            group.start_soon(self._sweep)
+
+    async def _release_orphans(self, ledger: ClaimLedger) -> None:
+        while True:
+            await anyio.sleep(_ORPHAN_PERIOD.total_seconds())
+            await ledger.release_orphans()
+
+    async def _sweep(self) -> None:
+        while True:
+            jitter = self._context.random.uniform(0.5, 1.5)
+            await anyio.sleep(_SWEEP_PERIOD.total_seconds() * jitter)
+            try:
+                await self._sweeper.sweep()
+            except BluebellError:
+                self._context.counters.add('claims.sweeps_failed')
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/claims/ledger.py
@@ -0,0 +1,220 @@
+"""The ledger of claims: who runs a piece of once-only work."""
+
+import datetime as dt
+from collections import deque
+from typing import Final
+
+import anyio
+import msgspec
+
+from bluebellslip._internal.claims.commit import GroupCommit
+from bluebellslip._internal.claims.rows import (
+    MAX_STORED_BYTES,
+    Claim,
+    ClaimRow,
+    ClaimState,
+    StoredAnswer,
+    decode_claim,
+    encode_claim,
+)
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    KeyReusedError,
+    OutcomeUnknownError,
+    PlatformDownError,
+    PlatformUnknownError,
+)
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.ports import Row, TableService
+
+MAX_ORPHANS: Final = 1024
+END_MARGIN: Final = dt.timedelta(seconds=60)
+_ATTEMPTS: Final = 6
+_FIRST_PAUSE_S: Final = 0.05
+_STORE_ATTEMPTS: Final = 10
+_LONGEST_PAUSE_S: Final = 5.0
+_TOKEN_BITS: Final = 96
+
+
+class ClaimLedger:
+    """Claims of this node, kept in the platform's table.
+
+    Parameters
+    ----------
+    context
+        The node's shared state.
+    table
+        The platform's table.
+    commit
+        What writes to it.
+    """
+
+    def __init__(
+        self, context: Context, table: TableService, commit: GroupCommit
+    ) -> None:
+        self._context = context
+        self._table = table
+        self._commit = commit
+        self._orphans: deque[tuple[str, ClaimRow]] = deque(maxlen=MAX_ORPHANS)
+
+    async def claim(
+        self, key: str, fingerprint: bytes, timeout: dt.timedelta
+    ) -> Claim | StoredAnswer:
+        """Claim the work, or return the answer that it had.
+
+        Raises
+        ------
+        KeyReusedError
+            When the key stands for another request.
+        OutcomeUnknownError
+            When the work runs or ran elsewhere and left no answer.
+        BluebellError
+            When the table can't tell; the work did not run.
+        """
+        row = self._make_row(fingerprint, timeout)
+        version = 0
+        for attempt in range(_ATTEMPTS):
+            claimed = await self._try(key, version, row)
+            if claimed is not None:
+                return claimed
+            found = await self._read(key)
+            if found is None:
+                version = 0
+                continue
+            known = self._judge(found, row)
+            if known is not None:
+                return known
+            version = self._find_version_to_take(found)
+            if version == 0:
+                await anyio.sleep(_FIRST_PAUSE_S * 2**attempt)
+        raise OutcomeUnknownError(
+            'The same work is under way and has no answer yet.',
+            context={'key': key},
+            hint='Ask again under the same key later.',
+        )
+
+    async def release(self, claim: Claim) -> None:
+        """Give the key free, since the work did not run."""
+        await self._change(claim, ClaimState.RELEASED, None)
+
+    async def lose(self, claim: Claim) -> None:
+        """Keep that nobody knows what became of the work."""
+        await self._change(claim, ClaimState.LOST, None)
+
+    async def store(self, claim: Claim, answer: StoredAnswer) -> None:
+        """Keep the answer for repeats, unless it is too large."""
+        keeps = len(answer.body) <= MAX_STORED_BYTES
+        await self._change(claim, ClaimState.DONE, answer if keeps else None)
+
+    async def release_orphans(self) -> None:
+        """Release claims of this node that were found to be lost too late."""
+        orphans = tuple(self._orphans)
+        self._orphans.clear()
+        for key, row in orphans:
+            try:
+                found = await self._table.read(key)
+            except BluebellError:
+                self._orphans.append((key, row))
+                continue
+            if found is not None and found.body == encode_claim(row):
+                await self.release(Claim(key, found.version, row))
+
+    async def _try(self, key: str, version: int, row: ClaimRow) -> Claim | None:
+        try:
+            settled = await self._commit.submit(key, version, encode_claim(row))
+        except PlatformUnknownError as unknown:
+            self._orphans.append((key, row))
+            raise _make_down(key, unknown) from unknown
+        except PlatformDownError as down:
+            raise _make_down(key, down) from down
+        if settled.is_error():
+            return None
+        return Claim(key, settled.ok, row)
+
+    async def _read(self, key: str) -> Row | None:
+        try:
+            return await self._table.read(key)
+        except BluebellError as error:
+            raise _make_down(key, error) from error
+
+    def _judge(
+        self, found: Row, wanted: ClaimRow
+    ) -> Claim | StoredAnswer | None:
+        row = _decode(found)
+        if row == wanted:
+            return Claim(found.key, found.version, wanted)
+        if row.is_expired(self._context.clock.now()):
+            return None
+        if row.fingerprint != wanted.fingerprint:
+            raise KeyReusedError(
+                'The idempotency key stands for another request.',
+                context={'key': found.key},
+                hint='Use a new key for each piece of work.',
+            )
+        if row.state is ClaimState.DONE and row.answer is not None:
+            return row.answer
+        if self._is_over(row):
+            raise OutcomeUnknownError(
+                'The work may have run; its answer is not known.',
+                context={'key': found.key, 'state': row.state.value},
+                hint='Look at the service itself before a new key is used.',
+            )
+        return None
+
+    def _is_over(self, row: ClaimRow) -> bool:
+        if row.state is ClaimState.CLAIMED:
+            return self._context.clock.now() >= row.until
+        return row.state is not ClaimState.RELEASED
+
+    def _find_version_to_take(self, found: Row) -> int:
+        row = _decode(found)
+        free = row.state is ClaimState.RELEASED
+        if free or row.is_expired(self._context.clock.now()):
+            return found.version
+        return 0
+
+    def _make_row(self, fingerprint: bytes, timeout: dt.timedelta) -> ClaimRow:
+        now = self._context.clock.now()
+        return ClaimRow(
+            token=f'{self._context.random.getrandbits(_TOKEN_BITS):024x}',
+            node=self._context.node,
+            fingerprint=fingerprint,
+            state=ClaimState.CLAIMED,
+            claimed=now,
+            until=now + timeout + END_MARGIN,
+        )
+
+    async def _change(
+        self, claim: Claim, state: ClaimState, answer: StoredAnswer | None
+    ) -> None:
+        """Write what became of a claim, again while the table is away."""
+        row = msgspec.structs.replace(claim.row, state=state, answer=answer)
+        body = encode_claim(row)
+        for attempt in range(_STORE_ATTEMPTS):
+            try:
+                await self._commit.submit(claim.key, claim.version, body)
+            except BluebellError:
+                self._context.counters.add('claims.store_retries')
+            else:
+                return
+            await anyio.sleep(
+                min(_LONGEST_PAUSE_S, _FIRST_PAUSE_S * 2**attempt)
+            )
+        self._context.counters.add('claims.store_given_up')
+
+
+def _make_down(key: str, error: BluebellError) -> PlatformDownError:
+    return PlatformDownError(
+        'The table can not take a claim; the work did not run.',
+        context={'key': key, 'found': error.message},
+        hint='Send the request again, under the same key.',
+    )
+
+
+def _decode(found: Row) -> ClaimRow:
+    try:
+        return decode_claim(found.body)
+    except msgspec.MsgspecError as error:
+        raise OutcomeUnknownError(
+            'A claim can not be decoded.', context={'key': found.key}
+        ) from error
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/claims/sweep.py
@@ -0,0 +1,84 @@
+"""Deletion of expired claims, by one node of each service."""
+
+from typing import Final
+
+import msgspec
+
+from bluebellslip._internal.claims.rows import decode_claim
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.ports import (
+    Condition,
+    Row,
+    TableService,
+    Transaction,
+    Write,
+)
+from bluebellslip._internal.models.identity import ServiceName
+from bluebellslip._internal.models.rows import name_claim_key
+
+SWEEP_ROWS: Final = 500
+
+
+class ClaimSweeper:
+    """Deletes claims whose key may stand for new work again.
+
+    An expired claim is overwritten by the next one under its key without
+    this; sweeping only keeps the table small.
+
+    Parameters
+    ----------
+    context
+        The node's shared state.
+    table
+        The platform's table.
+    """
+
+    def __init__(self, context: Context, table: TableService) -> None:
+        self._context = context
+        self._table = table
+
+    async def sweep(self) -> int:
+        """Delete expired rows of the services swept here; return how many.
+
+        Raises
+        ------
+        BluebellError
+            When the table is away; the next sweep goes on.
+        """
+        snapshot = self._context.applied.current
+        if snapshot is None:
+            return 0
+        deleted = 0
+        for service in snapshot.routes:
+            if self._is_sweeper(service):
+                deleted += await self._sweep_service(service)
+        return deleted
+
+    def _is_sweeper(self, service: ServiceName) -> bool:
+        nodes = [
+            endpoint.node
+            for endpoint in self._context.directory.endpoints(service)
+        ]
+        return bool(nodes) and min(nodes) == self._context.node
+
+    async def _sweep_service(self, service: ServiceName) -> int:
+        rows = await self._table.scan(name_claim_key(service, ''), SWEEP_ROWS)
+        expired = [row for row in rows if self._is_expired(row)]
+        if not expired:
+            return 0
+        settled = await self._table.transact(
+            Transaction(
+                conditions=tuple(
+                    Condition(row.key, row.version) for row in expired
+                ),
+                writes=tuple(Write(row.key, None) for row in expired),
+            )
+        )
+        return len(expired) if settled.is_ok() else 0
+
+    def _is_expired(self, row: Row) -> bool:
+        try:
+            claim = decode_claim(row.body)
+        except msgspec.MsgspecError:
+            return False
+        return claim.is_expired(self._context.clock.now())
--- /dev/null
+++ b/tests/functional/test_calls_claims.py
@@ -0,0 +1,232 @@
+"""Once-only work runs at most once, whatever fails around it."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncGenerator
+
+import anyio
+import pytest
+
+from bluebellslip._internal.claims.rows import decode_claim
+from lib.calls import (
+    Caller,
+    FakeServer,
+    Got,
+    MeshNode,
+    SeenRequest,
+    answering,
+    call_once,
+    whole,
+)
+from lib.tables import FakeTable
+
+KEY = 'claim/orders/k1'
+
+
+@contextlib.asynccontextmanager
+async def mesh(
+    server: FakeServer, table: FakeTable, backs: int = 1
+) -> AsyncGenerator[MeshNode, None]:
+    """Run a calling node and nodes beside one server."""
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(server.serving())
+        front = MeshNode('front', table=table)
+        for number in range(backs):
+            back = MeshNode(f'back{number}', table=table)
+            back.host('orders', server.address)
+            front.know(back)
+            await stack.enter_async_context(back.running())
+        yield await stack.enter_async_context(front.running())
+
+
+async def pay(front: MeshNode, key: str = 'k1', path: str = '/deposits') -> Got:
+    return await call_once(
+        front.egress,
+        path,
+        service='orders',
+        method='POST',
+        idempotency_key=key,
+    )
+
+
+async def until_stored(table: FakeTable) -> None:
+    with anyio.fail_after(5):
+        while decode_claim(table.rows[KEY].body).state == 'claimed':
+            await anyio.sleep(0.01)
+
+
+@pytest.mark.anyio
+async def test_repeat_gets_the_stored_answer() -> None:
+    server, table = FakeServer(answering(b'paid')), FakeTable()
+    async with mesh(server, table, backs=2) as front:
+        first = await pay(front)
+        await until_stored(table)
+        repeats = [await pay(front) for _ in range(6)]
+    assert first.status == 200
+    assert {got.body for got in repeats} == {b'paid'}
+    assert len(server.seen) == 1
+
+
+@pytest.mark.anyio
+async def test_concurrent_calls_through_two_nodes_run_once() -> None:
+    async def slowly(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request: SeenRequest,
+    ) -> None:
+        await asyncio.sleep(0.1)
+        writer.write(whole(b'paid'))
+
+    server, table = FakeServer(slowly), FakeTable()
+    table.delay = 0.005
+    answers: list[Got] = []
+    async with mesh(server, table, backs=2) as front:
+
+        async def one() -> None:
+            answers.append(await pay(front))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(6):
+                group.start_soon(one)
+    assert len(server.seen) == 1
+    assert {(got.status, got.body) for got in answers} == {(200, b'paid')}
+
+
+@pytest.mark.anyio
+async def test_key_stands_for_one_request() -> None:
+    server, table = FakeServer(answering(b'paid')), FakeTable()
+    async with mesh(server, table) as front:
+        await pay(front)
+        await until_stored(table)
+        other = await pay(front, path='/deposits/2')
+    assert other.headers['bluebell-error'] == 'idempotency-key-reused'
+    assert other.headers['bluebell-not-run'] == '1'
+    assert len(server.seen) == 1
+
+
+@pytest.mark.anyio
+async def test_table_down_refuses_as_not_run() -> None:
+    server, table = FakeServer(answering(b'paid')), FakeTable()
+    table.down = True
+    async with mesh(server, table) as front:
+        got = await pay(front)
+        assert got.headers['bluebell-error'] == 'platform-down'
+        assert got.headers['bluebell-not-run'] == '1'
+        assert not server.seen
+        table.down = False
+        assert (await pay(front)).body == b'paid'
+    assert len(server.seen) == 1
+
+
+@pytest.mark.anyio
+async def test_lost_answer_to_the_claim_is_settled() -> None:
+    server, table = FakeServer(answering(b'paid')), FakeTable()
+    table.lose_answers = 1
+    async with mesh(server, table) as front:
+        assert (await pay(front)).body == b'paid'
+    assert len(server.seen) == 1
+
+
+@pytest.mark.anyio
+async def test_lost_claim_does_not_run() -> None:
+    server, table = FakeServer(answering(b'paid')), FakeTable()
+    table.lose_requests = 1
+    async with mesh(server, table) as front:
+        got = await pay(front)
+        assert got.headers['bluebell-not-run'] == '1'
+        assert not server.seen
+        assert (await pay(front)).body == b'paid'
+    assert len(server.seen) == 1
+
+
+@pytest.mark.anyio
+async def test_server_that_breaks_off_is_never_asked_again() -> None:
+    async def break_off(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request: SeenRequest,
+    ) -> None:
+        writer.write(whole(b'paid')[:-2])
+        writer.close()
+
+    server, table = FakeServer(break_off), FakeTable()
+    async with mesh(server, table, backs=2) as front:
+        got = [await pay(front) for _ in range(3)]
+    assert {one.headers['bluebell-error'] for one in got} == {'outcome-unknown'}
+    assert all('bluebell-not-run' not in one.headers for one in got)
+    assert len(server.seen) == 1
+
+
+@pytest.mark.anyio
+async def test_server_that_is_gone_frees_the_key() -> None:
+    server, table = FakeServer(answering(b'paid')), FakeTable()
+    front, back = MeshNode('front', table=table), MeshNode('back', table=table)
+    back.host('orders', server.address)
+    front.know(back)
+    async with front.running(), back.running():
+        got = await pay(front)
+        assert got.headers['bluebell-not-run'] == '1'
+        async with server.serving():
+            assert (await pay(front)).body == b'paid'
+    assert decode_claim(table.rows[KEY].body).claimed
+
+
+@pytest.mark.anyio
+async def test_caller_that_gives_up_finds_the_answer_later() -> None:
+    release = asyncio.Event()
+
+    async def wait(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request: SeenRequest,
+    ) -> None:
+        await release.wait()
+        writer.write(whole(b'paid'))
+
+    server, table = FakeServer(wait), FakeTable()
+    async with mesh(server, table) as front:
+        caller = await Caller.open(front.egress)
+        caller.writer.write(
+            b'POST /deposits HTTP/1.1\r\nhost: orders\r\n'
+            b'idempotency-key: k1\r\n\r\n'
+        )
+        while not server.seen:
+            await asyncio.sleep(0.01)
+        caller.close()
+        await asyncio.sleep(0.05)
+        release.set()
+        assert (await pay(front)).body == b'paid'
+    assert len(server.seen) == 1
+
+
+@pytest.mark.anyio
+async def test_node_that_dies_while_running_leaves_no_second_run() -> None:
+    async def hang(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request: SeenRequest,
+    ) -> None:
+        await asyncio.sleep(30)
+
+    server, table = FakeServer(hang), FakeTable()
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(server.serving())
+        front = MeshNode('front', table=table)
+        other = MeshNode('other', table=table)
+        dying = MeshNode('dying', table=table)
+        for back in (dying, other):
+            back.host('orders', server.address)
+        front.know(dying)
+        await stack.enter_async_context(front.running())
+        await stack.enter_async_context(other.running())
+        async with dying.running():
+            call = asyncio.create_task(pay(front))
+            while not server.seen:
+                await asyncio.sleep(0.01)
+        first = await call
+        front.know(other)
+        second = await pay(front)
+    assert first.headers['bluebell-error'] == 'server-failed'
+    assert 'bluebell-not-run' not in first.headers
+    assert second.headers['bluebell-error'] == 'outcome-unknown'
+    assert len(server.seen) == 1
