--- a/packages/bluebellslip/src/bluebellslip/_internal/models/facts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/facts.py
@@ -138,6 +138,8 @@
     deadline: dt.datetime
     steward: NodeId
     reason: str = ''
+    forecast: dt.datetime | None = None
+    renewed: dt.datetime | None = None
 
     urgent: ClassVar[bool] = True
 
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of a service between versions: evidence, policy and steward."""
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/assessment.py
@@ -0,0 +1,219 @@
+"""What is known of a new version against the old one, route by route."""
+
+import dataclasses
+import enum
+import math
+from collections.abc import Mapping
+from itertools import starmap
+from typing import Final
+
+from bluebellslip._internal.kernel.services import RouteEvidence
+from bluebellslip._internal.models.identity import RouteName
+from bluebellslip._internal.moves.sequential import OddsTest, average_logs
+from bluebellslip._internal.moves.strata import OpenStratum
+from bluebellslip._internal.moves.tallies import (
+    Tally,
+    count_beyond,
+    find_quantile,
+)
+
+ALL_ROUTES: Final = RouteName('all routes')
+
+_MIDDLE: Final = 0.5
+_TAIL: Final = 0.9
+_FAR_TAIL: Final = 0.99
+
+
+@enum.unique
+class Sign(enum.Enum):
+    """What a call can show against its version."""
+
+    FAILED = 'fails more often'
+    REFUSED = 'refuses more calls'
+    SLOW = 'is slower for most calls'
+    SLOW_TAIL = 'is slower for the slowest tenth of calls'
+    SLOW_FAR_TAIL = 'is slower for the slowest hundredth of calls'
+
+
+_QUANTILES: Final = (
+    (Sign.SLOW, _MIDDLE),
+    (Sign.SLOW_TAIL, _TAIL),
+    (Sign.SLOW_FAR_TAIL, _FAR_TAIL),
+)
+_TOLERANCES: Final = {
+    Sign.FAILED: 1.5,
+    Sign.REFUSED: 3.0,
+    Sign.SLOW: 1.2,
+    Sign.SLOW_TAIL: 1.25,
+    Sign.SLOW_FAR_TAIL: 1.5,
+}
+_TILTS: Final = {
+    Sign.FAILED: (3.0, 12.0, 100.0),
+    Sign.REFUSED: (4.0, 30.0),
+    Sign.SLOW: (1.5, 4.0, 20.0),
+    Sign.SLOW_TAIL: (2.0, 6.0, 30.0),
+    Sign.SLOW_FAR_TAIL: (3.0, 20.0),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """The strongest evidence so far against the new version.
+
+    ``log_evidence`` is the natural logarithm of a value that exceeds
+    ``1 / alpha`` with a chance of at most ``alpha`` while the new version is
+    within tolerance, over all routes and signs and all times of looking.
+    """
+
+    route: RouteName
+    sign: Sign
+    log_evidence: float
+
+    @property
+    def text(self) -> str:
+        """The finding in plain words."""
+        return (
+            f'The new version {self.sign.value} than the old one, '
+            f'side by side on {self.route}.'
+        )
+
+
+class RouteAssessment:
+    """Evidence on one route."""
+
+    def __init__(self) -> None:
+        self.old = Tally()
+        self.new = Tally()
+        self.tests = {
+            sign: OddsTest(_TOLERANCES[sign], _TILTS[sign]) for sign in Sign
+        }
+        self._open = OpenStratum()
+
+    def observe(self, old: Tally | None, new: Tally | None) -> bool:
+        """Take in a window; tell whether a stratum was judged."""
+        if old is not None:
+            self.old.add(old)
+        if new is not None:
+            self.new.add(new)
+        self._open.add(old, new)
+        if not self._open.is_complete:
+            return False
+        self.close()
+        return True
+
+    def close(self) -> None:
+        """Judge the open stratum as it stands and begin another."""
+        old, new = self._open.old, self._open.new
+        self._open = OpenStratum()
+        if old.calls and new.calls:
+            self.tests[Sign.FAILED].observe(
+                old.calls, new.calls, old.failures, new.failures
+            )
+            self._observe_latency(old.buckets, new.buckets)
+        if old.refused or new.refused:
+            self.tests[Sign.REFUSED].observe(
+                old.calls + old.refused,
+                new.calls + new.refused,
+                old.refused,
+                new.refused,
+            )
+
+    def _observe_latency(
+        self, old: Mapping[int, int], new: Mapping[int, int]
+    ) -> None:
+        if not old or not new:
+            return
+        pooled = dict(old)
+        for bucket, count in new.items():
+            pooled[bucket] = pooled.get(bucket, 0) + count
+        sizes = (sum(old.values()), sum(new.values()))
+        for sign, fraction in _QUANTILES:
+            limit = find_quantile(pooled, fraction)
+            self.tests[sign].observe(
+                *sizes, count_beyond(old, limit), count_beyond(new, limit)
+            )
+
+
+class Assessment:
+    """Evidence of one move, folded from windows in their order."""
+
+    def __init__(self) -> None:
+        self._routes: dict[RouteName, RouteAssessment] = {}
+        self._strongest: Finding | None = None
+
+    @property
+    def strongest(self) -> Finding | None:
+        """The strongest finding, of all routes and signs."""
+        return self._strongest
+
+    @property
+    def new_calls(self) -> int:
+        """Calls that the new version ran, on all routes."""
+        return sum(route.new.calls for route in self._routes.values())
+
+    @property
+    def new_calls_by_route(self) -> dict[RouteName, int]:
+        """Calls that the new version ran, by route."""
+        return {name: route.new.calls for name, route in self._routes.items()}
+
+    @property
+    def old_calls_by_route(self) -> dict[RouteName, int]:
+        """Calls that the old version ran, by route."""
+        return {name: route.old.calls for name, route in self._routes.items()}
+
+    @property
+    def evidence(self) -> tuple[RouteEvidence, ...]:
+        """Counts and latencies for operators."""
+        return tuple(starmap(describe_route, self._routes.items()))
+
+    def observe(
+        self, old: Mapping[RouteName, Tally], new: Mapping[RouteName, Tally]
+    ) -> None:
+        """Take in one window's tallies of both versions by route."""
+        judged = False
+        for name in old.keys() | new.keys():
+            route = self._routes.setdefault(name, RouteAssessment())
+            judged |= route.observe(old.get(name), new.get(name))
+        if judged:
+            self._strongest = self._find_strongest()
+
+    def close_strata(self) -> None:
+        """Begin new strata, since the share of calls changes."""
+        for route in self._routes.values():
+            route.close()
+        if self._routes:
+            self._strongest = self._find_strongest()
+
+    def _find_strongest(self) -> Finding:
+        findings = [
+            Finding(name, sign, route.tests[sign].log_evidence)
+            for name, route in self._routes.items()
+            for sign in Sign
+        ]
+        findings.extend(
+            Finding(ALL_ROUTES, sign, self._pool(sign)) for sign in Sign
+        )
+        strongest = max(findings, key=lambda finding: finding.log_evidence)
+        spent = math.log(len(findings))
+        return dataclasses.replace(
+            strongest, log_evidence=strongest.log_evidence - spent
+        )
+
+    def _pool(self, sign: Sign) -> float:
+        by_route = [route.tests[sign].logs for route in self._routes.values()]
+        return average_logs([sum(logs) for logs in zip(*by_route, strict=True)])
+
+
+def describe_route(name: RouteName, route: RouteAssessment) -> RouteEvidence:
+    """Return a route's evidence for operators."""
+    return RouteEvidence(
+        route=name,
+        old_calls=route.old.calls,
+        old_failures=route.old.failures,
+        new_calls=route.new.calls,
+        new_failures=route.new.failures,
+        old_p50=route.old.quantile(_MIDDLE),
+        new_p50=route.new.quantile(_MIDDLE),
+        old_p99=route.old.quantile(_FAR_TAIL),
+        new_p99=route.new.quantile(_FAR_TAIL),
+    )
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/exchange.py
@@ -0,0 +1,104 @@
+"""Evidence: recorded here, exchanged among the nodes of one service."""
+
+import datetime as dt
+from typing import Final
+
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.ports import Outcome, PeerLink
+from bluebellslip._internal.models.facts import MemberFact
+from bluebellslip._internal.models.identity import (
+    Address,
+    ServiceName,
+    VersionName,
+)
+from bluebellslip._internal.moves.messages import (
+    EvidenceMessage,
+    split_counts,
+)
+from bluebellslip._internal.moves.windows import (
+    GroupWindows,
+    OutcomeRecorder,
+    Window,
+)
+
+ROOM: Final = 1000  # bytes of counts in one datagram
+_MS: Final = dt.timedelta(milliseconds=1)
+_EPOCH: Final = dt.datetime(1970, 1, 1, tzinfo=dt.UTC)
+
+
+class EvidenceExchange:
+    """The group's windows, as this node gathers them.
+
+    Parameters
+    ----------
+    context
+        State that the plug-ins share.
+    link
+        Messages to the other nodes.
+    """
+
+    def __init__(self, context: Context, link: PeerLink) -> None:
+        self._context = context
+        self._link = link
+        self._recorder = OutcomeRecorder(context.clock)
+        self._group = GroupWindows()
+        self._service: ServiceName | None = None
+        self._start = (context.clock.now() - _EPOCH) // _MS
+        link.on_datagram(EvidenceMessage, self._take)
+
+    def record(self, outcome: Outcome) -> None:
+        """Count one outcome."""
+        self._recorder.record(outcome)
+
+    def follow(self, service: ServiceName) -> None:
+        """Gather for the given service, and for no other."""
+        if service != self._service:
+            self._service = service
+            self._group = GroupWindows()
+
+    def tick(self, *, send: bool) -> list[dict[VersionName, Window]]:
+        """Gather own counts, tell peers, and return settled windows."""
+        source = self._recorder.source
+        if source is not None and source[0] == self._service:
+            self._share_own(source, send=send)
+        return self._group.settle(self._context.clock.now())
+
+    def _share_own(
+        self, source: tuple[ServiceName, VersionName], *, send: bool
+    ) -> None:
+        counts = self._recorder.collect()
+        sender = (str(self._context.node), self._start)
+        self._group.take(sender, source[1], counts)
+        if not send:
+            return
+        peers = self._peers(source[0])
+        for part in split_counts(counts, ROOM):
+            message = EvidenceMessage(
+                node=sender[0],
+                start=sender[1],
+                service=source[0],
+                version=source[1],
+                counts=part,
+            )
+            for peer in peers:
+                self._link.send(peer, message)
+        self._context.counters.add('bluebell.evidence.sent', len(peers))
+
+    def _peers(self, service: ServiceName) -> list[Address]:
+        node = self._context.node
+        return [
+            fact.peer
+            for fact in self._context.facts.select(MemberFact)
+            if fact.backend is not None
+            and fact.backend.service == service
+            and fact.node != node
+        ]
+
+    def _take(self, message: EvidenceMessage, sender: Address) -> None:
+        if message.service != self._service:
+            return
+        self._group.take(
+            (message.node, message.start),
+            VersionName(message.version),
+            message.counts,
+        )
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/lease.py
@@ -0,0 +1,71 @@
+"""The lease on a move's row, as one node sees it."""
+
+import datetime as dt
+from typing import Final
+
+from bluebellslip._internal.models.identity import NodeId
+from bluebellslip._internal.models.move_rows import MoveRow
+
+LEASE: Final = dt.timedelta(seconds=10)
+RENEWAL: Final = dt.timedelta(seconds=3)
+
+
+class LeaseView:
+    """The newest known row, and since when it stands unchanged.
+
+    Only the node's own monotonic clock is used. A pause of the node between
+    two looks is no time in which the row was seen to stand, so that a node
+    that was frozen takes no lease over before it has looked again.
+
+    Parameters
+    ----------
+    node
+        The node that looks.
+    """
+
+    def __init__(self, node: NodeId) -> None:
+        self._node = node
+        self._row: MoveRow | None = None
+        self._version = 0
+        self._since = dt.timedelta()
+        self._looked = dt.timedelta()
+
+    @property
+    def row(self) -> MoveRow | None:
+        """The newest known row."""
+        return self._row
+
+    @property
+    def version(self) -> int:
+        """Version of the newest known row; 0 for none."""
+        return self._version
+
+    @property
+    def is_held(self) -> bool:
+        """Whether this node was the steward when it last looked."""
+        return self._row is not None and self._row.steward == self._node
+
+    def learn(self, row: MoveRow, version: int, elapsed: dt.timedelta) -> bool:
+        """Take in a row that was read or written; tell whether it is news."""
+        paused = elapsed - self._looked >= LEASE
+        self._looked = elapsed
+        if version <= self._version:
+            if paused:
+                self._since = elapsed
+            return False
+        self._row = row
+        self._version = version
+        self._since = elapsed
+        return True
+
+    def is_due(self, elapsed: dt.timedelta) -> bool:
+        """Tell whether it is time to look at the row or to renew it."""
+        return elapsed - self._looked >= RENEWAL
+
+    def has_lapsed(self, elapsed: dt.timedelta) -> bool:
+        """Tell whether the row stood unchanged for the lease's time."""
+        if self._row is None or elapsed - self._looked >= LEASE:
+            return False
+        if not self._row.steward:
+            return True
+        return elapsed - self._since >= LEASE
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/ledger.py
@@ -0,0 +1,162 @@
+"""Moves' rows in the table, and the facts that follow from them."""
+
+import datetime as dt
+import logging
+from typing import Final
+
+import msgspec
+
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    PlatformDownError,
+    PlatformGarbledError,
+    PlatformUnknownError,
+)
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.ports import TableService
+from bluebellslip._internal.models.facts import MoveFact, StopFact
+from bluebellslip._internal.models.identity import (
+    MoveId,
+    ServiceName,
+    VersionName,
+)
+from bluebellslip._internal.models.move_rows import MoveRow, decode_move
+from bluebellslip._internal.models.rows import name_move_key
+from bluebellslip._internal.moves.transitions import build_transaction
+
+logger = logging.getLogger(__name__)
+
+PLATFORM_ERRORS: Final = (
+    PlatformDownError,
+    PlatformUnknownError,
+    PlatformGarbledError,
+)
+_QUIET: Final = dt.timedelta(seconds=10)
+
+
+class StoredMove(msgspec.Struct, frozen=True):
+    """A move's row with its version in the table."""
+
+    row: MoveRow
+    version: int
+
+
+class MoveLedger:
+    """Reads and conditional writes of moves; what is found is published.
+
+    Parameters
+    ----------
+    context
+        State that the plug-ins share.
+    table
+        The platform's table.
+    """
+
+    def __init__(self, context: Context, table: TableService) -> None:
+        self._context = context
+        self._table = table
+
+    async def read(self, service: ServiceName) -> StoredMove | None:
+        """Return a service's newest move; platform errors are raised."""
+        row = await self._table.read(name_move_key(service))
+        if row is None:
+            return None
+        stored = StoredMove(decode_move(row.body), row.version)
+        self._publish(stored)
+        return stored
+
+    async def write(
+        self, row: MoveRow, version: int, action: str = '', who: str = ''
+    ) -> StoredMove | None:
+        """Replace the row at a version; none if it has changed since.
+
+        Platform errors are raised.
+        """
+        transaction = build_transaction(row, version, action, who)
+        result = await self._table.transact(transaction)
+        if result.is_error():
+            self._context.counters.add('bluebell.move.crossed')
+            return None
+        stored = StoredMove(row, result.ok.versions[0])
+        self._publish(stored)
+        if action:
+            self._tell(stored, action)
+        return stored
+
+    def find_fact(self, service: ServiceName) -> MoveFact | None:
+        """Return the newest known step of a service's newest move."""
+        fact = self._context.facts.find(f'move/{service}')
+        return fact if isinstance(fact, MoveFact) else None
+
+    def find_stop(self, service: ServiceName, move: MoveId) -> StopFact | None:
+        """Return the stop of a move."""
+        fact = self._context.facts.find(f'stop/{service}/{move}')
+        return fact if isinstance(fact, StopFact) else None
+
+    def stop(
+        self,
+        service: ServiceName,
+        move: MoveId,
+        version: VersionName,
+        reason: str,
+    ) -> None:
+        """Give a move's new version no more work, at once and for good."""
+        fact = StopFact(
+            service=service,
+            move=move,
+            version=version,
+            set_by=self._context.node,
+            set_at=self._context.clock.now(),
+            reason=reason,
+        )
+        if self._context.facts.merge((fact,)):
+            self._context.counters.add('bluebell.move.stopped')
+            logger.warning(
+                'version stopped',
+                extra={'service': service, 'move': move, 'reason': reason},
+            )
+
+    def note_error(self, error: BluebellError) -> None:
+        """Count a platform error."""
+        self._context.counters.add(
+            'bluebell.move.platform_errors', kind=error.kind.value
+        )
+
+    def _publish(self, stored: StoredMove) -> None:
+        fact = stored.row.to_fact(stored.version)
+        known = self.find_fact(stored.row.service)
+        if known is None or _is_news(known, fact):
+            self._context.facts.merge((fact,))
+
+    def _tell(self, stored: StoredMove, action: str) -> None:
+        self._context.counters.add('bluebell.move.steps', action=action)
+        logger.info(
+            action,
+            extra={
+                'service': stored.row.service,
+                'move': stored.row.move,
+                'share': stored.row.share,
+                'epoch': stored.row.epoch,
+                'reason': stored.row.reason,
+            },
+        )
+
+
+def _is_news(known: MoveFact, fact: MoveFact) -> bool:
+    if _routing(known) != _routing(fact):
+        return True
+    if known.reason == fact.reason:
+        return False
+    if fact.renewed is None or known.renewed is None:
+        return True
+    return fact.renewed - known.renewed >= _QUIET
+
+
+def _routing(fact: MoveFact) -> tuple[object, ...]:
+    return (
+        fact.move,
+        fact.epoch,
+        fact.state,
+        fact.share,
+        fact.deadline,
+    )
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/policy.py
@@ -0,0 +1,181 @@
+"""The decision on a move: a pure function of what is known."""
+
+import dataclasses
+import datetime as dt
+import enum
+import math
+from collections.abc import Callable
+from typing import Final
+
+from bluebellslip._internal.models.facts import FULL_SHARE
+from bluebellslip._internal.moves.assessment import Finding
+from bluebellslip._internal.moves.plan import Plan, Rules
+
+CLOSER_LOOK_SHARE: Final = 5000  # where both versions tell most
+_PERCENT: Final = 100
+
+
+@enum.unique
+class Action(enum.Enum):
+    """What a steward does next."""
+
+    HOLD = 'hold'
+    STEP = 'step'
+    FINISH = 'finish'
+    WITHDRAW = 'withdraw'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MoveView:
+    """What is known of a move.
+
+    ``stage_calls`` counts the new version's calls since the share last
+    changed, at ``stepped``. ``capacity_share`` is the greatest share, in
+    basis points, that the new version's servers can carry.
+    """
+
+    plan: Plan
+    now: dt.datetime
+    share: int
+    stepped: dt.datetime
+    strongest: Finding | None
+    stage_calls: int
+    new_servers: int
+    capacity_share: int = FULL_SHARE
+
+    @property
+    def log_evidence(self) -> float:
+        """Logarithm of the evidence against the new version."""
+        return 0 if self.strongest is None else self.strongest.log_evidence
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """What to do, the share in basis points that holds then, and why."""
+
+    action: Action
+    share: int
+    reason: str
+    forecast: dt.datetime | None
+
+
+def is_bad(finding: Finding | None, rules: Rules) -> bool:
+    """Tell whether the evidence against the new version suffices."""
+    if finding is None:
+        return False
+    return finding.log_evidence >= -math.log(rules.alpha)
+
+
+def decide(view: MoveView) -> Decision:
+    """Return what to do about a move."""
+    for rule in _RULES:
+        decision = rule(view)
+        if decision is not None:
+            return decision
+    return _rise(view)
+
+
+def _withdraw(view: MoveView) -> Decision | None:
+    finding = view.strongest
+    if finding is not None and is_bad(finding, view.plan.rules):
+        return Decision(Action.WITHDRAW, 0, finding.text, None)
+    return None
+
+
+def _await_servers(view: MoveView) -> Decision | None:
+    if view.new_servers:
+        return None
+    reason = 'No server of the new version is alive.'
+    return _change_share(view, 0, reason)
+
+
+def _fit_capacity(view: MoveView) -> Decision | None:
+    if view.share <= max(view.capacity_share, view.plan.first_share):
+        return None
+    reason = (
+        f'The {view.new_servers} servers of the new version carry no more '
+        f'than {_percent(view.capacity_share)} of the calls.'
+    )
+    return _change_share(view, view.capacity_share, reason)
+
+
+def _look_closer(view: MoveView) -> Decision | None:
+    doubt = math.log(view.plan.rules.doubt)
+    if view.strongest is None or view.log_evidence < doubt:
+        return None
+    reason = f'{view.strongest.text} The evidence is not strong.'
+    return _change_share(view, min(view.share, CLOSER_LOOK_SHARE), reason)
+
+
+def _await_stage(view: MoveView) -> Decision | None:
+    stage = view.plan.next_stage(view.share)
+    begin = view.plan.finish if stage is None else view.plan.begin_of(stage)
+    if view.share:
+        begin = max(begin, view.stepped + view.plan.dwell)
+    if view.now >= begin:
+        return None
+    share = FULL_SHARE if stage is None else stage.share
+    return _hold(view, f'The plan goes on to {_percent(share)} at {begin:%X}.')
+
+
+def _await_calls(view: MoveView) -> Decision | None:
+    rules = view.plan.rules
+    if not view.share:
+        return None
+    if view.stage_calls >= rules.enough_calls or not rules.waits_for_calls:
+        return None
+    return _hold(
+        view,
+        f'Too few calls to judge by: {view.stage_calls} of '
+        f'{rules.enough_calls} at this share.',
+    )
+
+
+def _await_capacity(view: MoveView) -> Decision | None:
+    stage = view.plan.next_stage(view.share)
+    share = FULL_SHARE if stage is None else stage.share
+    if share <= max(view.capacity_share, view.plan.first_share):
+        return None
+    return _hold(
+        view,
+        f'The {view.new_servers} servers of the new version could not carry '
+        f'{_percent(share)} of the calls.',
+    )
+
+
+def _rise(view: MoveView) -> Decision:
+    stage = view.plan.next_stage(view.share)
+    if stage is None:
+        reason = 'The new version held up at its full watch.'
+        return Decision(Action.FINISH, FULL_SHARE, reason, view.now)
+    forecast = view.plan.forecast(stage.share, view.now)
+    reason = f'No evidence against the new version at {_percent(view.share)}.'
+    if not view.share:
+        reason = 'Servers of the new version are alive.'
+    return Decision(Action.STEP, stage.share, reason, forecast)
+
+
+def _change_share(view: MoveView, share: int, reason: str) -> Decision:
+    if share == view.share:
+        return _hold(view, reason, forecast=False)
+    return Decision(Action.STEP, share, reason, None)
+
+
+def _hold(view: MoveView, reason: str, *, forecast: bool = True) -> Decision:
+    expected = view.plan.forecast(view.share, view.now) if forecast else None
+    return Decision(Action.HOLD, view.share, reason, expected)
+
+
+def _percent(share: int) -> str:
+    return f'{share / _PERCENT:g} %'
+
+
+_RULES: Final[tuple[Callable[[MoveView], Decision | None], ...]] = (
+    _withdraw,
+    _await_servers,
+    _fit_capacity,
+    _look_closer,
+    _await_stage,
+    _await_calls,
+    _await_capacity,
+)
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/requests.py
@@ -0,0 +1,145 @@
+"""Operators' requests, decided against the row that was read."""
+
+import datetime as dt
+from typing import Final
+
+from expression import Error, Ok, Result
+
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    ConflictError,
+    MalformedError,
+    NotFoundError,
+)
+from bluebellslip._internal.kernel.directory import Directory
+from bluebellslip._internal.kernel.services import MoveRequest
+from bluebellslip._internal.models.facts import MoveState
+from bluebellslip._internal.models.identity import (
+    NodeId,
+    ServiceName,
+    VersionName,
+)
+from bluebellslip._internal.models.move_rows import MoveRow
+from bluebellslip._internal.models.snapshot import Snapshot
+from bluebellslip._internal.moves import transitions
+from bluebellslip._internal.moves.ledger import StoredMove
+from bluebellslip._internal.moves.servers import find_common_version
+
+LEAST_TIME: Final = dt.timedelta(seconds=60)
+
+Change = Result[tuple[MoveRow, str], BluebellError]
+NO_CHANGE: Final = ''
+
+
+def check_request(
+    request: MoveRequest, snapshot: Snapshot | None, now: dt.datetime
+) -> BluebellError | None:
+    """Return why a request can't be taken whatever the table holds."""
+    if snapshot is not None and request.service not in snapshot.routes:
+        known = ', '.join(sorted(snapshot.routes))
+        return NotFoundError(
+            'There is no service of this name.',
+            context={'service': request.service},
+            hint=f'Known are: {known}',
+        )
+    if request.deadline - now < LEAST_TIME:
+        return MalformedError(
+            'The deadline of a move has passed or is too near.',
+            context={'deadline': request.deadline.isoformat()},
+            hint=f'Give it at least {LEAST_TIME.seconds} s.',
+        )
+    return None
+
+
+def plan_begin(
+    request: MoveRequest,
+    stored: StoredMove | None,
+    directory: Directory,
+    steward: NodeId,
+    now: dt.datetime,
+) -> Change:
+    """Return the row that a request leads to and the audited action.
+
+    The action is ``NO_CHANGE`` when the row already says what is asked.
+    """
+    if stored is not None:
+        if stored.row.move == request.request:
+            return Ok((stored.row, NO_CHANGE))
+        if stored.row.state is MoveState.MOVING:
+            return _plan_deadline(request, stored.row, now)
+    old = _find_current(request, stored, directory)
+    if isinstance(old, BluebellError):
+        return Error(old)
+    epoch = 1 if stored is None else stored.row.epoch + 1
+    row = transitions.begin_move(request, old, steward, epoch, now)
+    return Ok((row, 'move.begin'))
+
+
+def plan_withdrawal(
+    service: ServiceName,
+    stored: StoredMove | None,
+    reason: str,
+    now: dt.datetime,
+) -> Change:
+    """Return the row of a move that an operator takes back."""
+    if stored is None:
+        return Error(
+            NotFoundError(
+                'The service has no move.', context={'service': service}
+            )
+        )
+    row = stored.row
+    if row.state is MoveState.WITHDRAWN:
+        return Ok((row, NO_CHANGE))
+    if row.state is MoveState.DONE:
+        return Error(
+            ConflictError(
+                'The move is done and can not be withdrawn.',
+                context={'service': service, 'move': row.move},
+                hint=f'Begin a move back to {row.old}.',
+            )
+        )
+    return Ok((transitions.withdraw(row, reason, now), 'move.withdrawn'))
+
+
+def _plan_deadline(
+    request: MoveRequest, row: MoveRow, now: dt.datetime
+) -> Change:
+    if row.new != request.new:
+        return Error(
+            ConflictError(
+                'The service is moving to another version.',
+                context={
+                    'service': row.service,
+                    'to': row.new,
+                    'move': row.move,
+                },
+                hint='Withdraw that move first, or wait for its end.',
+            )
+        )
+    if row.deadline == request.deadline:
+        return Ok((row, NO_CHANGE))
+    after = transitions.move_deadline(row, request.deadline, now)
+    return Ok((after, 'move.deadline'))
+
+
+def _find_current(
+    request: MoveRequest, stored: StoredMove | None, directory: Directory
+) -> VersionName | BluebellError:
+    if stored is None:
+        found = find_common_version(directory, request.service, request.new)
+    elif stored.row.state is MoveState.DONE:
+        found = stored.row.new
+    else:
+        found = stored.row.old
+    if found is None:
+        return NotFoundError(
+            'No server of another version is known to move away from.',
+            context={'service': request.service, 'new': request.new},
+        )
+    if found == request.new:
+        return ConflictError(
+            'The service is on this version already.',
+            context={'service': request.service, 'version': request.new},
+        )
+    return found
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/service.py
@@ -0,0 +1,183 @@
+"""What operators ask of moves; any node answers."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import Final
+
+from expression import Error, Ok, Result
+
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    ConflictError,
+    PlatformUnknownError,
+)
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.services import (
+    MoveRequest,
+    MoveStatus,
+    RouteEvidence,
+)
+from bluebellslip._internal.models.facts import MoveFact, MoveState
+from bluebellslip._internal.models.identity import (
+    MoveId,
+    NodeId,
+    ServiceName,
+)
+from bluebellslip._internal.moves.guard import MoveGuard
+from bluebellslip._internal.moves.ledger import (
+    PLATFORM_ERRORS,
+    MoveLedger,
+    StoredMove,
+)
+from bluebellslip._internal.moves.requests import (
+    NO_CHANGE,
+    Change,
+    check_request,
+    plan_begin,
+    plan_withdrawal,
+)
+
+ATTEMPTS: Final = 4
+
+_Answer = Result[MoveStatus, BluebellError]
+
+
+class MoveService:
+    """Begins, withdraws and describes moves.
+
+    Parameters
+    ----------
+    context
+        State that the plug-ins share.
+    ledger
+        Rows and facts of moves.
+    guard
+        Evidence on the own service's move.
+    """
+
+    def __init__(
+        self, context: Context, ledger: MoveLedger, guard: MoveGuard
+    ) -> None:
+        self._context = context
+        self._ledger = ledger
+        self._guard = guard
+
+    async def request(self, request: MoveRequest) -> _Answer:
+        """Begin a move, or say why not; a repeat finds its own move."""
+        refusal = check_request(
+            request, self._context.applied.current, self._context.clock.now()
+        )
+        if refusal is not None:
+            return Error(refusal)
+        try:
+            return await self._change(
+                request.service, request.who, partial(self._begin, request)
+            )
+        except PLATFORM_ERRORS as error:
+            return Error(error)
+
+    async def withdraw(
+        self, service: ServiceName, who: str, reason: str
+    ) -> _Answer:
+        """Take the newest move of a service back.
+
+        While the platform is away, the new version is stopped at once and
+        the withdrawal is recorded when the platform answers again.
+        """
+        text = f'{who} withdrew the move: {reason}'
+        try:
+            return await self._change(
+                service, who, partial(self._take_back, service, text)
+            )
+        except PLATFORM_ERRORS as error:
+            return self._stop_unrecorded(service, text, error)
+
+    def status(self, service: ServiceName) -> MoveStatus | None:
+        """Return the newest move of a service."""
+        fact = self._ledger.find_fact(service)
+        return None if fact is None else self._describe(fact)
+
+    def all_statuses(self) -> tuple[MoveStatus, ...]:
+        """Return the newest move of every service that ever had one."""
+        facts = self._context.facts.select(MoveFact)
+        return tuple(self._describe(fact) for fact in facts)
+
+    async def _change(
+        self,
+        service: ServiceName,
+        who: str,
+        plan: Callable[[StoredMove | None], Change],
+    ) -> _Answer:
+        for _ in range(ATTEMPTS):
+            stored = await self._ledger.read(service)
+            change = plan(stored)
+            if change.is_error():
+                return Error(change.error)
+            row, action = change.ok
+            if stored is not None and action == NO_CHANGE:
+                return Ok(self._describe(row.to_fact(stored.version)))
+            version = 0 if stored is None else stored.version
+            try:
+                written = await self._ledger.write(row, version, action, who)
+            except PlatformUnknownError as error:
+                # The next look at the row tells whether it took effect.
+                self._ledger.note_error(error)
+                continue
+            if written is not None:
+                return Ok(self._describe(row.to_fact(written.version)))
+        return Error(
+            ConflictError(
+                'Other changes of the move kept crossing this one.',
+                context={'service': service},
+                hint='Look at the move and try again.',
+            )
+        )
+
+    def _begin(self, request: MoveRequest, stored: StoredMove | None) -> Change:
+        in_group = self._guard.service == request.service
+        return plan_begin(
+            request,
+            stored,
+            self._context.directory,
+            self._context.node if in_group else NodeId(''),
+            self._context.clock.now(),
+        )
+
+    def _take_back(
+        self, service: ServiceName, reason: str, stored: StoredMove | None
+    ) -> Change:
+        now = self._context.clock.now()
+        return plan_withdrawal(service, stored, reason, now)
+
+    def _stop_unrecorded(
+        self, service: ServiceName, reason: str, error: BluebellError
+    ) -> _Answer:
+        fact = self._ledger.find_fact(service)
+        if fact is None or fact.state is not MoveState.MOVING:
+            return Error(error)
+        self._ledger.stop(service, fact.move, fact.new, reason)
+        return Ok(self._describe(fact))
+
+    def _describe(self, fact: MoveFact) -> MoveStatus:
+        stop = self._ledger.find_stop(fact.service, fact.move)
+        stopped = stop is not None
+        return MoveStatus(
+            service=fact.service,
+            move=fact.move,
+            state=fact.state,
+            old=fact.old,
+            new=fact.new,
+            share=0 if stopped else fact.share,
+            stopped=stopped,
+            deadline=fact.deadline,
+            forecast=None if stopped else fact.forecast,
+            steward=fact.steward,
+            reason=fact.reason if stop is None else stop.reason,
+            evidence=self._find_evidence(fact.move),
+        )
+
+    def _find_evidence(self, move: MoveId) -> tuple[RouteEvidence, ...]:
+        watch = self._guard.watch
+        if watch is None or watch.move != move:
+            return ()
+        return watch.assessment.evidence
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/tallies.py
@@ -0,0 +1,128 @@
+"""Counts of outcomes, with latencies in logarithmic buckets."""
+
+import datetime as dt
+import math
+from collections.abc import Iterable, Mapping
+from typing import Final
+
+import msgspec
+
+BUCKETS_PER_DOUBLING: Final = 4
+LEAST_LATENCY_S: Final = 0.00025  # upper bound of the first bucket
+LAST_BUCKET: Final = 72
+
+_LOG_LEAST: Final = math.log2(LEAST_LATENCY_S)
+
+
+def find_bucket(latency_s: float) -> int:
+    """Return the bucket of a latency in seconds."""
+    if latency_s <= LEAST_LATENCY_S:
+        return 0
+    doublings = math.log2(latency_s) - _LOG_LEAST
+    return min(LAST_BUCKET, math.ceil(doublings * BUCKETS_PER_DOUBLING))
+
+
+def bound_of(bucket: int) -> dt.timedelta:
+    """Return the upper bound of a bucket."""
+    factor = 2 ** (bucket / BUCKETS_PER_DOUBLING)
+    return dt.timedelta(seconds=LEAST_LATENCY_S * factor)
+
+
+class Tally:
+    """Outcomes of one route under one version.
+
+    ``calls`` ran or were given up; ``failures`` is a part of them.
+    ``refused`` did not run and are no part of ``calls``. ``buckets`` holds
+    latencies of calls at servers that are past their warm-up.
+    """
+
+    __slots__ = ('buckets', 'calls', 'failures', 'refused')
+
+    def __init__(
+        self,
+        calls: int = 0,
+        failures: int = 0,
+        refused: int = 0,
+        buckets: Mapping[int, int] | None = None,
+    ) -> None:
+        self.calls = calls
+        self.failures = failures
+        self.refused = refused
+        self.buckets = dict(buckets or {})
+
+    def add(self, other: 'Tally') -> None:
+        """Take in another tally."""
+        self.calls += other.calls
+        self.failures += other.failures
+        self.refused += other.refused
+        mine = self.buckets
+        for bucket, count in other.buckets.items():
+            mine[bucket] = mine.get(bucket, 0) + count
+
+    def total_seconds(self) -> float:
+        """Return the sum of the latencies, in seconds."""
+        return sum(
+            count * bound_of(bucket).total_seconds()
+            for bucket, count in self.buckets.items()
+        )
+
+    def quantile(self, fraction: float) -> dt.timedelta:
+        """Return the bound that a fraction of the latencies stays under."""
+        return bound_of(find_quantile(self.buckets, fraction))
+
+
+class RouteCounts(msgspec.Struct, frozen=True, array_like=True):
+    """A tally of one window of time as peers tell it each other.
+
+    ``window`` counts windows since 1970. ``latencies`` holds pairs of bucket
+    and count.
+    """
+
+    window: int
+    route: str
+    calls: int
+    failures: int
+    refused: int
+    latencies: tuple[tuple[int, int], ...]
+
+    @classmethod
+    def from_tally(cls, window: int, route: str, tally: Tally) -> 'RouteCounts':
+        """Convert a tally."""
+        return cls(
+            window,
+            route,
+            tally.calls,
+            tally.failures,
+            tally.refused,
+            tuple(tally.buckets.items()),
+        )
+
+    def to_tally(self) -> Tally:
+        """Convert to a tally."""
+        return Tally(
+            self.calls, self.failures, self.refused, dict(self.latencies)
+        )
+
+
+def find_quantile(buckets: Mapping[int, int], fraction: float) -> int:
+    """Return the least bucket that a fraction of all counts lies within."""
+    wanted = fraction * sum(buckets.values())
+    seen = 0
+    for bucket in sorted(buckets):
+        seen += buckets[bucket]
+        if seen >= wanted:
+            return bucket
+    return 0
+
+
+def count_beyond(buckets: Mapping[int, int], bucket: int) -> int:
+    """Return how many counts lie above a bucket."""
+    return sum(count for index, count in buckets.items() if index > bucket)
+
+
+def sum_tallies(tallies: Iterable[Tally]) -> Tally:
+    """Return the sum of tallies."""
+    total = Tally()
+    for tally in tallies:
+        total.add(tally)
+    return total
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/transitions.py
@@ -0,0 +1,198 @@
+"""Changes of a move's row; each is one conditional transaction."""
+
+import datetime as dt
+from typing import Final
+
+import msgspec
+
+from bluebellslip._internal.kernel.ports import (
+    Condition,
+    Transaction,
+    Write,
+)
+from bluebellslip._internal.kernel.services import MoveRequest
+from bluebellslip._internal.models.facts import FULL_SHARE, MoveState
+from bluebellslip._internal.models.identity import (
+    MoveId,
+    NodeId,
+    VersionName,
+)
+from bluebellslip._internal.models.move_rows import MoveRow, encode_move
+from bluebellslip._internal.models.rows import (
+    AuditOutcome,
+    AuditRow,
+    name_audit_key,
+    name_move_key,
+)
+from bluebellslip._internal.moves.policy import Action, Decision
+
+RETURN_TIME: Final = dt.timedelta(minutes=10)
+
+_STATES: Final = {
+    Action.HOLD: MoveState.MOVING,
+    Action.STEP: MoveState.MOVING,
+    Action.FINISH: MoveState.DONE,
+    Action.WITHDRAW: MoveState.WITHDRAWN,
+}
+
+
+def begin_move(
+    request: MoveRequest,
+    old: VersionName,
+    node: NodeId,
+    epoch: int,
+    now: dt.datetime,
+) -> MoveRow:
+    """Return the first row of a requested move.
+
+    An empty ``node`` leaves the lease to any node of the service's group.
+    """
+    return MoveRow(
+        service=request.service,
+        move=MoveId(request.request),
+        state=MoveState.MOVING,
+        old=old,
+        new=request.new,
+        share=0,
+        started=now,
+        deadline=request.deadline,
+        who=request.who,
+        steward=node,
+        epoch=epoch,
+        renewed=now,
+        stepped=now,
+        reason='The move has begun.',
+    )
+
+
+def begin_return(
+    row: MoveRow, node: NodeId, reason: str, now: dt.datetime
+) -> MoveRow:
+    """Return the row of a move back from a version that is done.
+
+    A move that is done stays done; calls go back under a move of its own.
+    """
+    return msgspec.structs.replace(
+        row,
+        move=MoveId(f'{row.move}.return'),
+        state=MoveState.DONE,
+        old=row.new,
+        new=row.old,
+        share=FULL_SHARE,
+        started=now,
+        deadline=now + RETURN_TIME,
+        who=node,
+        steward=node,
+        epoch=row.epoch + 1,
+        renewed=now,
+        stepped=now,
+        reason=reason,
+        forecast=now,
+        returns=row.move,
+    )
+
+
+def apply_decision(
+    row: MoveRow, decision: Decision, now: dt.datetime
+) -> MoveRow:
+    """Return the row after a decision, with the lease renewed."""
+    changed = decision.share != row.share
+    return msgspec.structs.replace(
+        row,
+        state=_STATES[decision.action],
+        share=decision.share,
+        reason=decision.reason,
+        forecast=decision.forecast,
+        renewed=now,
+        stepped=now if changed else row.stepped,
+    )
+
+
+def take_over(row: MoveRow, node: NodeId, now: dt.datetime) -> MoveRow:
+    """Return the row with the lease in another node's hands."""
+    return msgspec.structs.replace(
+        row, steward=node, epoch=row.epoch + 1, renewed=now
+    )
+
+
+def withdraw(row: MoveRow, reason: str, now: dt.datetime) -> MoveRow:
+    """Return the row of a move that is taken back."""
+    return msgspec.structs.replace(
+        row,
+        state=MoveState.WITHDRAWN,
+        share=0,
+        reason=reason,
+        forecast=None,
+        renewed=now,
+        stepped=now,
+    )
+
+
+def move_deadline(
+    row: MoveRow, deadline: dt.datetime, now: dt.datetime
+) -> MoveRow:
+    """Return the row of a move with another deadline."""
+    return msgspec.structs.replace(
+        row,
+        deadline=deadline,
+        renewed=now,
+        reason='The deadline was moved.',
+    )
+
+
+def is_step(before: MoveRow, after: MoveRow) -> bool:
+    """Tell whether a change of the row is more than a renewal."""
+    return _essence(before) != _essence(after)
+
+
+def build_transaction(
+    row: MoveRow, version: int, action: str, who: str
+) -> Transaction:
+    """Return the compare-and-set of a row, with its audit row.
+
+    Parameters
+    ----------
+    row
+        The row's new body.
+    version
+        The version that the change was decided on.
+    action
+        What is audited; nothing is for an empty one.
+    who
+        The operator or node that acts.
+    """
+    key = name_move_key(row.service)
+    writes = [Write(key, encode_move(row))]
+    if action:
+        writes.append(_audit(row, version, action, who))
+    return Transaction((Condition(key, version),), tuple(writes))
+
+
+def _audit(row: MoveRow, version: int, action: str, who: str) -> Write:
+    detail = (
+        f'{row.old} to {row.new}, share {row.share}, epoch {row.epoch}: '
+        f'{row.reason}'
+    )
+    body = AuditRow(
+        at=row.renewed,
+        who=who,
+        action=action,
+        subject=f'{row.service}/{row.move}',
+        outcome=AuditOutcome.ACCEPTED,
+        revision=version + 1,
+        detail=detail,
+    )
+    unique = f'move-{row.service}-{version + 1}'
+    return Write(
+        name_audit_key(row.renewed, unique), msgspec.msgpack.encode(body)
+    )
+
+
+def _essence(row: MoveRow) -> tuple[object, ...]:
+    return (
+        row.move,
+        row.state,
+        row.share,
+        row.deadline,
+        row.epoch,
+    )
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/loading.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/loading.py
@@ -3,7 +3,9 @@
 import importlib
 from typing import Final
 
-PLUGIN_MODULES: Final[tuple[str, ...]] = ()
+PLUGIN_MODULES: Final[tuple[str, ...]] = (
+    'bluebellslip._internal.moves.plugin',
+)
 
 
 def load_plugins() -> None:
--- /dev/null
+++ b/tests/functional/test_moves.py
@@ -0,0 +1,156 @@
+"""Moves among nodes with a table and a network in memory."""
+
+import pytest
+
+from bluebellslip._internal.exceptions import ErrorKind
+from bluebellslip._internal.models.facts import FULL_SHARE, MoveState
+from lib.moves import OLD, ORDERS, MoveMesh
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_good_version_is_done_by_its_deadline() -> None:
+    mesh = MoveMesh()
+    begun = await mesh.nodes[0].service.request(mesh.make_request())
+    assert begun.is_ok()
+    await mesh.run(600)
+    assert mesh.stored.state is MoveState.DONE
+    assert mesh.share == FULL_SHARE
+    assert mesh.stored.renewed <= mesh.stored.deadline
+
+
+async def test_failing_version_gets_nothing_soon_and_is_withdrawn() -> None:
+    mesh = MoveMesh()
+    mesh.new_failures = 1
+    await mesh.nodes[0].service.request(mesh.make_request())
+    await mesh.run(30)
+    assert mesh.share == 0
+    assert mesh.stored.state is MoveState.WITHDRAWN
+    assert 'fails more often' in mesh.stored.reason
+
+
+async def test_slow_version_is_withdrawn() -> None:
+    mesh = MoveMesh()
+    mesh.new_latency = 0.05
+    await mesh.nodes[0].service.request(mesh.make_request())
+    await mesh.run(120)
+    assert mesh.stored.state is MoveState.WITHDRAWN
+    assert 'slower' in mesh.stored.reason
+
+
+async def test_bad_version_is_stopped_while_the_table_is_down() -> None:
+    mesh = MoveMesh()
+    await mesh.nodes[0].service.request(mesh.make_request())
+    await mesh.run(30)
+    assert mesh.share > 0
+    mesh.table.down = True
+    mesh.new_failures = 1
+    await mesh.run(30)
+    assert mesh.share == 0
+    assert mesh.stored.state is MoveState.MOVING
+    mesh.table.down = False
+    await mesh.run(5)
+    assert mesh.stored.state is MoveState.WITHDRAWN
+
+
+async def test_another_node_takes_over_a_killed_steward() -> None:
+    mesh = MoveMesh()
+    await mesh.nodes[0].service.request(mesh.make_request())
+    await mesh.run(5)
+    steward, epoch = mesh.stored.steward, mesh.stored.epoch
+    for node in mesh.nodes:
+        if node.record.node == steward:
+            node.running = False
+    await mesh.run(20)
+    assert mesh.stored.steward != steward
+    assert mesh.stored.epoch == epoch + 1
+
+
+async def test_frozen_steward_can_not_act_after_its_lease() -> None:
+    mesh = MoveMesh()
+    await mesh.nodes[0].service.request(mesh.make_request())
+    await mesh.run(5)
+    frozen = next(
+        node for node in mesh.nodes if node.record.node == mesh.stored.steward
+    )
+    frozen.running = False
+    mesh.new_failures = 1
+    await mesh.run(40)
+    assert mesh.stored.state is MoveState.WITHDRAWN
+    written = len(mesh.table.history)
+    frozen.running = True
+    await frozen.steward.turn()
+    await mesh.run(30)
+    assert len(mesh.table.history) == written
+
+
+async def test_withdrawal_racing_done_never_says_both() -> None:
+    mesh = MoveMesh()
+    await mesh.nodes[0].service.request(mesh.make_request())
+    await mesh.run(550)
+    answers = []
+
+    async def cross() -> None:
+        answers.append(
+            await mesh.nodes[3].service.withdraw(ORDERS, 'bo', 'late')
+        )
+
+    while mesh.stored.state is MoveState.MOVING:
+        mesh.table.before_transact = cross
+        await mesh.second()
+    states = {row.state for row in mesh.table.history}
+    assert len(states & {MoveState.DONE, MoveState.WITHDRAWN}) == 1
+
+
+async def test_lost_answers_leave_one_move() -> None:
+    mesh = MoveMesh()
+    mesh.table.loses_answers = True
+    begun = await mesh.nodes[0].service.request(mesh.make_request())
+    assert begun.is_ok()
+    again = await mesh.nodes[1].service.request(mesh.make_request())
+    assert again.is_ok()
+    assert len(mesh.table.history) == 1
+    await mesh.run(600)
+    assert mesh.stored.state is MoveState.DONE
+    assert mesh.stored.move == 'one'
+
+
+async def test_second_move_of_a_service_is_a_conflict() -> None:
+    mesh = MoveMesh()
+    await mesh.nodes[0].service.request(mesh.make_request())
+    other = mesh.make_request(name='two', new=OLD)
+    answer = await mesh.nodes[1].service.request(other)
+    assert answer.error.kind is ErrorKind.CONFLICT
+
+
+async def test_deadline_in_the_past_is_refused() -> None:
+    mesh = MoveMesh()
+    answer = await mesh.nodes[0].service.request(mesh.make_request(-1))
+    assert answer.error.kind is ErrorKind.MALFORMED
+    assert not mesh.table.rows
+
+
+async def test_deadline_can_be_moved_without_a_second_move() -> None:
+    mesh = MoveMesh()
+    await mesh.nodes[0].service.request(mesh.make_request())
+    later = mesh.make_request(30, name='later')
+    answer = await mesh.nodes[1].service.request(later)
+    assert answer.ok.deadline == later.deadline
+    assert answer.ok.move == 'one'
+
+
+async def test_no_calls_hold_a_careful_mesh_beyond_the_deadline() -> None:
+    mesh = MoveMesh()
+    mesh.rate = 0
+    await mesh.nodes[0].service.request(mesh.make_request())
+    await mesh.run(650)
+    assert mesh.stored.state is MoveState.MOVING
+    assert 'Too few calls' in mesh.stored.reason
+
+
+async def test_move_waits_at_nothing_for_servers_of_the_new_version() -> None:
+    mesh = MoveMesh(new_servers=0)
+    await mesh.nodes[0].service.request(mesh.make_request())
+    await mesh.run(60)
+    assert mesh.share == 0
+    assert 'No server of the new version' in mesh.stored.reason
--- /dev/null
+++ b/tests/lib/moves.py
@@ -0,0 +1,317 @@
+"""Nodes of one service with a table and a network in memory."""
+
+import datetime as dt
+from collections.abc import Awaitable, Callable
+from random import Random
+
+from expression import Error, Ok, Result
+
+from bluebellslip._internal.exceptions import (
+    PlatformDownError,
+    PlatformUnknownError,
+)
+from bluebellslip._internal.kernel.clock import ManualClock
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.counters import NullCounters
+from bluebellslip._internal.kernel.ports import (
+    Committed,
+    Outcome,
+    Refused,
+    Row,
+    Transaction,
+    Verdict,
+)
+from bluebellslip._internal.kernel.services import MoveRequest
+from bluebellslip._internal.models.facts import (
+    Backend,
+    MemberFact,
+    MemberStatus,
+    MoveFact,
+    StopFact,
+)
+from bluebellslip._internal.models.identity import (
+    Address,
+    Locality,
+    NodeId,
+    RouteName,
+    ServiceName,
+    VersionName,
+)
+from bluebellslip._internal.models.messages import PeerMessage
+from bluebellslip._internal.models.move_rows import MoveRow, decode_move
+from bluebellslip._internal.models.settings import (
+    ListenSettings,
+    NodeSettings,
+    PlatformSettings,
+)
+from bluebellslip._internal.moves.exchange import EvidenceExchange
+from bluebellslip._internal.moves.guard import MoveGuard
+from bluebellslip._internal.moves.ledger import MoveLedger
+from bluebellslip._internal.moves.service import MoveService
+from bluebellslip._internal.moves.steward import MoveSteward
+from lib.snapshots import make_snapshot
+
+ORDERS = ServiceName('orders')
+OLD = VersionName('v1')
+NEW = VersionName('v2')
+DEPOSITS = RouteName('deposits')
+SECOND = dt.timedelta(seconds=1)
+
+
+class FakeTable:
+    """A table that can be down or lose its answers."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.down = False
+        self.loses_answers = False
+        self.writes = 0
+        self.history: list[MoveRow] = []
+        self.before_transact: Callable[[], Awaitable[None]] | None = None
+
+    async def read(self, key: str) -> Row | None:
+        if self.down:
+            raise PlatformDownError('down')
+        return self.rows.get(key)
+
+    async def scan(self, prefix: str, limit: int) -> tuple[Row, ...]:
+        keys = sorted(key for key in self.rows if key.startswith(prefix))
+        return tuple(self.rows[key] for key in keys[:limit])
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[Committed, Refused]:
+        if self.before_transact is not None:
+            hook = self.before_transact
+            self.before_transact = None
+            await hook()
+        if self.down:
+            raise PlatformDownError('down')
+        for condition in transaction.conditions:
+            found = self.version(condition.key)
+            if found != condition.version:
+                return Error(Refused(condition.key, found))
+        versions = tuple(
+            self._write(write.key, write.body or b'')
+            for write in transaction.writes
+        )
+        if self.loses_answers:
+            raise PlatformUnknownError('lost')
+        return Ok(Committed(versions))
+
+    def version(self, key: str) -> int:
+        row = self.rows.get(key)
+        return 0 if row is None else row.version
+
+    def _write(self, key: str, body: bytes) -> int:
+        version = self.version(key) + 1
+        self.rows[key] = Row(key, version, body)
+        self.writes += 1
+        if key.startswith('move/'):
+            self.history.append(decode_move(body))
+        return version
+
+
+class FakeNetwork:
+    """Datagrams between nodes; links may be cut."""
+
+    def __init__(self) -> None:
+        self.links: dict[Address, FakeLink] = {}
+        self.lost: set[Address] = set()
+
+    def deliver(
+        self, sender: Address, to: Address, message: PeerMessage
+    ) -> None:
+        if {sender, to} & self.lost or to not in self.links:
+            return
+        handler = self.links[to].handlers.get(type(message))
+        if handler is not None:
+            handler(message, sender)
+
+
+class FakeLink:
+    """One node's end of the network."""
+
+    def __init__(self, network: FakeNetwork, address: Address) -> None:
+        self._network = network
+        self._address = address
+        self.handlers: dict[type, Callable[..., None]] = {}
+        network.links[address] = self
+
+    def send(self, to: Address, message: PeerMessage) -> None:
+        self._network.deliver(self._address, to, message)
+
+    async def ask(
+        self, to: Address, message: PeerMessage, timeout: dt.timedelta
+    ) -> PeerMessage:
+        raise TimeoutError
+
+    def on_datagram(self, kind: type, handler: Callable[..., None]) -> None:
+        self.handlers[kind] = handler
+
+    def on_request(self, kind: type, handler: Callable[..., object]) -> None:
+        """Exchanges are not used."""
+
+
+class FakeMembership:
+    """The server beside a node."""
+
+    draining = False
+
+    def __init__(self, backend: Backend) -> None:
+        self.own_backend: Backend | None = backend
+
+    def announce(self, backend: Backend) -> None:
+        self.own_backend = backend
+
+    def leave(self) -> None:
+        self.own_backend = None
+
+
+class MoveNode:
+    """One node, its parts built by hand."""
+
+    def __init__(
+        self, mesh: 'MoveMesh', index: int, version: VersionName
+    ) -> None:
+        name = f'orders-{index}'
+        peer = Address('127.0.0.1', 25000 + index)
+        listen = ListenSettings(
+            egress='127.0.0.1:25100',
+            ingress='127.0.0.1:25101',
+            peer=str(peer),
+            admin='127.0.0.1:25102',
+        )
+        self.context = Context.from_settings(
+            NodeSettings(
+                node=name,
+                mesh='thistle-quill',
+                region='scot-central',
+                failure_domain='a',
+                listen=listen,
+                platform=PlatformSettings(
+                    table='http://127.0.0.1:1', objects='http://127.0.0.1:1'
+                ),
+                peer_key='0123456789abcdef',
+            ),
+            mesh.clock,
+            Random(index),
+            NullCounters(),
+        )
+        self.context.applied.apply(make_snapshot(1))
+        self.backend = Backend(
+            ORDERS, version, Address('127.0.0.1', 25200 + index), 12, 120
+        )
+        self.record = MemberFact(
+            node=NodeId(name),
+            incarnation=1,
+            status=MemberStatus.ALIVE,
+            changed=0,
+            locality=Locality('scot-central', 'a'),
+            peer=peer,
+            ingress=peer,
+            applied=1,
+            backend=self.backend,
+        )
+        self.ledger = MoveLedger(self.context, mesh.table)
+        self.exchange = EvidenceExchange(
+            self.context, FakeLink(mesh.network, peer)
+        )
+        self.guard = MoveGuard(
+            self.context,
+            self.ledger,
+            self.exchange,
+            FakeMembership(self.backend),
+        )
+        self.steward = MoveSteward(self.context, self.ledger, self.guard)
+        self.service = MoveService(self.context, self.ledger, self.guard)
+        self.running = True
+
+    @property
+    def row(self) -> MoveFact | None:
+        return self.ledger.find_fact(ORDERS)
+
+    def run_calls(self, count: int, failed: int, seconds: float) -> None:
+        for index in range(count):
+            verdict = Verdict.FAILED if index < failed else Verdict.SUCCEEDED
+            self.exchange.record(
+                Outcome(
+                    ORDERS,
+                    self.backend.version,
+                    DEPOSITS,
+                    verdict,
+                    dt.timedelta(seconds=seconds),
+                )
+            )
+
+
+class MoveMesh:
+    """Two nodes beside old servers and two beside new ones.
+
+    ``gossip`` spreads facts among the running nodes after every second.
+    """
+
+    def __init__(self, new_servers: int = 2) -> None:
+        self.clock = ManualClock()
+        self.table = FakeTable()
+        self.network = FakeNetwork()
+        self.new_failures: float = 0
+        self.new_latency = 0.02
+        self.rate = 40
+        self.nodes = [
+            MoveNode(self, index, OLD if index < 2 else NEW)
+            for index in range(2 + new_servers)
+        ]
+        self.gossip()
+
+    @property
+    def stored(self) -> MoveRow:
+        return decode_move(self.table.rows['move/orders'].body)
+
+    @property
+    def share(self) -> int:
+        split = self.nodes[0].context.moves.split(ORDERS)
+        return 0 if split is None else split.new_share
+
+    def make_request(
+        self, minutes: float = 10, name: str = 'one', new: VersionName = NEW
+    ) -> MoveRequest:
+        return MoveRequest(
+            service=ORDERS,
+            new=new,
+            deadline=self.clock.now() + dt.timedelta(minutes=minutes),
+            who='ada',
+            request=name,
+        )
+
+    def gossip(self) -> None:
+        running = [node for node in self.nodes if node.running]
+        spread = [node.record for node in running]
+        facts = [
+            fact
+            for node in running
+            for fact in node.context.facts
+            if isinstance(fact, MoveFact | StopFact)
+        ]
+        for node in running:
+            node.context.facts.merge([*spread, *facts])
+
+    async def second(self) -> None:
+        """Run calls by the share in force, then every node once."""
+        new_calls = self.rate * self.share // 10_000
+        for index, node in enumerate(self.nodes):
+            count = new_calls if index >= 2 else self.rate - new_calls
+            failures = self.new_failures if index >= 2 else 0
+            latency = self.new_latency if index >= 2 else 0.02
+            if node.running:
+                node.run_calls(count, round(count * failures), latency)
+        self.clock.advance(SECOND)
+        for node in self.nodes:
+            if node.running:
+                node.guard.observe()
+                await node.steward.turn()
+        self.gossip()
+
+    async def run(self, seconds: int) -> None:
+        for _ in range(seconds):
+            await self.second()
