--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/loading.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/loading.py
@@ -9,6 +9,7 @@
     'bluebellslip._internal.membership.plugin',
     'bluebellslip._internal.distribution.plugin',
     'bluebellslip._internal.acceptance.plugin',
+    'bluebellslip._internal.moves.plugin',
     'bluebellslip._internal.calls.plugin',
 )
 
