--- /dev/null
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/verdict.py
@@ -0,0 +1,67 @@
+"""Whether the demo held what must hold."""
+
+import datetime as dt
+from typing import Final
+
+import msgspec
+
+CONVERGENCE_LIMIT: Final = dt.timedelta(seconds=11)
+BAD_SHARE_LIMIT: Final = 0.05
+NEVER_MS: Final = 1e9  # stands for no convergence
+
+_MS: Final = dt.timedelta(milliseconds=1)
+
+
+class Summary(msgspec.Struct):
+    """Figures of one run; its JSON is the demo's last line.
+
+    ``failed_calls`` counts calls without a whole answer of success after
+    the caller came back as told; ``failed_by_bad_version`` those among them
+    that the bad version answered with a failure.
+    """
+
+    converged_ms: float = 0
+    calls: int = 0
+    failed_calls: int = 0
+    failed_by_bad_version: int = 0
+    refused_not_run: int = 0
+    wrong_answers: int = 0
+    double_runs: int = 0
+    false_refusals: int = 0
+    uploads: int = 0
+    good_moves_done: int = 0
+    good_move_s: float = 0
+    bad_moves_withdrawn: int = 0
+    bad_move_s: float = 0
+    bad_version_calls: int = 0
+    moved_service_calls: int = 0
+    revisions_back: int = 0
+    node_returned: bool = False
+    stopped_cleanly: bool = False
+    audit_rows: int = 0
+    control_bytes_per_node_s: float = 0
+    seconds: float = 0
+
+
+def judge(summary: Summary) -> dict[str, bool]:
+    """Return every demand with whether it held."""
+    in_time = summary.converged_ms * _MS <= CONVERGENCE_LIMIT
+    bad_share = summary.bad_version_calls / max(summary.moved_service_calls, 1)
+    failed_otherwise = summary.failed_calls - summary.failed_by_bad_version
+    return {
+        'configuration in force everywhere in time': in_time,
+        'calls were made': summary.calls > 0,
+        'no call failed but for the bad version': failed_otherwise == 0,
+        'no wrong answer': summary.wrong_answers == 0,
+        'nothing ran twice': summary.double_runs == 0,
+        'nothing refused as not run had run': summary.false_refusals == 0,
+        'uploads arrived whole': summary.uploads > 0,
+        'good version in charge by its deadline': summary.good_moves_done == 1,
+        'bad version taken back': summary.bad_moves_withdrawn == 1,
+        'bad version got a small share': bad_share <= BAD_SHARE_LIMIT,
+        'no revision went back': summary.revisions_back == 0,
+        'killed node returned to service': summary.node_returned,
+        'every process stopped gracefully': summary.stopped_cleanly,
+        'changes and moves were audited': summary.audit_rows > 0,
+        'control bytes were measured': summary.control_bytes_per_node_s > 0,
+    }
