--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/loading.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/loading.py
@@ -5,7 +5,12 @@
 
 PLUGIN_MODULES: Final[tuple[str, ...]] = (
     'bluebellslip._internal.platform.plugin',
+    'bluebellslip._internal.peers.plugin',
+    'bluebellslip._internal.membership.plugin',
+    'bluebellslip._internal.distribution.plugin',
     'bluebellslip._internal.acceptance.plugin',
+    'bluebellslip._internal.moves.plugin',
+    'bluebellslip._internal.calls.plugin',
 )
 
 
