--- /dev/null
+++ b/tests/unit/test_breaker.py
@@ -0,0 +1,112 @@
+"""The circuit breaker: an outage costs little, and ends gently."""
+
+import datetime as dt
+from random import Random
+
+from bluebellslip._internal.kernel.clock import ManualClock
+from bluebellslip._internal.platform.breaker import (
+    BreakerLimits,
+    BreakerState,
+    CircuitBreaker,
+)
+
+_LIMITS = BreakerLimits(
+    failures_to_open=3,
+    base_delay=dt.timedelta(seconds=1),
+    max_delay=dt.timedelta(seconds=4),
+)
+
+
+class _AlwaysLatest(Random):
+    """Draws the end of every interval."""
+
+    def random(self) -> float:
+        return 1.0
+
+
+def _make_breaker(
+    clock: ManualClock, random_source: Random | None = None
+) -> CircuitBreaker:
+    return CircuitBreaker(
+        'table', clock, random_source or _AlwaysLatest(), _LIMITS
+    )
+
+
+def _fail(breaker: CircuitBreaker, times: int) -> None:
+    for _ in range(times):
+        permit = breaker.enter()
+        assert permit is not None
+        breaker.fail(permit)
+
+
+def test_failures_in_a_row_open_it() -> None:
+    breaker = _make_breaker(ManualClock())
+    _fail(breaker, 2)
+    permit = breaker.enter()
+    assert permit is not None
+    breaker.succeed(permit)
+    _fail(breaker, 3)
+    assert breaker.state is BreakerState.OPEN
+    assert breaker.enter() is None
+
+
+def test_one_probe_at_a_time_after_the_open_time() -> None:
+    clock = ManualClock()
+    breaker = _make_breaker(clock)
+    _fail(breaker, 3)
+    clock.advance(dt.timedelta(milliseconds=999))
+    assert breaker.enter() is None
+    clock.advance(dt.timedelta(milliseconds=1))
+    probe = breaker.enter()
+    assert probe is not None
+    assert breaker.enter() is None
+    breaker.succeed(probe)
+    assert breaker.state is BreakerState.CLOSED
+
+
+def test_failed_probes_double_the_open_time_up_to_its_bound() -> None:
+    clock = ManualClock()
+    breaker = _make_breaker(clock)
+    _fail(breaker, 3)
+    for seconds in (1, 2, 4, 4):
+        clock.advance(dt.timedelta(seconds=seconds, microseconds=-1))
+        assert breaker.enter() is None
+        clock.advance(dt.timedelta(microseconds=1))
+        _fail(breaker, 1)
+
+
+def test_a_cancelled_probe_leaves_room_for_the_next() -> None:
+    clock = ManualClock()
+    breaker = _make_breaker(clock)
+    _fail(breaker, 3)
+    clock.advance(dt.timedelta(seconds=1))
+    probe = breaker.enter()
+    assert probe is not None
+    breaker.abandon(probe)
+    assert breaker.enter() is not None
+
+
+def test_answers_from_before_the_opening_change_nothing() -> None:
+    clock = ManualClock()
+    breaker = _make_breaker(clock)
+    slow = breaker.enter()
+    assert slow is not None
+    _fail(breaker, 3)
+    breaker.succeed(slow)
+    assert breaker.enter() is None
+
+
+def test_open_times_of_two_nodes_differ() -> None:
+    first, second = (_first_probe(Random(seed)) for seed in (1, 2))
+    assert first != second
+
+
+def _first_probe(random_source: Random) -> int:
+    clock = ManualClock()
+    breaker = _make_breaker(clock, random_source)
+    _fail(breaker, 3)
+    waited = 0
+    while breaker.enter() is None:
+        clock.advance(dt.timedelta(milliseconds=1))
+        waited += 1
+    return waited
