--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/loading.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/loading.py
@@ -11,6 +11,7 @@
     'bluebellslip._internal.acceptance.plugin',
     'bluebellslip._internal.moves.plugin',
     'bluebellslip._internal.calls.plugin',
+    'bluebellslip._internal.admin.server',
 )
 
 
