--- a/packages/bluebellslip/src/bluebellslip/_internal/exceptions.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/exceptions.py
@@ -239,7 +239,6 @@
     kind = ErrorKind.PEER_GARBLED
 
 
-<<<<<<< HEAD
 class KeyMissingError(BluebellError):
     """Once-only work without an idempotency key."""
 
@@ -274,9 +273,9 @@
     """A server that broke off an exchange; it may or may not have run."""
 
     kind = ErrorKind.SERVER_FAILED
-=======
+
+
 class DeadlineError(BluebellError):
     """Something that was waited for did not happen in time."""
 
     kind = ErrorKind.DEADLINE_EXCEEDED
->>>>>>> operators
