--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/ingress.py
@@ -0,0 +1,126 @@
+"""Calls from other nodes to the server beside this one."""
+
+from typing import Final
+
+from bluebellslip._internal.calls import headers as names
+from bluebellslip._internal.calls.backend import (
+    check_version,
+    make_server_headers,
+)
+from bluebellslip._internal.calls.call import Call, open_call
+from bluebellslip._internal.calls.exchange import (
+    Exchange,
+    Upload,
+    relay_answer,
+)
+from bluebellslip._internal.calls.gate import Gate, Holding
+from bluebellslip._internal.calls.headers import Header
+from bluebellslip._internal.calls.once import OnceRunner
+from bluebellslip._internal.calls.pool import ConnectionPool
+from bluebellslip._internal.calls.request import InboundRequest
+from bluebellslip._internal.calls.tally import Tally
+from bluebellslip._internal.calls.witness import Witness
+from bluebellslip._internal.exceptions import (
+    DrainingError,
+    NoServerError,
+)
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.services import Membership
+from bluebellslip._internal.models.facts import Backend
+
+_PERCENT: Final = 100
+
+
+class IngressHandler:
+    """Admits calls to the server beside this node.
+
+    Parameters
+    ----------
+    context
+        The node's shared state.
+    pool
+        Connections to the server.
+    membership
+        The server's announcement.
+    witness
+        Receiver of outcomes.
+    gate
+        The server's slots.
+    once
+        What runs once-only work.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        pool: ConnectionPool,
+        membership: Membership,
+        witness: Witness,
+        gate: Gate,
+        once: OnceRunner,
+    ) -> None:
+        self._context = context
+        self._pool = pool
+        self._membership = membership
+        self._witness = witness
+        self._once = once
+        self._gate = gate
+        self._leaving = False
+        self.in_flight = Tally()
+
+    def leave(self) -> None:
+        """Refuse new calls from now on."""
+        self._leaving = True
+
+    async def handle(self, request: InboundRequest) -> None:
+        """Answer a request; errors raised become answers."""
+        call = open_call(self._context, request)
+        backend = self._find_backend(call)
+        left = call.remaining(self._context.clock.elapsed())
+        request.expire_after(left.total_seconds())
+        with self.in_flight:
+            await self._admit(call, backend)
+
+    def _find_backend(self, call: Call) -> Backend:
+        if self._leaving or self._membership.draining:
+            raise DrainingError('The server is leaving.')
+        backend = self._membership.own_backend
+        if backend is None or backend.service != call.service:
+            raise NoServerError(
+                'No server of this service stands beside this node.',
+                context={'service': call.service, 'node': self._context.node},
+            )
+        check_version(self._context, backend)
+        return backend
+
+    async def _admit(self, call: Call, backend: Backend) -> None:
+        self._gate.resize(min(backend.slots, backend.connections))
+        if call.is_once:
+            await self._once.run(call, backend)
+            return
+        ticket = await self._gate.enter(call)
+        with Holding(self._gate, ticket):
+            check_version(self._context, backend)
+            await self._run(call, backend)
+
+    async def _run(self, call: Call, backend: Backend) -> None:
+        request = call.request
+        with (
+            self._witness.watch(call, backend) as sight,
+            Exchange(self._pool, backend.address) as exchange,
+        ):
+            await exchange.open()
+            request.reply.ran = True
+            sight.send()
+            left = call.remaining(self._context.clock.elapsed())
+            head = await exchange.send(
+                request, make_server_headers(call, left), Upload(request)
+            )
+            sight.see(head.status)
+            await relay_answer(
+                request, head, exchange.connection, self._make_hints()
+            )
+
+    def _make_hints(self) -> tuple[Header, ...]:
+        load = min(1, self._gate.load)
+        return ((names.LOAD, b'%d' % round(load * _PERCENT)),)
