Drive membership and distribution through failures in virtual time

Cause: losses, crossed messages, restarts, pauses and cuts must be brought about on purpose and give the same verdict on every run. Change: an event loop whose time passes only when nothing is to do, a network that loses, doubles, delays and cuts, a checker of what was in force where, and scenarios, one of them drawn by hypothesis. Found and mended on the way: one slow peer held up a laggard for its whole timeout, so another one is now asked after 400 ms; a corrupt object was fetched and logged at every poll.

--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/catching_up.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/catching_up.py
@@ -2,31 +2,33 @@
 
 import datetime as dt
 import enum
-from random import Random
+import math
 from typing import Final
 
 import anyio
+from anyio.abc import TaskGroup
 
 from bluebellslip._internal.distribution.holder import ConfigHolder
 from bluebellslip._internal.distribution.messages import (
     PullReply,
     PullRequest,
 )
-from bluebellslip._internal.distribution.puller import Puller
+from bluebellslip._internal.distribution.puller import PULL_TIMEOUT, Puller
 from bluebellslip._internal.distribution.spreader import Spreader
 from bluebellslip._internal.exceptions import (
     InvalidConfigError,
     PeerGarbledError,
 )
-from bluebellslip._internal.kernel.counters import Counters
+from bluebellslip._internal.kernel.context import Context
 from bluebellslip._internal.kernel.ports import PeerLink
 from bluebellslip._internal.membership.roster import Roster
 from bluebellslip._internal.membership.selection import pick_members
-from bluebellslip._internal.models.identity import Address, NodeId
+from bluebellslip._internal.models.identity import Address
 
-_TIMEOUT: Final = dt.timedelta(seconds=3)
 _GUESSES: Final = 3  # members asked when none is known to have more
-_GRACE: Final = dt.timedelta(milliseconds=20)
+_PARALLEL: Final = 3  # peers asked at once
+_HEDGE: Final = dt.timedelta(milliseconds=400)
+_LEAST_WAIT: Final = dt.timedelta(milliseconds=20)
 
 
 @enum.unique
@@ -39,12 +41,14 @@
 
 
 class CatchUp:
-    """Asks peers for what is newer, one at a time.
+    """Asks peers for what is newer.
+
+    While one is slow to answer another one is asked as well.
 
     Parameters
     ----------
-    own
-        The node itself.
+    context
+        State that the plug-ins share.
     holder
         The configuration in force.
     spreader
@@ -53,34 +57,32 @@
         Keeper of who has something newer.
     roster
         The members.
-    random
-        Source of randomness.
     link
         Way to the peers.
-    counters
-        Where events are counted.
     """
 
     def __init__(
         self,
-        own: NodeId,
+        context: Context,
         holder: ConfigHolder,
         spreader: Spreader,
         puller: Puller,
         roster: Roster,
-        random: Random,
         link: PeerLink,
-        counters: Counters,
     ) -> None:
-        self._own = own
+        self._own = context.node
         self._holder = holder
         self._spreader = spreader
         self._puller = puller
         self._roster = roster
-        self._random = random
+        self._random = context.random
         self._link = link
-        self._counters = counters
+        self._clock = context.clock
+        self._counters = context.counters
         self._whole = False
+        self._pulling = 0
+        self._hedge_at = context.clock.elapsed()
+        self._guess_at = context.clock.elapsed()
         self._news = anyio.Event()
 
     def wake(self) -> None:
@@ -89,13 +91,10 @@
 
     async def run(self) -> None:
         """Catch up whenever something newer is known."""
-        while True:
-            if self._lags():
-                await self._catch_up()
-            else:
-                await self._news.wait()
-                self._news = anyio.Event()
-                await anyio.sleep(_GRACE.total_seconds())
+        async with anyio.create_task_group() as group:
+            while True:
+                wait = self._step(group) if self._lags() else None
+                await self._wait(wait)
 
     async def pull(self, source: Address) -> Pulled:
         """Ask one peer for what is newer."""
@@ -119,24 +118,41 @@
             self._holder.revision
         )
 
-    async def _catch_up(self) -> None:
-        source = self._puller.choose(self._holder.revision)
-        if source is None:
-            await self._wait(self._puller.wait())
+    def _step(self, group: TaskGroup) -> dt.timedelta | None:
+        now = self._clock.elapsed()
+        if self._pulling and now < self._hedge_at:
+            return self._hedge_at - now
+        source = None
+        if self._pulling < _PARALLEL:
+            source = self._puller.choose(self._holder.revision)
+        if source is not None:
+            self._pulling += 1
+            self._hedge_at = now + _HEDGE
+            group.start_soon(self._pull_from, source)
+            return _HEDGE
+        if self._pulling:
+            return None
+        if now >= self._guess_at:
             self._guess_sources()
-            return
+            self._guess_at = now + self._puller.wait() + _LEAST_WAIT
+        return self._guess_at - now
+
+    async def _pull_from(self, source: Address) -> None:
         outcome = await self.pull(source)
+        self._pulling -= 1
         if outcome is Pulled.NEWER:
             self._puller.succeed()
         elif outcome is Pulled.NOTHING:
-            await self._wait(self._puller.fail(source))
+            self._puller.drop(source)
+        self.wake()
 
     def _guess_sources(self) -> None:
         for member in pick_members(self._roster, _GUESSES, self._random):
             self._puller.note(self._puller.wanted, member.peer)
 
-    async def _wait(self, period: dt.timedelta) -> None:
-        with anyio.move_on_after(period.total_seconds()):
+    async def _wait(self, period: dt.timedelta | None) -> None:
+        seconds = math.inf if period is None else period.total_seconds()
+        with anyio.move_on_after(seconds):
             await self._news.wait()
         self._news = anyio.Event()
 
@@ -146,7 +162,7 @@
             self._own, 0 if self._whole else self._holder.revision
         )
         self._whole = False
-        reply = await self._link.ask(source, request, _TIMEOUT)
+        reply = await self._link.ask(source, request, PULL_TIMEOUT)
         if not isinstance(reply, PullReply):
             raise PeerGarbledError('A pull had an unexpected answer.')
         return reply
--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/plugin.py
@@ -85,14 +85,12 @@
             counters,
         )
         self._catch_up = CatchUp(
-            context.node,
+            context,
             self._holder,
             self._spreader,
             self._puller,
             roster,
-            context.random,
             link,
-            counters,
         )
         heads = HeadReader(context.ports.get(TableService), counters)
         self._floors = FloorFinder(
--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/puller.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/puller.py
@@ -10,6 +10,8 @@
 from bluebellslip._internal.models.identity import Address
 from bluebellslip._internal.utils.backoff import FullJitter
 
+PULL_TIMEOUT: Final = dt.timedelta(seconds=3)
+
 _SOURCES: Final = 8  # peers kept that may know more
 _FIRST_WAIT: Final = dt.timedelta(milliseconds=100)
 _MOST_WAIT: Final = dt.timedelta(seconds=5)
@@ -64,23 +66,28 @@
         return self._wanted > revision
 
     def choose(self, revision: int) -> Address | None:
-        """Return a peer that has something newer and may be asked now."""
+        """Return a peer that has something newer and may be asked now.
+
+        It is not returned again before the answer must have come.
+        """
         now = self._clock.elapsed()
         able = [
             address
             for address, source in self._sources.items()
             if source.revision > revision and source.earliest <= now
         ]
-        return able[-1] if able else None
+        if not able:
+            return None
+        self._sources[able[-1]].earliest = now + PULL_TIMEOUT
+        return able[-1]
 
     def succeed(self) -> None:
         """Note that a peer brought something newer."""
         self._backoff.reset()
 
-    def fail(self, source: Address) -> dt.timedelta:
-        """Drop a peer; return how long to wait before the next one."""
+    def drop(self, source: Address) -> None:
+        """Leave out a peer that failed or has nothing newer."""
         self._sources.pop(source, None)
-        return self._backoff.next_wait()
 
     def defer(self, source: Address, retry_after: dt.timedelta) -> None:
         """Leave a busy peer alone for the time that it names."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/source.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/source.py
@@ -100,6 +100,7 @@
         self._random = random
         self._counters = counters
         self._backoff = FullJitter(random, _POLL, _MOST_WAIT)
+        self._refused = ''
 
     async def run(self, catch_up: CatchUp, seeds: Seeds) -> None:
         """Poll for ever."""
@@ -126,11 +127,13 @@
             await self._fetch(head)
 
     async def _fetch(self, head: HeadRow) -> None:
+        # Where the store's copy can't be used, peers are asked.
+        self._puller.note(head.revision)
+        if head.digest == self._refused:
+            return
         body = await self._get(head.digest)
         if body is not None:
             self._take(body, head)
-        # Where the store's copy can't be used, peers are asked.
-        self._puller.note(head.revision)
 
     async def _get(self, digest: str) -> bytes | None:
         self._counters.add('object_reads')
@@ -145,3 +148,4 @@
             self._spreader.offer(body, head.digest)
         except InvalidConfigError:
             self._counters.add('objects_refused')
+            self._refused = head.digest
--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/spreader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/spreader.py
@@ -64,6 +64,7 @@
         self._counters = counters
         self._settled = False
         self._told = 0
+        self._refused = ''
 
     @property
     def settled(self) -> bool:
@@ -126,5 +127,7 @@
             return self._holder.take_body(body, digest)
         except InvalidConfigError as error:
             self._counters.add('configs_refused')
-            logger.warning('configuration refused: %s', error)
+            if digest != self._refused:
+                self._refused = digest
+                logger.warning('configuration refused: %s', error)
             raise
--- /dev/null
+++ b/tests/lib/simulation.py
@@ -0,0 +1,319 @@
+"""A few nodes in one process over a network that loses and reorders."""
+
+import asyncio
+import dataclasses
+import datetime as dt
+from collections.abc import Callable
+from random import Random
+
+import anyio
+import msgspec
+
+from bluebellslip._internal.distribution.plugin import DistributionPlugin
+from bluebellslip._internal.exceptions import PeerGarbledError
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.counters import NullCounters
+from bluebellslip._internal.kernel.ports import (
+    ObjectStore,
+    PeerLink,
+    TableService,
+)
+from bluebellslip._internal.membership.plugin import MembershipPlugin
+from bluebellslip._internal.models.facts import MemberFact, MemberStatus
+from bluebellslip._internal.models.identity import Address
+from bluebellslip._internal.models.messages import PeerMessage
+from bluebellslip._internal.models.rows import HEAD_KEY, HeadRow
+from bluebellslip._internal.models.settings import NodeSettings
+from bluebellslip._internal.peers.codec import PeerCodec
+from bluebellslip._internal.utils.digests import (
+    compute_digest,
+    encode_record,
+)
+from lib.history import History
+from lib.peers import FakePlatform, make_settings
+from lib.snapshots import make_record
+from lib.virtual_time import LoopClock
+
+_KEY = 'a key of sixteen bytes'
+
+
+@dataclasses.dataclass
+class Weather:
+    """How the network treats messages; delays are in seconds."""
+
+    loss: float = 0
+    double: float = 0
+    delay: float = 0.01
+
+
+class SimNetwork:
+    """Delivers between nodes; ``cut`` tells which pairs are apart."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = Random(seed)
+        self.weather = Weather()
+        self.links: dict[Address, SimLink] = {}
+        self.cut: Callable[[Address, Address], bool] = lambda _one, _two: False
+        self.sent: dict[str, int] = {}
+        self.bytes = 0
+
+    def passes(self, source: Address, to: Address) -> bool:
+        if self.cut(source, to) or to not in self.links:
+            return False
+        return self.random.random() >= self.weather.loss
+
+    def breaks(self) -> bool:
+        # A connection sends again what is lost, so it breaks less often.
+        return self.random.random() < self.weather.loss / 3
+
+    def delay(self) -> float:
+        return self.weather.delay * self.random.random()
+
+    def count(self, message: PeerMessage, packet: bytes) -> None:
+        name = type(message).__name__
+        self.sent[name] = self.sent.get(name, 0) + 1
+        self.bytes += len(packet)
+
+
+class SimLink:
+    """One node's end of the network."""
+
+    def __init__(self, network: SimNetwork, own: Address, clock) -> None:
+        self._network = network
+        self._own = own
+        self._clock = clock
+        self._codec = PeerCodec.from_registry(_KEY)
+        self._datagram_handlers = {}
+        self._request_handlers = {}
+        self._waiting: list[tuple[bytes, Address]] = []
+        network.links[own] = self
+
+    def on_datagram(self, kind, handler) -> None:
+        self._datagram_handlers[kind] = handler
+
+    def on_request(self, kind, handler) -> None:
+        self._request_handlers[kind] = handler
+
+    def send(self, to: Address, message: PeerMessage) -> None:
+        if self._clock.frozen:
+            return
+        network = self._network
+        packet = self._codec.encode(message)
+        network.count(message, packet)
+        copies = 1 + (network.random.random() < network.weather.double)
+        for _ in range(copies):
+            if network.passes(self._own, to):
+                asyncio.get_running_loop().call_later(
+                    network.delay(), self._deliver, to, packet
+                )
+
+    async def ask(
+        self, to: Address, message: PeerMessage, timeout: dt.timedelta
+    ) -> PeerMessage:
+        with anyio.fail_after(timeout.total_seconds()):
+            return await self._exchange(to, message)
+
+    def thaw(self) -> None:
+        """Deliver what came while the node was frozen."""
+        while self._waiting:
+            self._receive(*self._waiting.pop(0))
+
+    def close(self) -> None:
+        self._network.links.pop(self._own, None)
+
+    async def _exchange(self, to: Address, message: PeerMessage) -> PeerMessage:
+        network = self._network
+        packet = self._codec.encode(message)
+        network.count(message, packet)
+        await self._cross(self._own, to)
+        answer = await network.links[to].answer(packet)
+        await self._cross(to, self._own)
+        return self._codec.decode(answer)
+
+    async def answer(self, packet: bytes) -> bytes:
+        while self._clock.frozen:
+            await anyio.sleep(0.1)
+        message = self._codec.decode(packet)
+        handler = self._request_handlers[type(message)]
+        answer = await handler(message)
+        encoded = self._codec.encode(answer)
+        self._network.count(answer, encoded)
+        return encoded
+
+    async def _cross(self, source: Address, to: Address) -> None:
+        network = self._network
+        await anyio.sleep(network.delay())
+        if to not in network.links:
+            raise TimeoutError('refused')
+        if network.cut(source, to) or network.breaks():
+            await anyio.sleep_forever()
+
+    def _deliver(self, to: Address, packet: bytes) -> None:
+        link = self._network.links.get(to)
+        if link is not None:
+            link.take(packet, self._own)
+
+    def take(self, packet: bytes, source: Address) -> None:
+        if self._clock.frozen:
+            self._waiting.append((packet, source))
+        else:
+            self._receive(packet, source)
+
+    def _receive(self, packet: bytes, source: Address) -> None:
+        try:
+            message = self._codec.decode(packet)
+        except PeerGarbledError:
+            return
+        handler = self._datagram_handlers.get(type(message))
+        if handler is not None:
+            handler(message, source)
+
+
+class SimNode:
+    """Membership and distribution of one life of one node."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        life: int,
+        network: SimNetwork,
+        platform: FakePlatform,
+        history: History,
+    ) -> None:
+        self.life = life
+        self.clock = LoopClock()
+        self.counters = NullCounters()
+        self.context = Context.from_settings(
+            settings,
+            self.clock,
+            Random(f'{settings.node} {life} {network.random.random()}'),
+            self.counters,
+        )
+        self.link = SimLink(network, self.context.peer_address, self.clock)
+        self.context.ports.provide(PeerLink, self.link)
+        self.context.ports.provide(TableService, platform)
+        self.context.ports.provide(ObjectStore, platform)
+        self.membership = MembershipPlugin.from_context(self.context)
+        self.distribution = DistributionPlugin.from_context(self.context)
+        self._history = history
+        self.context.applied.subscribe(self._note)
+        self.scope = anyio.CancelScope()
+
+    @property
+    def name(self) -> str:
+        return str(self.context.node)
+
+    @property
+    def revision(self) -> int:
+        current = self.context.applied.current
+        return 0 if current is None else current.revision
+
+    def status_of(self, name: str) -> MemberStatus | None:
+        fact = self.context.facts.find(f'member/{name}')
+        return fact.status if isinstance(fact, MemberFact) else None
+
+    async def run(self) -> None:
+        with self.scope:
+            async with anyio.create_task_group() as group:
+                await group.start(self.membership.run)
+                await group.start(self.distribution.run)
+
+    def _note(self, snapshot) -> None:
+        self._history.serve(
+            asyncio.get_running_loop().time(), self.name, self.life, snapshot
+        )
+
+
+class SimMesh:
+    """Nodes by number, which can be killed, frozen and reborn."""
+
+    def __init__(self, seed: int, group) -> None:
+        self.network = SimNetwork(seed)
+        self.platform = FakePlatform()
+        self.history = History()
+        self.nodes: dict[int, SimNode] = {}
+        self.settings: dict[int, NodeSettings] = {}
+        self._group = group
+        self._lives: dict[int, int] = {}
+        self.head = 0
+        self.digest = ''
+
+    def add(self, number: int, *, region: str = 'east', domain: str = 'a'):
+        """Add a node; the first three are seeds of all."""
+        settings = make_settings(
+            number, 7000, tuple(f'127.0.0.{seed}:7000' for seed in (1, 2, 3))
+        )
+        self.settings[number] = msgspec.structs.replace(
+            settings, region=region, failure_domain=domain
+        )
+        self.start(number)
+
+    def start(self, number: int) -> SimNode:
+        life = self._lives.get(number, 0) + 1
+        self._lives[number] = life
+        node = SimNode(
+            self.settings[number],
+            life,
+            self.network,
+            self.platform,
+            self.history,
+        )
+        self.nodes[number] = node
+        self._group.start_soon(node.run)
+        return node
+
+    def kill(self, number: int) -> None:
+        node = self.nodes.pop(number)
+        node.scope.cancel()
+        node.link.close()
+
+    def freeze(self, number: int) -> None:
+        self.nodes[number].clock.freeze()
+
+    def thaw(self, number: int) -> None:
+        self.nodes[number].clock.thaw()
+        self.nodes[number].link.thaw()
+
+    def accept(self, number: int, *, stored: bool = True) -> int:
+        """Accept a new revision at a node, as the write path would."""
+        record = make_record(self.head + 1, self.digest)
+        body = encode_record(record)
+        self.digest = compute_digest(body)
+        self.head += 1
+        self.history.accept(self.head, self.digest)
+        if stored:
+            self.platform.bodies[self.digest] = body
+        row = HeadRow(self.head, self.digest, f'change-{self.head}')
+        self.platform.write(HEAD_KEY, msgspec.msgpack.encode(row))
+        self.nodes[number].distribution.offer(body, self.digest)
+        return self.head
+
+    def converged(self) -> bool:
+        return all(node.revision == self.head for node in self.nodes.values())
+
+    def joined(self) -> bool:
+        """Tell whether all see each other alive."""
+        names = {node.name for node in self.nodes.values()}
+        return all(
+            node.status_of(name) is MemberStatus.ALIVE
+            for node in self.nodes.values()
+            for name in names
+        )
+
+    def check(self) -> None:
+        self.history.check({node.name for node in self.nodes.values()})
+
+    async def until(self, holds: Callable[[], bool], limit: float) -> None:
+        """Wait in virtual time; fail after ``limit`` virtual seconds."""
+        with anyio.move_on_after(limit):
+            while not holds():
+                await anyio.sleep(0.05)
+        assert holds(), f'not within {limit} virtual seconds'
+
+
+async def simulate(seed: int, scenario) -> None:
+    """Run a scenario over a mesh and end all nodes after it."""
+    async with anyio.create_task_group() as group:
+        mesh = SimMesh(seed, group)
+        await scenario(mesh)
+        group.cancel_scope.cancel()
--- /dev/null
+++ b/tests/lib/virtual_time.py
@@ -0,0 +1,72 @@
+"""An event loop whose time passes only when nothing else is to do."""
+
+import asyncio
+import datetime as dt
+import functools
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+_START = dt.datetime(2026, 1, 1, tzinfo=dt.UTC)
+
+
+class _Selector:
+    """Turns waiting into moving the loop's clock."""
+
+    def __init__(self, inner, loop) -> None:
+        self._inner = inner
+        self._loop = loop
+
+    def select(self, timeout=None):
+        assert timeout is not None, 'every task waits for ever'
+        self._loop.moment += timeout
+        return self._inner.select(0)
+
+    def __getattr__(self, name):
+        return getattr(self._inner, name)
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        super().__init__()
+        self.moment = 0.0
+        self._selector = _Selector(self._selector, self)
+        self._clock_resolution = 1e-6
+
+    def time(self) -> float:
+        return self.moment
+
+
+def run_virtually(function: Callable[..., Awaitable[None]], *args) -> None:
+    """Run a coroutine function to its end in virtual time."""
+    anyio.run(
+        functools.partial(function, *args),
+        backend='asyncio',
+        backend_options={'loop_factory': VirtualTimeLoop},
+    )
+
+
+class LoopClock:
+    """The loop's time, which stands still while frozen."""
+
+    def __init__(self) -> None:
+        self._frozen_at: float | None = None
+
+    @property
+    def frozen(self) -> bool:
+        return self._frozen_at is not None
+
+    def freeze(self) -> None:
+        self._frozen_at = asyncio.get_running_loop().time()
+
+    def thaw(self) -> None:
+        self._frozen_at = None
+
+    def elapsed(self) -> dt.timedelta:
+        moment = self._frozen_at
+        if moment is None:
+            moment = asyncio.get_running_loop().time()
+        return dt.timedelta(seconds=round(moment, 6))
+
+    def now(self) -> dt.datetime:
+        return _START + self.elapsed()
--- /dev/null
+++ b/tests/unit/test_mesh_simulated.py
@@ -0,0 +1,282 @@
+"""Failures of nodes, network and platform, over virtual time."""
+
+import anyio
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from bluebellslip._internal.models.facts import MemberStatus
+from lib.simulation import SimMesh, Weather, simulate
+from lib.virtual_time import run_virtually
+
+_DOMAINS = ('a', 'b', 'c')
+
+
+async def _start(mesh: SimMesh, count: int, regions=('east',)) -> None:
+    for number in range(count):
+        mesh.add(
+            number,
+            region=regions[number % len(regions)],
+            domain=_DOMAINS[number % 3],
+        )
+    await mesh.until(mesh.joined, 30)
+
+
+def _run(scenario, seed: int = 1) -> None:
+    run_virtually(simulate, seed, scenario)
+
+
+def test_changes_reach_everyone_with_the_platform_down() -> None:
+    async def scenario(mesh: SimMesh) -> None:
+        await _start(mesh, 12)
+        mesh.accept(3)
+        mesh.platform.down = True
+        await mesh.until(mesh.converged, 5)
+        mesh.accept(4)
+        await mesh.until(mesh.converged, 5)
+        mesh.check()
+
+    _run(scenario)
+
+
+def test_relays_bring_what_the_accepting_node_could_not_tell() -> None:
+    async def scenario(mesh: SimMesh) -> None:
+        await _start(mesh, 9)
+        mesh.network.cut = lambda one, two: True
+        mesh.accept(5)
+        mesh.kill(5)
+        mesh.network.cut = lambda one, two: False
+        await mesh.until(mesh.converged, 10)
+        mesh.check()
+
+    _run(scenario)
+
+
+def test_half_of_the_nodes_die_and_return() -> None:
+    async def scenario(mesh: SimMesh) -> None:
+        await _start(mesh, 16)
+        mesh.accept(0)
+        await mesh.until(mesh.converged, 10)
+        for number in range(8):
+            mesh.kill(number)
+        mesh.accept(9)
+        await mesh.until(
+            lambda: all(
+                node.status_of('node-0') is MemberStatus.DEAD
+                for node in mesh.nodes.values()
+            ),
+            60,
+        )
+        for number in range(8):
+            mesh.start(number)
+        await mesh.until(mesh.joined, 30)
+        await mesh.until(mesh.converged, 10)
+        mesh.check()
+
+    _run(scenario)
+
+
+def test_a_reborn_node_does_not_go_back_while_the_platform_is_down() -> None:
+    async def scenario(mesh: SimMesh) -> None:
+        await _start(mesh, 8)
+        mesh.accept(0)
+        await mesh.until(mesh.converged, 10)
+        # Node 1 is cut off and stays at the first revision.
+        lonely = mesh.nodes[1].context.peer_address
+        mesh.network.cut = lambda one, two: lonely in {one, two}
+        mesh.accept(0)
+        await anyio.sleep(5)
+        mesh.platform.down = True
+        mesh.kill(2)
+        mesh.network.cut = lambda one, two: False
+        mesh.start(2)
+        await mesh.until(mesh.converged, 20)
+        mesh.check()
+
+    _run(scenario)
+
+
+def test_a_frozen_node_declares_nobody_dead() -> None:
+    async def scenario(mesh: SimMesh) -> None:
+        await _start(mesh, 6)
+        mesh.freeze(4)
+        await anyio.sleep(40)
+        assert mesh.nodes[0].status_of('node-4') is MemberStatus.DEAD
+        mesh.thaw(4)
+        await anyio.sleep(0.5)
+        deaths = mesh.nodes[4].counters.sums.get('members_dead', 0)
+        assert deaths == 0
+        await mesh.until(mesh.joined, 30)
+
+    _run(scenario)
+
+
+def test_a_cut_region_is_marked_and_not_forgotten() -> None:
+    async def scenario(mesh: SimMesh) -> None:
+        await _start(mesh, 12, regions=('east', 'west'))
+        east = {
+            node.context.peer_address
+            for node in mesh.nodes.values()
+            if node.context.settings.region == 'east'
+        }
+        mesh.network.cut = lambda one, two: (one in east) != (two in east)
+        await anyio.sleep(120)
+        for node in mesh.nodes.values():
+            assert node.counters.sums.get('members_dead', 0) == 0
+            assert len(node.membership.core.cut_regions()) == 1
+        mesh.platform.down = True
+        mesh.accept(0)
+        await anyio.sleep(10)
+        mesh.network.cut = lambda one, two: False
+        await mesh.until(mesh.converged, 20)
+        await mesh.until(mesh.joined, 20)
+        await mesh.until(
+            lambda: (
+                not any(
+                    node.membership.core.cut_regions()
+                    for node in mesh.nodes.values()
+                )
+            ),
+            30,
+        )
+        mesh.check()
+
+    _run(scenario)
+
+
+def test_a_cut_failure_domain_comes_back() -> None:
+    async def scenario(mesh: SimMesh) -> None:
+        await _start(mesh, 12)
+        apart = {
+            node.context.peer_address
+            for node in mesh.nodes.values()
+            if node.context.settings.failure_domain == 'c'
+        }
+        mesh.network.cut = lambda one, two: (one in apart) != (two in apart)
+        await mesh.until(
+            lambda: mesh.nodes[0].status_of('node-2') is MemberStatus.DEAD, 60
+        )
+        mesh.accept(0)
+        await mesh.until(mesh.converged, 20)
+        mesh.network.cut = lambda one, two: False
+        await mesh.until(mesh.joined, 60)
+        mesh.check()
+
+    _run(scenario)
+
+
+def test_a_corrupt_object_is_fetched_from_a_peer() -> None:
+    async def scenario(mesh: SimMesh) -> None:
+        await _start(mesh, 9)
+        mesh.network.weather = Weather(loss=0.3)
+        mesh.accept(0)
+        mesh.platform.bodies[mesh.digest] = b'corrupt'
+        await mesh.until(mesh.converged, 20)
+        mesh.check()
+        mesh.add(9)
+        await mesh.until(mesh.converged, 20)
+        mesh.check()
+
+    _run(scenario)
+
+
+async def _take_step(mesh: SimMesh, step: str) -> None:
+    _STEPS[step](mesh, mesh.network.random.randrange(_COUNT))
+    await anyio.sleep(mesh.network.random.choice((0.2, 2, 12)))
+
+
+def _accept(mesh: SimMesh, number: int) -> None:
+    able = [key for key, node in mesh.nodes.items() if not node.clock.frozen]
+    if able and not mesh.platform.down:
+        mesh.accept(able[number % len(able)])
+
+
+def _kill(mesh: SimMesh, number: int) -> None:
+    if number in mesh.nodes and len(mesh.nodes) > 3:
+        mesh.kill(number)
+
+
+def _start_again(mesh: SimMesh, number: int) -> None:
+    if number not in mesh.nodes:
+        mesh.start(number)
+
+
+def _freeze(mesh: SimMesh, number: int) -> None:
+    if number in mesh.nodes:
+        mesh.freeze(number)
+
+
+def _thaw(mesh: SimMesh, number: int) -> None:
+    if number in mesh.nodes:
+        mesh.thaw(number)
+
+
+def _cut(mesh: SimMesh, number: int) -> None:
+    apart = {mesh.settings[key].listen.peer for key in range(number)}
+    mesh.network.cut = lambda one, two: (
+        (str(one) in apart) != (str(two) in apart)
+    )
+
+
+def _heal(mesh: SimMesh, number: int) -> None:
+    mesh.network.cut = lambda one, two: False
+
+
+def _set_down(mesh: SimMesh, number: int) -> None:
+    mesh.platform.down = True
+
+
+def _set_up(mesh: SimMesh, number: int) -> None:
+    mesh.platform.down = False
+
+
+def _wait(mesh: SimMesh, number: int) -> None:
+    """Do nothing but let time pass."""
+
+
+_COUNT = 6
+_STEPS = {
+    'accept': _accept,
+    'kill': _kill,
+    'start': _start_again,
+    'freeze': _freeze,
+    'thaw': _thaw,
+    'cut': _cut,
+    'heal': _heal,
+    'down': _set_down,
+    'up': _set_up,
+    'wait': _wait,
+}
+
+
+@settings(
+    max_examples=15,
+    derandomize=True,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+@given(
+    steps=st.lists(st.sampled_from(tuple(_STEPS)), min_size=4, max_size=16),
+    seed=st.integers(0, 1 << 16),
+    loss=st.sampled_from((0, 0.05, 0.3)),
+    double=st.sampled_from((0, 0.3)),
+    delay=st.sampled_from((0.01, 0.2, 0.8)),
+)
+def test_nothing_goes_back_in_any_weather(
+    steps, seed, loss, double, delay
+) -> None:
+    async def scenario(mesh: SimMesh) -> None:
+        await _start(mesh, _COUNT)
+        mesh.network.weather = Weather(loss, double, delay)
+        for step in steps:
+            await _take_step(mesh, step)
+        mesh.network.weather = Weather()
+        _heal(mesh, 0)
+        _set_up(mesh, 0)
+        for number in range(_COUNT):
+            _start_again(mesh, number)
+            mesh.thaw(number)
+        await mesh.until(mesh.converged, 60)
+        await mesh.until(mesh.joined, 120)
+        mesh.check()
+
+    _run(scenario, seed)
