--- a/tests/lib/virtual_time.py
+++ b/tests/lib/virtual_time.py
@@ -29,7 +29,7 @@
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
     def __init__(self) -> None:
         super().__init__()
-        self.moment = 0.0
+        self.moment: float = 0
         self._selector = _Selector(self._selector, self)
         self._clock_resolution = 1e-6
 
