--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/core.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/core.py
@@ -74,6 +74,7 @@
         queue = GossipQueue(counters)
         self._facts = facts
         self._clock = clock
+        self._random = random
         self._read_revision = read_revision
         self._broadcaster = Broadcaster(facts, queue, clock, random, counters)
         self.record = OwnRecord(first, facts, clock, times)
@@ -125,7 +126,9 @@
             logger.info('resumed after a pause', extra={'node': self.own})
             self.detector.resume()
         self.record.expire()
-        self.record.refresh(self._read_revision(), self.roster.live_count)
+        self.record.report(
+            self._read_revision(), self.roster.live_count, self._random
+        )
         self.detector.tick()
         for node in self._tombstones.expire():
             self._forget(node)
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/record.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/record.py
@@ -1,6 +1,7 @@
 """The node's own record."""
 
 import datetime as dt
+from random import Random
 from typing import Any, Final
 
 import msgspec
@@ -16,7 +17,8 @@
 
 _MS: Final = dt.timedelta(milliseconds=1)
 _EPOCH: Final = dt.datetime(1970, 1, 1, tzinfo=dt.UTC)
-_REFRESH_PER_MEMBER: Final = dt.timedelta(milliseconds=500)
+_REPORT_PER_PAIR: Final = dt.timedelta(milliseconds=1)
+_MOST_REPORT: Final = dt.timedelta(minutes=30)
 
 
 def compute_incarnation(clock: Clock) -> int:
@@ -51,7 +53,7 @@
         self._clock = clock
         self._times = times
         self._renewed = clock.elapsed()
-        self._refreshed = clock.elapsed()
+        self._report_at: dt.timedelta | None = None
         self._departed = False
         facts.merge((first,))
 
@@ -81,17 +83,21 @@
         self._change(backend=None)
         return True
 
-    def refresh(self, revision: int, members: int) -> None:
+    def report(self, revision: int, members: int, random: Random) -> None:
         """Enter the revision in force, seldom enough for a large mesh.
 
-        The period grows with the members, so that the mesh as a whole makes
-        a constant number of such changes a second.
+        The longest wait grows with the square of the members up to a bound,
+        and each node waits a random part of it, so that one change of the
+        configuration does not make all nodes change their records at once.
         """
         if revision <= self._fact.applied:
             return
         now = self._clock.elapsed()
-        if now - self._refreshed >= _REFRESH_PER_MEMBER * (members + 1):
-            self._refreshed = now
+        if self._report_at is None:
+            longest = min(_REPORT_PER_PAIR * members * members, _MOST_REPORT)
+            self._report_at = now + longest * random.random()
+        if now >= self._report_at:
+            self._report_at = None
             self._change(applied=revision)
 
     def leave(self) -> None:
