--- /dev/null
+++ b/bench/mesh.py
@@ -0,0 +1,311 @@
+"""Processes that the call benchmarks run: servers, nodes, forwarders.
+
+Run as ``python -m bench.mesh SPEC`` with a specification in JSON.
+"""
+
+import asyncio
+import sys
+from random import Random
+from typing import Final, TypeAlias
+
+import anyio
+import httpcore
+import msgspec
+import uvicorn
+from uvicorn._types import (
+    ASGIReceiveCallable,
+    ASGISendCallable,
+    HTTPScope,
+)
+
+from bluebellslip._internal.calls.framing import build_request_head
+from bluebellslip._internal.calls.plugin import CallsPlugin
+from bluebellslip._internal.calls.pool import ConnectionPool
+from bluebellslip._internal.kernel.clock import SystemClock
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.counters import NullCounters
+from bluebellslip._internal.kernel.services import Membership
+from bluebellslip._internal.models.config import (
+    ClassSpec,
+    ConfigDocument,
+    Preference,
+    RouteSpec,
+    ServiceSpec,
+    SnapshotRecord,
+    TargetSpec,
+)
+from bluebellslip._internal.models.facts import (
+    Backend,
+    MemberFact,
+    MemberStatus,
+)
+from bluebellslip._internal.models.identity import (
+    Address,
+    Locality,
+    NodeId,
+)
+from bluebellslip._internal.models.settings import (
+    ListenSettings,
+    NodeSettings,
+    PlatformSettings,
+)
+from bluebellslip._internal.utils.digests import (
+    compute_digest,
+    decode_snapshot,
+    encode_record,
+)
+
+ANSWER: Final = b'hello'
+_NOWHERE: Final = '127.0.0.9:1'
+
+
+class ServerSpec(msgspec.Struct, tag='server'):
+    """A backend server: slots, and the time that a call holds one."""
+
+    listen: str
+    slots: int = 1000
+    service_ms: float = 0
+
+
+class ForwarderSpec(msgspec.Struct, tag='forwarder'):
+    """uvicorn and a client: ``httpcore`` or ``pool``."""
+
+    listen: str
+    target: str
+    client: str
+    attempts: int = 1
+    try_timeout_s: float = 5
+
+
+class NodeSpec(msgspec.Struct, tag='node'):
+    """A node's call path, without its other plug-ins."""
+
+    name: str
+    egress: str
+    ingress: str
+    backend: Backend | None = None
+    peers: tuple[MemberFact, ...] = ()
+    timeout: str = '5s'
+
+
+Spec: TypeAlias = ServerSpec | ForwarderSpec | NodeSpec
+
+
+def make_document(timeout: str, services: tuple[str, ...]) -> ConfigDocument:
+    """Return a mesh with one class and one route a service."""
+    return ConfigDocument(
+        mesh='bench',
+        preference=Preference.SAFETY,
+        classes=(
+            ClassSpec(
+                name='reads',
+                target=TargetSpec(latency='250ms'),
+                timeout=timeout,
+            ),
+        ),
+        services=tuple(
+            ServiceSpec(name=service, team='bench') for service in services
+        ),
+        routes=tuple(
+            RouteSpec(name=service, service=service, path='/', work='reads')
+            for service in services
+        ),
+    )
+
+
+class FixedMembership:
+    """A server that is announced for good."""
+
+    def __init__(self, backend: Backend | None) -> None:
+        self.own_backend = backend
+        self.draining = False
+
+    def announce(self, backend: Backend) -> None:
+        """Take in an announcement."""
+        self.own_backend = backend
+
+    def leave(self) -> None:
+        """Refuse new work."""
+        self.draining = True
+
+
+def make_context(spec: NodeSpec, document: ConfigDocument) -> Context:
+    """Build a node's state for the benchmarks."""
+    settings = NodeSettings(
+        node=spec.name,
+        mesh='bench',
+        region='north',
+        failure_domain='a',
+        listen=ListenSettings(
+            egress=spec.egress,
+            ingress=spec.ingress,
+            peer=_NOWHERE,
+            admin=_NOWHERE,
+        ),
+        platform=PlatformSettings(
+            table=f'http://{_NOWHERE}', objects=f'http://{_NOWHERE}'
+        ),
+        peer_key='0123456789abcdef',
+    )
+    context = Context.from_settings(
+        settings, SystemClock(), Random(spec.name), NullCounters()
+    )
+    context.ports.provide(Membership, FixedMembership(spec.backend))
+    body = encode_record(
+        SnapshotRecord(revision=1, previous='', document=document)
+    )
+    context.applied.apply(decode_snapshot(body, compute_digest(body)))
+    context.facts.merge(spec.peers)
+    return context
+
+
+def make_member(name: str, ingress: Address, backend: Backend) -> MemberFact:
+    """Return the record of a node beside a server."""
+    return MemberFact(
+        node=NodeId(name),
+        incarnation=1,
+        status=MemberStatus.ALIVE,
+        changed=0,
+        locality=Locality('north', 'a'),
+        peer=Address.from_text(_NOWHERE),
+        ingress=ingress,
+        applied=1,
+        backend=backend,
+    )
+
+
+class ServerApp:
+    """An ASGI server that answers after its service time."""
+
+    def __init__(self, spec: ServerSpec) -> None:
+        self._slots = asyncio.Semaphore(spec.slots)
+        self._service_s = spec.service_ms / 1000
+
+    async def __call__(
+        self,
+        scope: HTTPScope,
+        receive: ASGIReceiveCallable,
+        send: ASGISendCallable,
+    ) -> None:
+        """Answer one request; waits for a slot without bound."""
+        if self._service_s:
+            async with self._slots:
+                await asyncio.sleep(self._service_s)
+        await send_answer(send, 200, ANSWER)
+
+
+class ForwarderApp:
+    """An ASGI forwarder with plain retries and no admission."""
+
+    def __init__(self, spec: ForwarderSpec) -> None:
+        self._spec = spec
+        self._address = Address.from_text(spec.target)
+        self._pool = ConnectionPool(NullCounters())
+        self._core = httpcore.AsyncConnectionPool(
+            max_connections=1000, max_keepalive_connections=100
+        )
+
+    async def __call__(
+        self,
+        scope: HTTPScope,
+        receive: ASGIReceiveCallable,
+        send: ASGISendCallable,
+    ) -> None:
+        """Pass one request on."""
+        ask = self._ask_core if self._spec.client == 'httpcore' else self._ask
+        for _ in range(self._spec.attempts):
+            try:
+                async with asyncio.timeout(self._spec.try_timeout_s):
+                    body = await ask(scope)
+            except (TimeoutError, httpcore.NetworkError):
+                continue
+            await send_answer(send, 200, body)
+            return
+        await send_answer(send, 504, b'')
+
+    async def _ask_core(self, scope: HTTPScope) -> bytes:
+        path = scope['path']
+        answer = await self._core.request(
+            scope['method'],
+            f'http://{self._spec.target}{path}',
+            headers=list(scope['headers']),
+        )
+        return answer.content
+
+    async def _ask(self, scope: HTTPScope) -> bytes:
+        connection = await self._pool.acquire(self._address)
+        try:
+            connection.begin(
+                build_request_head(
+                    scope['method'].encode(),
+                    scope['raw_path'],
+                    list(scope['headers']),
+                ),
+                headless=False,
+                whole=True,
+            )
+            await connection.response()
+            return await connection.body.read_all()
+        finally:
+            self._pool.release(self._address, connection)
+
+
+async def send_answer(
+    send: ASGISendCallable, status: int, body: bytes
+) -> None:
+    """Send a whole answer."""
+    await send({
+        'type': 'http.response.start',
+        'status': status,
+        'headers': [(b'content-length', b'%d' % len(body))],
+        'trailers': False,
+    })
+    await send({
+        'type': 'http.response.body',
+        'body': body,
+        'more_body': False,
+    })
+
+
+async def serve_app(app: ServerApp | ForwarderApp, listen: str) -> None:
+    """Serve by uvicorn until killed."""
+    address = Address.from_text(listen)
+    config = uvicorn.Config(
+        app,  # type: ignore[arg-type]
+        host=address.host,
+        port=address.port,
+        loop='asyncio',
+        http='httptools',
+        lifespan='off',
+        access_log=False,
+        log_level='warning',
+        backlog=4096,
+    )
+    await uvicorn.Server(config).serve()
+
+
+async def run_plugin(spec: NodeSpec) -> None:
+    """Serve calls until killed."""
+    document = make_document(spec.timeout, ('orders',))
+    plugin = CallsPlugin.from_context(make_context(spec, document))
+    async with anyio.create_task_group() as group:
+        await group.start(plugin.run)
+
+
+async def run_spec(spec: Spec) -> None:
+    """Run what a specification describes."""
+    if isinstance(spec, ServerSpec):
+        await serve_app(ServerApp(spec), spec.listen)
+    elif isinstance(spec, ForwarderSpec):
+        await serve_app(ForwarderApp(spec), spec.listen)
+    else:
+        await run_plugin(spec)
+
+
+def main() -> None:
+    """Run the process that the argument describes."""
+    anyio.run(run_spec, msgspec.json.decode(sys.argv[1], type=Spec))
+
+
+if __name__ == '__main__':
+    main()
