--- a/bench/calls.py
+++ b/bench/calls.py
@@ -160,9 +160,7 @@
         for way in WAYS:
             client = clients[way.name]
             before = sum(read_cpu(pids[name]) for name in way.processes)
-            times[way.name].extend(
-                client.call() for _ in range(CALLS_A_ROUND)
-            )
+            times[way.name].extend(client.call() for _ in range(CALLS_A_ROUND))
             after = sum(read_cpu(pids[name]) for name in way.processes)
             spent[way.name] += after - before
     figures = {name: summarise(found) for name, found in times.items()}
@@ -202,7 +200,8 @@
     for name, found in figures.items():
         cells = [f'{found[key]:7.3f}' for key in ('p50', 'p99', 'p99.9')]
         added = [
-            f'{found[key] - direct[key]:7.3f}' for key in ('p50', 'p99', 'p99.9')
+            f'{found[key] - direct[key]:7.3f}'
+            for key in ('p50', 'p99', 'p99.9')
         ]
         cpu = f'{found["cpu_us"]:7.0f} us' if 'cpu_us' in found else ''
         print(f'{name:24}', *cells, '  added', *added, cpu)
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -250,9 +250,7 @@
             self._pool.release(self._address, connection)
 
 
-async def send_answer(
-    send: ASGISendCallable, status: int, body: bytes
-) -> None:
+async def send_answer(send: ASGISendCallable, status: int, body: bytes) -> None:
     """Send a whole answer."""
     await send({
         'type': 'http.response.start',
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/call.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/call.py
@@ -28,13 +28,14 @@
 class Call:
     """What the nodes on both sides need to know of a request.
 
-    ``deadline`` is on the node's monotonic clock. ``key`` is the idempotency
+    ``begun`` and ``deadline`` are on the node's monotonic clock. ``key`` is the idempotency
     key; once-only work always has one.
     """
 
     request: InboundRequest
     service: ServiceName
     route: Route
+    begun: dt.timedelta
     deadline: dt.timedelta
     depth: int
     key: str
@@ -60,7 +61,9 @@
     snapshot = context.applied.current
     if snapshot is None:
         raise NotReadyError('The node holds no configuration yet.')
-    service = _find_service(snapshot, names.read_host(request.headers))
+    service = _find_service(
+        snapshot, names.read_host(request.headers, request.fields)
+    )
     path = read_path(request.target)
     route = snapshot.match(service, request.method.decode('latin-1'), path)
     if route is None:
@@ -69,12 +72,14 @@
             context={'service': service, 'path': path},
             hint='Declare a route for it, or correct the path.',
         )
+    begun = context.clock.elapsed()
     call = Call(
         request=request,
         service=service,
         route=route,
-        deadline=context.clock.elapsed() + _read_timeout(request, route),
-        depth=names.read_number(request.headers, names.DEPTH) or 0,
+        begun=begun,
+        deadline=begun + _read_timeout(request, route),
+        depth=names.read_number(request.fields, names.DEPTH) or 0,
         key=_read_key(request),
     )
     _check(call)
@@ -116,7 +121,7 @@
             hint='Look for services that call each other in a circle.',
         )
     limit = call.route.work.max_body_bytes
-    length = names.read_number(call.request.headers, names.CONTENT_LENGTH)
+    length = names.read_number(call.request.fields, names.CONTENT_LENGTH)
     if length is not None and length > limit:
         raise TooLargeError(
             'The body is larger than its class of work allows.',
@@ -134,7 +139,7 @@
 
 
 def _read_timeout(request: InboundRequest, route: Route) -> dt.timedelta:
-    told = names.read_number(request.headers, names.TIMEOUT_MS)
+    told = names.read_number(request.fields, names.TIMEOUT_MS)
     if told is None:
         return route.work.timeout
     limit = int(route.work.timeout / dt.timedelta(milliseconds=1))
@@ -142,7 +147,9 @@
 
 
 def _read_key(request: InboundRequest) -> str:
-    text = names.find_header(request.headers, names.IDEMPOTENCY_KEY) or b''
+    text = request.fields.get(names.IDEMPOTENCY_KEY)
+    if text is None:
+        return ''
     key = text.decode('latin-1')
     if len(key) > MAX_KEY_BYTES or not (key.isascii() and key.isprintable()):
         raise MalformedError(
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/choice.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/choice.py
@@ -71,8 +71,8 @@
         The own failure domain is preferred while its choice has room, then
         the own region.
         """
-        if not candidates:
-            return None
+        if len(candidates) < 2:
+            return candidates[0] if candidates else None
         now = self._clock.elapsed()
         healthy = self._leave_out_ejected(candidates, now)
         best: Endpoint | None = None
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/egress.py
@@ -3,7 +3,7 @@
 import dataclasses
 import datetime as dt
 from collections import defaultdict
-from collections.abc import Collection
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final, Self
 
 from bluebellslip._internal.calls import headers as names
@@ -83,6 +83,15 @@
     tried: set[NodeId] = dataclasses.field(default_factory=set)
     stopped: set[VersionName] = dataclasses.field(default_factory=set)
 
+    def leave_out(self, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
+        """Return the endpoints that may still be asked."""
+        return [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.node not in self.tried
+            and endpoint.backend.version not in self.stopped
+        ]
+
 
 class EgressHandler:
     """Answers calls by asking a server of the service that they name.
@@ -119,8 +128,7 @@
         if self._closed:
             raise DrainingError('The node is leaving.')
         call = open_call(self._context, request)
-        left = call.remaining(self._context.clock.elapsed())
-        request.expire_after(left.total_seconds())
+        request.expire_after(call.remaining(call.begun).total_seconds())
         with self.in_flight:
             await self._forward(call)
 
@@ -143,18 +151,17 @@
         split = self._context.moves.split(call.service)
         if split is None:
             return False
-        sticky = names.find_header(call.request.headers, names.STICKY)
+        sticky = call.request.fields.get(names.STICKY)
         key = sticky or call.key.encode() or None
         return choose_side(split, key, self._context.random)
 
     def _choose(self, call: Call, progress: _Progress) -> Endpoint:
         split = self._context.moves.split(call.service)
-        endpoints = [
-            endpoint
-            for endpoint in self._context.directory.endpoints(call.service)
-            if endpoint.node not in progress.tried
-            and endpoint.backend.version not in progress.stopped
-        ]
+        endpoints: Sequence[Endpoint] = self._context.directory.endpoints(
+            call.service
+        )
+        if progress.tried:
+            endpoints = progress.leave_out(endpoints)
         chosen = self._balancer.pick(
             select_candidates(endpoints, split, wants_new=progress.wants_new)
         )
@@ -199,7 +206,7 @@
             call.request, self._make_headers(call), progress.upload
         )
         watch.see(head)
-        if names.find_header(head.headers, names.ERROR) is None:
+        if names.ERROR not in head.fields:
             await relay_answer(call.request, head, exchange.connection)
             return None
         body = exchange.connection.body
@@ -209,7 +216,7 @@
         return _Refused(
             error,
             watch.endpoint,
-            not_run=names.find_header(head.headers, names.NOT_RUN) is not None,
+            not_run=names.NOT_RUN in head.fields,
         )
 
     def _make_headers(self, call: Call) -> list[Header]:
@@ -270,7 +277,7 @@
     def see(self, head: ResponseHead) -> None:
         """Take in an answer's status and load."""
         self._failed = head.status >= _SERVER_ERROR
-        load = names.find_header(head.headers, names.LOAD)
+        load = head.fields.get(names.LOAD)
         if load is not None and load.isdigit():
             self._balancer.hint(self.endpoint, int(load) / _PERCENT)
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
@@ -104,7 +104,7 @@
         self, request: InboundRequest, headers: list[Header], body: bytes
     ) -> ResponseHead:
         """Send a request whose body is at hand; errors as of ``send``."""
-        if body or names.find_header(request.headers, names.CONTENT_LENGTH):
+        if body or names.CONTENT_LENGTH in request.fields:
             headers.append((names.CONTENT_LENGTH, b'%d' % len(body)))
         head = build_request_head(request.method, request.target, headers)
         self.connection.begin(
@@ -137,7 +137,7 @@
         headers: list[Header],
         upload: Upload,
     ) -> None:
-        length = names.find_header(request.headers, names.CONTENT_LENGTH)
+        length = request.fields.get(names.CONTENT_LENGTH)
         if length is None:
             headers.append((names.TRANSFER_ENCODING, b'chunked'))
         else:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/headers.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/headers.py
@@ -1,6 +1,6 @@
 """Names of headers, and what of a message's head is passed on."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Final, TypeAlias
 
 from bluebellslip._internal.exceptions import MalformedError
@@ -37,15 +37,7 @@
 _REPLACED_IN_REQUEST: Final = _HOP_BY_HOP | {TIMEOUT_MS, DEPTH}
 
 
-def find_header(headers: Iterable[Header], name: bytes) -> bytes | None:
-    """Return the first value of a header; names are in lower case."""
-    for known, text in headers:
-        if known == name:
-            return text
-    return None
-
-
-def read_number(headers: Iterable[Header], name: bytes) -> int | None:
+def read_number(fields: Mapping[bytes, bytes], name: bytes) -> int | None:
     """Return a header as a whole number.
 
     Raises
@@ -53,7 +45,7 @@
     MalformedError
         When the header holds anything but digits.
     """
-    text = find_header(headers, name)
+    text = fields.get(name)
     if text is None:
         return None
     if not text.isdigit():
@@ -64,22 +56,24 @@
     return int(text)
 
 
-def read_host(headers: Iterable[Header]) -> str:
+def read_host(headers: Sequence[Header], fields: Mapping[bytes, bytes]) -> str:
     """Return the name in the Host header, without a port.
 
+    ``fields`` are the same headers by name, which keeps one of each.
+
     Raises
     ------
     MalformedError
         When there is not exactly one Host header.
     """
-    hosts = [text for known, text in headers if known == HOST]
-    if len(hosts) != 1:
+    host = fields.get(HOST)
+    doubled = len(fields) != len(headers) and _count_hosts(headers) > 1
+    if host is None or doubled:
         raise MalformedError(
             'A request needs exactly one Host header.',
-            context={'found': str(len(hosts))},
             hint='Name the service in it, as in "orders" or "orders.mesh".',
         )
-    return hosts[0].decode('latin-1').partition(':')[0].lower()
+    return host.decode('latin-1').partition(':')[0].lower()
 
 
 def pass_request_headers(headers: Iterable[Header]) -> list[Header]:
@@ -101,3 +95,7 @@
         if header[0] not in _HOP_BY_HOP
         and not header[0].startswith(_OWN_PREFIX)
     ]
+
+
+def _count_hosts(headers: Iterable[Header]) -> int:
+    return sum(1 for name, _ in headers if name == HOST)
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/ingress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/ingress.py
@@ -76,8 +76,7 @@
         """Answer a request; errors raised become answers."""
         call = open_call(self._context, request)
         backend = self._find_backend(call)
-        left = call.remaining(self._context.clock.elapsed())
-        request.expire_after(left.total_seconds())
+        request.expire_after(call.remaining(call.begun).total_seconds())
         with self.in_flight:
             await self._admit(call, backend)
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
@@ -13,12 +13,14 @@
 class InboundRequest:
     """One request, and the reply to it.
 
-    ``expired`` tells that the call's time ran out before its reply ended.
+    ``fields`` are the headers by name, for look-ups; of a name that stands
+    twice they keep one. ``expired`` tells that the call's time ran out before its reply ended.
     """
 
     method: bytes
     target: bytes
     headers: list[Header]
+    fields: dict[bytes, bytes]
     body: ReadBuffer
     reply: Reply
     expired: bool = False
@@ -46,8 +48,7 @@
 
     def invite_body(self) -> None:
         """Tell a caller that waits for it to send the body."""
-        expects = names.find_header(self.headers, names.EXPECT)
-        if expects is not None and not self.body.complete:
+        if names.EXPECT in self.fields and not self.body.complete:
             self.reply.invite_body()
 
     def _expire(self) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
@@ -23,6 +23,7 @@
 MAX_HEAD_BYTES: Final = 32 * 1024
 MAX_HEADERS: Final = 128
 _HEAD: Final = b'HEAD'
+_NOTHING: Final = b'0'
 
 
 class RequestReader:
@@ -103,10 +104,12 @@
     def on_headers_complete(self) -> None:
         """Hand the request over."""
         method = self._parser.get_method()
+        fields = dict(self._headers)
         request = InboundRequest(
             method=method,
             target=self._target,
             headers=self._headers,
+            fields=fields,
             body=ReadBuffer(self._transport),
             reply=Reply(
                 self._transport,
@@ -119,7 +122,7 @@
         )
         self._current = request
         self._raw_size = 0
-        if not _has_body(request.headers):
+        if not _has_body(fields):
             request.body.finish()
         self._on_request(request)
 
@@ -157,11 +160,10 @@
     )
 
 
-def _has_body(headers: list[Header]) -> bool:
-    return any(
-        name == TRANSFER_ENCODING or (name == CONTENT_LENGTH and text != b'0')
-        for name, text in headers
-    )
+def _has_body(fields: dict[bytes, bytes]) -> bool:
+    if TRANSFER_ENCODING in fields:
+        return True
+    return fields.get(CONTENT_LENGTH, _NOTHING) != _NOTHING
 
 
 def _find_cause(error: BaseException) -> BluebellError:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
@@ -20,13 +20,14 @@
 
 @dataclasses.dataclass(slots=True)
 class ResponseHead:
-    """Status and headers of an answer.
+    """Status and headers of an answer; ``fields`` are those by name.
 
     ``length`` is none where the answer's end is marked otherwise.
     """
 
     status: int
     headers: list[Header]
+    fields: dict[bytes, bytes]
     length: int | None
 
 
@@ -117,9 +118,10 @@
         status = self._parser.get_status_code()
         if status < _INFORMATIONAL_END or self.answered:
             return
-        self._until_close = _ends_at_close(self._headers)
+        head = _make_head(status, self._headers)
+        self._until_close = _ends_at_close(head)
         if self._answer is not None and not self._answer.done():
-            self._answer.set_result(_make_head(status, self._headers))
+            self._answer.set_result(head)
         if self._headless:
             self.usable = False
             self._finish()
@@ -144,14 +146,12 @@
 
 
 def _make_head(status: int, headers: list[Header]) -> ResponseHead:
-    length = None
-    for name, text in headers:
-        if name == CONTENT_LENGTH and text.isdigit():
-            length = int(text)
-    return ResponseHead(status, headers, length)
+    fields = dict(headers)
+    length = fields.get(CONTENT_LENGTH)
+    if length is None or not length.isdigit():
+        return ResponseHead(status, headers, fields, None)
+    return ResponseHead(status, headers, fields, int(length))
 
 
-def _ends_at_close(headers: list[Header]) -> bool:
-    return not any(
-        name in {CONTENT_LENGTH, TRANSFER_ENCODING} for name, _ in headers
-    )
+def _ends_at_close(head: ResponseHead) -> bool:
+    return head.length is None and TRANSFER_ENCODING not in head.fields
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/versions.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/versions.py
@@ -28,14 +28,14 @@
     split: VersionSplit | None,
     *,
     wants_new: bool,
-) -> list[Endpoint]:
+) -> Sequence[Endpoint]:
     """Return the endpoints of the version that a call goes to.
 
     Where that version has no server, those of the others serve, but never
     those of a version that was stopped.
     """
     if split is None:
-        return list(endpoints)
+        return endpoints
     news = [one for one in endpoints if one.backend.version == split.new]
     others = [one for one in endpoints if one.backend.version != split.new]
     if wants_new and news:
