Measure hops, overload and amplification

bench.calls takes direct calls, one and two hops, uvicorn before the same pooled connections and uvicorn before an httpcore pool in turns of one run; bench.overload offers 0.5 to 3 times the capacity to the mesh and to a forwarder without admission that retries plainly; bench.amplification runs a chain of sixteen layers of which the eighth breaks every call off.

The queue before the slots holds two requests a slot instead of one: at 0.8 times the capacity 11 of 246 calls a second were refused before, 1 after.

--- /dev/null
+++ b/bench/amplification.py
@@ -0,0 +1,178 @@
+"""Requests that one failing layer causes in a chain of sixteen.
+
+Every layer has two servers with a node each, all in one process. Run as
+``python -m bench.amplification``.
+"""
+
+import asyncio
+import contextlib
+from collections import Counter
+from collections.abc import AsyncGenerator
+from typing import Final
+
+import anyio
+
+from bench.mesh import NodeSpec, make_context, make_document, make_member
+from bluebellslip._internal.calls.exchange import Exchange
+from bluebellslip._internal.calls.listener import Listener
+from bluebellslip._internal.calls.plugin import CallsPlugin
+from bluebellslip._internal.calls.pool import ConnectionPool
+from bluebellslip._internal.calls.request import InboundRequest
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    ServerFailedError,
+)
+from bluebellslip._internal.kernel.counters import NullCounters
+from bluebellslip._internal.models.facts import Backend, MemberFact
+from bluebellslip._internal.models.identity import (
+    Address,
+    ServiceName,
+    VersionName,
+)
+
+DEPTH: Final = 16
+FAILING: Final = 8
+CALLS: Final = 400
+ATTEMPTS: Final = 3
+GOAL: Final = 1.2
+_HOST: Final = '127.0.0.43'
+_FIRST_PORT: Final = 24000
+_PORTS_A_NODE: Final = 3
+_BAD_GATEWAY: Final = 502
+_OK: Final = 200
+
+
+class LayerApp:
+    """A server that asks the next layer before it answers."""
+
+    def __init__(
+        self, layer: int, egress: Address, arrivals: Counter[int]
+    ) -> None:
+        self._layer = layer
+        self._egress = egress
+        self._arrivals = arrivals
+        self._pool = ConnectionPool(NullCounters())
+
+    async def handle(self, request: InboundRequest) -> None:
+        """Answer one request, or break its connection off."""
+        self._arrivals[self._layer] += 1
+        if self._layer == FAILING:
+            request.reply.start(_OK, [], 1)
+            raise ServerFailedError('This layer fails.')
+        status = _OK
+        if self._layer < DEPTH:
+            status = await ask(
+                self._pool, self._egress, self._layer + 1, request
+            )
+        request.reply.respond(status, [], b'')
+
+
+async def ask(
+    pool: ConnectionPool,
+    egress: Address,
+    layer: int,
+    request: InboundRequest | None = None,
+) -> int:
+    """Call a layer's service through a node; return the status."""
+    depth = b'0'
+    if request is not None:
+        depth = request.fields[b'bluebell-depth']
+    with Exchange(pool, egress) as exchange:
+        await exchange.open()
+        exchange.connection.begin(
+            b'GET /x HTTP/1.1\r\nhost: s%d\r\nbluebell-depth: %b\r\n\r\n'
+            % (layer, depth),
+            headless=False,
+            whole=True,
+        )
+        try:
+            head = await exchange.connection.response()
+            await exchange.connection.body.read_all()
+        except BluebellError:
+            return _BAD_GATEWAY
+        return head.status
+
+
+def make_node(layer: int, copy: int) -> tuple[NodeSpec, MemberFact]:
+    """Return a node beside one of a layer's servers."""
+    port = _FIRST_PORT + _PORTS_A_NODE * (layer * 2 + copy)
+    backend = Backend(
+        ServiceName(f's{layer}'),
+        VersionName('v1'),
+        Address(_HOST, port),
+        slots=64,
+        connections=120,
+    )
+    name = f'n{layer}-{copy}'
+    spec = NodeSpec(name, f'{_HOST}:{port + 1}', f'{_HOST}:{port + 2}', backend)
+    return spec, make_member(name, Address(_HOST, port + 2), backend)
+
+
+@contextlib.asynccontextmanager
+async def running_chain(
+    arrivals: Counter[int],
+) -> AsyncGenerator[Address, None]:
+    """Run all layers; yield where the first one is called."""
+    nodes = [
+        make_node(layer, copy)
+        for layer in range(DEPTH + 1)
+        for copy in range(2)
+    ]
+    members = tuple(member for _, member in nodes)
+    services = tuple(f's{layer}' for layer in range(DEPTH + 1))
+    document = make_document('5s', services)
+    async with anyio.create_task_group() as group:
+        for index, (spec, member) in enumerate(nodes):
+            context = make_context(spec, document)
+            context.facts.merge(members)
+            await group.start(CallsPlugin.from_context(context).run)
+            egress = Address.from_text(spec.egress)
+            app = LayerApp(index // 2, egress, arrivals)
+            address = member.backend.address if member.backend else egress
+            await Listener(address, app, NullCounters()).open()
+        try:
+            yield Address.from_text(nodes[0][0].egress)
+        finally:
+            group.cancel_scope.cancel()
+
+
+async def count_arrivals() -> Counter[int]:
+    """Call the first layer, and count what reaches each."""
+    arrivals: Counter[int] = Counter()
+    pool = ConnectionPool(NullCounters())
+    async with running_chain(arrivals) as egress:
+        for _ in range(CALLS):
+            await ask(pool, egress, 1)
+    return arrivals
+
+
+def count_plain(layer: int, arrivals: Counter[int]) -> bool:
+    """Walk the chain with plain retries at every layer."""
+    arrivals[layer] += 1
+    if layer == FAILING:
+        return False
+    return any(count_plain(layer + 1, arrivals) for _ in range(ATTEMPTS))
+
+
+def measure_amplification() -> dict[str, float]:
+    """Measure and print."""
+    arrivals = asyncio.run(count_arrivals())
+    plain: Counter[int] = Counter()
+    count_plain(1, plain)
+    reached = range(1, FAILING + 1)
+    figures = {
+        'calls': CALLS,
+        'all_layers': sum(arrivals[layer] for layer in reached)
+        / (CALLS * FAILING),
+        'failing_layer': arrivals[FAILING] / CALLS,
+        'plain_failing_layer': float(plain[FAILING]),
+    }
+    print(f'\namplification, {DEPTH} deep, layer {FAILING} fails')
+    for name, figure in figures.items():
+        print(f'{name:20} {figure:8.2f}')
+    print(f'goal at the failing layer: {GOAL}')
+    return figures
+
+
+if __name__ == '__main__':
+    measure_amplification()
--- a/bench/calls.py
+++ b/bench/calls.py
@@ -4,18 +4,16 @@
 machine. Run as ``python -m bench.calls``.
 """
 
-import contextlib
 import dataclasses
+import os
 import socket
-import subprocess
-import sys
 import time
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Final
 
 import msgspec
 
+from bench.amplification import measure_amplification
 from bench.mesh import (
     ANSWER,
     ForwarderSpec,
@@ -24,6 +22,8 @@
     Spec,
     make_member,
 )
+from bench.overload import measure_overload
+from bench.processes import HOST, at, read_cpu, running, wait_for
 from bluebellslip._internal.models.facts import Backend
 from bluebellslip._internal.models.identity import (
     Address,
@@ -31,7 +31,6 @@
     VersionName,
 )
 
-HOST: Final = '127.0.0.42'
 RESULTS: Final = Path('build/bench/calls.json')
 ROUNDS: Final = 20
 CALLS_A_ROUND: Final = 300
@@ -79,11 +78,6 @@
         return time.perf_counter() - begun
 
 
-def at(port: int) -> str:
-    """Return an address of the benchmark as text."""
-    return f'{HOST}:{port}'
-
-
 def make_specs() -> dict[str, Spec]:
     """Return the processes by name."""
     backend = Backend(
@@ -105,43 +99,6 @@
     }
 
 
-@contextlib.contextmanager
-def running(specs: dict[str, Spec]) -> Iterator[dict[str, int]]:
-    """Run processes and yield their ids by name."""
-    started = {
-        name: subprocess.Popen([
-            sys.executable,
-            '-m',
-            'bench.mesh',
-            msgspec.json.encode(spec).decode(),
-        ])
-        for name, spec in specs.items()
-    }
-    try:
-        yield {name: process.pid for name, process in started.items()}
-    finally:
-        for process in started.values():
-            process.terminate()
-        for ended in started.values():
-            ended.wait()
-
-
-def wait_for(port: int) -> None:
-    """Return when something listens at a port."""
-    for _ in range(200):
-        with contextlib.suppress(OSError):
-            socket.create_connection((HOST, port)).close()
-            return
-        time.sleep(0.05)
-    raise TimeoutError(f'nothing listens at {port}')
-
-
-def read_cpu(pid: int) -> float:
-    """Return the seconds that a process ran."""
-    text = Path(f'/proc/{pid}/schedstat').read_text(encoding='ascii')
-    return int(text.split()[0]) / 1e9
-
-
 def find_quantile(times: list[float], share: float) -> float:
     """Return a quantile in milliseconds."""
     ordered = sorted(times)
@@ -152,10 +109,10 @@
     """Call as fast as answers come, the ways in turn."""
     clients = {way.name: Client(way.port) for way in WAYS}
     times: dict[str, list[float]] = {way.name: [] for way in WAYS}
-    spent = dict.fromkeys(times, 0.0)
-    for client in clients.values():
+    spent: dict[str, float] = dict.fromkeys(times, 0)
+    for warmed in clients.values():
         for _ in range(CALLS_A_ROUND):
-            client.call()
+            warmed.call()
     for _ in range(ROUNDS):
         for way in WAYS:
             client = clients[way.name]
@@ -207,8 +164,8 @@
         print(f'{name:24}', *cells, '  added', *added, cpu)
 
 
-def main() -> None:
-    """Measure and report."""
+def measure_latency() -> dict[str, dict[str, dict[str, float]]]:
+    """Measure what hops add, serially and at rates."""
     with running(make_specs()) as pids:
         for way in WAYS:
             wait_for(way.port)
@@ -220,6 +177,17 @@
     serial = report['serial']
     added = serial['two hops']['p99'] - serial['direct']['p99']
     print(f'\nadded at p99 over two hops: {added:.3f} ms, limit {LIMIT_MS}')
+    return report
+
+
+def main() -> None:
+    """Measure and report."""
+    report = {
+        'load_average': os.getloadavg(),
+        'latency': measure_latency(),
+        'overload': measure_overload(),
+        'amplification': measure_amplification(),
+    }
     RESULTS.parent.mkdir(parents=True, exist_ok=True)
     RESULTS.write_bytes(msgspec.json.format(msgspec.json.encode(report)))
 
--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -18,9 +18,11 @@
     HTTPScope,
 )
 
+from bluebellslip._internal.calls.exchange import Exchange
 from bluebellslip._internal.calls.framing import build_request_head
 from bluebellslip._internal.calls.plugin import CallsPlugin
 from bluebellslip._internal.calls.pool import ConnectionPool
+from bluebellslip._internal.exceptions import BluebellError
 from bluebellslip._internal.kernel.clock import SystemClock
 from bluebellslip._internal.kernel.context import Context
 from bluebellslip._internal.kernel.counters import NullCounters
@@ -187,12 +189,27 @@
         receive: ASGIReceiveCallable,
         send: ASGISendCallable,
     ) -> None:
-        """Answer one request; waits for a slot without bound."""
+        """Answer one request, unless its caller goes away."""
         if self._service_s:
-            async with self._slots:
-                await asyncio.sleep(self._service_s)
+            work = asyncio.create_task(self._work())
+            gone = asyncio.create_task(self._await_disconnect(receive))
+            await asyncio.wait(
+                (work, gone), return_when=asyncio.FIRST_COMPLETED
+            )
+            work.cancel()
+            gone.cancel()
         await send_answer(send, 200, ANSWER)
 
+    async def _work(self) -> None:
+        """Hold a slot for the service time; waits for it without bound."""
+        async with self._slots:
+            await asyncio.sleep(self._service_s)
+
+    async def _await_disconnect(self, receive: ASGIReceiveCallable) -> None:
+        kind = ''
+        while kind != 'http.disconnect':
+            kind = (await receive())['type']
+
 
 class ForwarderApp:
     """An ASGI forwarder with plain retries and no admission."""
@@ -217,7 +234,7 @@
             try:
                 async with asyncio.timeout(self._spec.try_timeout_s):
                     body = await ask(scope)
-            except (TimeoutError, httpcore.NetworkError):
+            except (TimeoutError, httpcore.NetworkError, BluebellError):
                 continue
             await send_answer(send, 200, body)
             return
@@ -233,9 +250,9 @@
         return answer.content
 
     async def _ask(self, scope: HTTPScope) -> bytes:
-        connection = await self._pool.acquire(self._address)
-        try:
-            connection.begin(
+        with Exchange(self._pool, self._address) as exchange:
+            await exchange.open()
+            exchange.connection.begin(
                 build_request_head(
                     scope['method'].encode(),
                     scope['raw_path'],
@@ -244,10 +261,8 @@
                 headless=False,
                 whole=True,
             )
-            await connection.response()
-            return await connection.body.read_all()
-        finally:
-            self._pool.release(self._address, connection)
+            await exchange.connection.response()
+            return await exchange.connection.body.read_all()
 
 
 async def send_answer(send: ASGISendCallable, status: int, body: bytes) -> None:
@@ -269,7 +284,7 @@
     """Serve by uvicorn until killed."""
     address = Address.from_text(listen)
     config = uvicorn.Config(
-        app,  # type: ignore[arg-type]
+        app,
         host=address.host,
         port=address.port,
         loop='asyncio',
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/admission.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/admission.py
@@ -14,7 +14,7 @@
 
 from bluebellslip._internal.kernel.clock import Clock
 
-QUEUE_PER_SLOT: Final = 1.0
+QUEUE_PER_SLOT: Final = 2.0
 MAX_WAIT: Final = dt.timedelta(milliseconds=500)
 _INITIAL_SERVICE: Final = dt.timedelta(milliseconds=5)
 _SMOOTHING: Final = 0.1
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/call.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/call.py
@@ -28,8 +28,8 @@
 class Call:
     """What the nodes on both sides need to know of a request.
 
-    ``begun`` and ``deadline`` are on the node's monotonic clock. ``key`` is the idempotency
-    key; once-only work always has one.
+    ``begun`` and ``deadline`` are on the node's monotonic clock. ``key`` is
+    the idempotency key; once-only work always has one.
     """
 
     request: InboundRequest
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
@@ -14,7 +14,8 @@
     """One request, and the reply to it.
 
     ``fields`` are the headers by name, for look-ups; of a name that stands
-    twice they keep one. ``expired`` tells that the call's time ran out before its reply ended.
+    twice they keep one. ``expired`` tells that the call's time ran out
+    before its reply ended.
     """
 
     method: bytes
