Watch a version after it is done, and measure moves

Cause: a version may go bad after all calls went to it, when nothing stands side by side any more; and the policy's worth had not been measured.

Ruled out: taking back by the version's own history, since a common overload looks alike; withdrawing a move that was said to be done.

Change: a version that is done is compared with its own earlier behaviour by cumulative sums. An alarm begins a move back of its own name, which sends a quarter of the calls to the version before and compares both; it is done or withdrawn by the same tests. Doubt holds the share while there is time.

--- /dev/null
+++ b/bench/moves_fakes.py
@@ -0,0 +1,189 @@
+"""Fakes at the interfaces of the moves plug-in, without waiting."""
+
+from collections.abc import Coroutine
+from random import Random
+from typing import Final, TypeVar
+
+from expression import Error, Ok, Result
+
+from bluebellslip._internal.exceptions import (
+    PlatformDownError,
+    PlatformUnknownError,
+)
+from bluebellslip._internal.kernel.clock import Clock
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.counters import NullCounters
+from bluebellslip._internal.kernel.ports import (
+    Committed,
+    Refused,
+    Row,
+    Transaction,
+)
+from bluebellslip._internal.models.config import (
+    ConfigDocument,
+    Preference,
+    ServiceSpec,
+    SnapshotRecord,
+)
+from bluebellslip._internal.models.facts import (
+    Backend,
+    MemberFact,
+    MemberStatus,
+)
+from bluebellslip._internal.models.identity import (
+    Address,
+    Locality,
+    NodeId,
+    ServiceName,
+    VersionName,
+)
+from bluebellslip._internal.models.move_rows import MoveRow, decode_move
+from bluebellslip._internal.models.settings import (
+    ListenSettings,
+    NodeSettings,
+    PlatformSettings,
+)
+from bluebellslip._internal.models.snapshot import Snapshot
+from bluebellslip._internal.moves.windows import Window
+
+SERVICE: Final = ServiceName('service')
+OLD: Final = VersionName('v1')
+NEW: Final = VersionName('v2')
+_ADDRESS: Final = '127.0.0.1:25900'
+_PLATFORM: Final = 'http://127.0.0.1:25901'
+
+_Answer = TypeVar('_Answer')
+
+
+class RunTable:
+    """A table in memory that can be down or lose its answers."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.down = False
+        self.loses = False
+        self.history: list[MoveRow] = []
+
+    async def read(self, key: str) -> Row | None:
+        """Return a row."""
+        if self.down:
+            raise PlatformDownError('down')
+        return self.rows.get(key)
+
+    async def scan(self, prefix: str, limit: int) -> tuple[Row, ...]:
+        """Return nothing: no move needs it."""
+        return ()
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[Committed, Refused]:
+        """Apply a transaction."""
+        if self.down:
+            raise PlatformDownError('down')
+        for condition in transaction.conditions:
+            found = self.rows.get(condition.key)
+            version = 0 if found is None else found.version
+            if version != condition.version:
+                return Error(Refused(condition.key, version))
+        versions = tuple(
+            self._write(write.key, write.body or b'')
+            for write in transaction.writes
+        )
+        if self.loses:
+            raise PlatformUnknownError('lost')
+        return Ok(Committed(versions))
+
+    def _write(self, key: str, body: bytes) -> int:
+        if not key.startswith('move/'):
+            return 1
+        found = self.rows.get(key)
+        version = 1 if found is None else found.version + 1
+        self.rows[key] = Row(key, version, body)
+        self.history.append(decode_move(body))
+        return version
+
+
+class RunExchange:
+    """Hands the tick's windows to a guard."""
+
+    def __init__(self) -> None:
+        self.windows: list[dict[VersionName, Window]] = []
+
+    def follow(self, service: ServiceName) -> None:
+        """Gather for a service."""
+
+    def tick(self, *, send: bool) -> list[dict[VersionName, Window]]:
+        """Return the windows since the last tick."""
+        windows = self.windows
+        self.windows = []
+        return windows
+
+
+class RunMembership:
+    """The server beside a node."""
+
+    draining = False
+
+    def __init__(self, member: MemberFact) -> None:
+        self.own_backend = member.backend
+
+    def announce(self, backend: Backend) -> None:
+        """Keep the server."""
+
+    def leave(self) -> None:
+        """Keep the server."""
+
+
+def finish_now(work: Coroutine[object, None, _Answer]) -> _Answer:
+    """Run a coroutine that never waits."""
+    try:
+        work.send(None)
+    except StopIteration as stop:
+        answer: _Answer = stop.value
+        return answer
+    raise RuntimeError('the coroutine waits')
+
+
+def make_context(index: int, clock: Clock, preference: Preference) -> Context:
+    """Return the state of a node whose mesh has the given preference."""
+    listen = ListenSettings(_ADDRESS, _ADDRESS, _ADDRESS, _ADDRESS)
+    settings = NodeSettings(
+        node=f'node-{index}',
+        mesh='mesh',
+        region='region',
+        failure_domain='a',
+        listen=listen,
+        platform=PlatformSettings(_PLATFORM, _PLATFORM),
+        peer_key='0123456789abcdef',
+    )
+    context = Context.from_settings(
+        settings, clock, Random(index), NullCounters()
+    )
+    document = ConfigDocument(
+        'mesh', preference, (), (ServiceSpec(SERVICE, 'team'),), ()
+    )
+    record = SnapshotRecord(1, '', document)
+    context.applied.apply(Snapshot.from_record(record, ''))
+    return context
+
+
+def make_member(
+    index: int,
+    version: VersionName,
+    slots: int,
+    status: MemberStatus,
+    changed: int,
+) -> MemberFact:
+    """Return the record of a node beside a server."""
+    address = Address('127.0.0.1', 25000 + index)
+    return MemberFact(
+        node=NodeId(f'node-{index}'),
+        incarnation=1,
+        status=status,
+        changed=changed,
+        locality=Locality('region', 'a'),
+        peer=address,
+        ingress=address,
+        applied=1,
+        backend=Backend(SERVICE, version, address, slots, 120),
+    )
--- /dev/null
+++ b/bench/moves_report.py
@@ -0,0 +1,227 @@
+"""Sums of many moves, and their tables."""
+
+import dataclasses
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Final
+
+from bench.moves_runs import DURATION_S, Record
+
+EARLY_LIMIT: Final = 0.05  # of the service's calls before badness shows
+
+_GOOD_HEAD: Final = (
+    f'{"class":46}{"runs":>6}{"policy":>17}{"linear ramp":>17}'
+    f'{"fixed steps":>17}{"broken":>8}'
+)
+_BAD_TITLE: Final = """
+Bad versions that an ideal test could take back by the deadline in 99 of 100
+runs ("of" runs): share taken back; seconds from badness to zero share (p50,
+p99); calls of the bad version (p50, p99) and their part of all calls (p50,
+p99); runs with at most 5 % of the calls before the badness shows; calls later
+than 3 s after the decision; runs with a broken invariant; "back" of the two
+baselines."""
+_BAD_HEAD: Final = (
+    f'{"class":46}{"of":>5}{"back":>7}{"s":>13}{"calls":>13}'
+    f'{"part %":>12}{"<=5%":>7}{"late":>6}{"broken":>7}{"ramp":>7}{"steps":>7}'
+)
+
+_Rows = Mapping[str, Mapping[str, 'Summary']]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """What came of the moves of one class.
+
+    Shares lie between 0 and 1 and are none where there is nothing to share.
+    ``possible`` counts runs in which an ideal observer could have seen the
+    badness by the deadline; the figures on bad versions are taken over
+    them, and ``back_of_all`` over all runs. ``by_degree`` gives the share
+    taken back, with the count of possible and of all runs, by service and
+    degree of badness.
+    """
+
+    runs: int
+    in_time: float
+    withdrawn: float
+    possible: int
+    back: float | None
+    back_of_all: float
+    seconds_p50: float | None
+    seconds_p99: float | None
+    bad_calls_p50: float | None
+    bad_calls_p99: float | None
+    bad_share_p50: float | None
+    bad_share_p99: float | None
+    early_kept: float | None
+    early_p99: float | None
+    late_calls: int
+    broken: int
+    by_degree: dict[str, tuple[float | None, int, int]]
+
+
+def summarize(records: Sequence[Record]) -> Summary:
+    """Return the sums of some moves."""
+    possible = [record for record in records if record.possible]
+    back = [record for record in possible if record.back_s is not None]
+    seconds = sorted(_seconds_to_zero(record) for record in back)
+    calls = sorted(record.bad_calls for record in possible)
+    shares = sorted(
+        record.bad_calls / max(record.calls, 1) for record in possible
+    )
+    early = sorted(
+        record.early for record in possible if record.shown_s is not None
+    )
+    return Summary(
+        runs=len(records),
+        in_time=_share(records, _is_in_time),
+        withdrawn=_share(records, _is_back),
+        possible=len(possible),
+        back=_share(possible, _is_back) if possible else None,
+        back_of_all=_share(records, _is_back),
+        seconds_p50=_quantile(seconds, 0.5),
+        seconds_p99=_quantile(seconds, 0.99),
+        bad_calls_p50=_quantile(calls, 0.5),
+        bad_calls_p99=_quantile(calls, 0.99),
+        bad_share_p50=_quantile(shares, 0.5),
+        bad_share_p99=_quantile(shares, 0.99),
+        early_kept=(
+            sum(part <= EARLY_LIMIT for part in early) / len(early)
+            if early
+            else None
+        ),
+        early_p99=_quantile(early, 0.99),
+        late_calls=sum(record.late_calls for record in records),
+        broken=sum(bool(record.broken) for record in records),
+        by_degree=_by_degree(records),
+    )
+
+
+def format_good(rows: _Rows) -> str:
+    """Return the table of good versions."""
+    lines = [
+        'Good versions: share done in time (share taken back)',
+        _GOOD_HEAD,
+    ]
+    for name, row in rows.items():
+        if '/good/' not in name:
+            continue
+        policy = row['policy']
+        cells = ''.join(
+            f'{_good_cell(row.get(driver)):>17}'
+            for driver in ('policy', 'linear ramp', 'fixed steps')
+        )
+        lines.append(f'{name:46}{policy.runs:6}{cells}{policy.broken:8}')
+    return '\n'.join(lines)
+
+
+def format_bad(rows: _Rows) -> str:
+    """Return the table of bad versions."""
+    lines = [_BAD_TITLE, _BAD_HEAD]
+    for name, row in rows.items():
+        if '/good/' in name:
+            continue
+        policy = row['policy']
+        lines.append(
+            f'{name:46}{policy.possible:5}{_percent(policy.back):>7}'
+            f'{_pair(policy.seconds_p50, policy.seconds_p99):>13}'
+            f'{_pair(policy.bad_calls_p50, policy.bad_calls_p99):>13}'
+            f'{_parts(policy):>12}'
+            f'{_percent(policy.early_kept):>7}{policy.late_calls:6}'
+            f'{policy.broken:7}'
+            f'{_back(row.get("linear ramp")):>7}'
+            f'{_back(row.get("fixed steps")):>7}'
+        )
+    lines.extend(format_degrees(rows))
+    return '\n'.join(lines)
+
+
+def format_degrees(rows: _Rows) -> Iterable[str]:
+    """Return the policy's share taken back by service and degree."""
+    yield ''
+    yield 'By service and degree: share taken back (possible/all runs)'
+    for name, row in rows.items():
+        if '/good/' in name:
+            continue
+        yield name
+        cells = [
+            f'{degree} {_percent(back)} ({possible}/{runs})'
+            for degree, (back, possible, runs) in sorted(
+                row['policy'].by_degree.items()
+            )
+        ]
+        for begin in range(0, len(cells), 5):
+            line = '; '.join(cells[begin : begin + 5])
+            yield f'    {line}'
+
+
+def _by_degree(
+    records: Sequence[Record],
+) -> dict[str, tuple[float | None, int, int]]:
+    groups: dict[str, list[Record]] = {}
+    for record in records:
+        degree = f'{record.service} x{record.slower:g}'
+        if record.failing:
+            degree = f'{record.service} {100 * record.failing:g}%'
+        groups.setdefault(degree, []).append(record)
+    return {degree: _sum_degree(group) for degree, group in groups.items()}
+
+
+def _sum_degree(
+    group: Sequence[Record],
+) -> tuple[float | None, int, int]:
+    possible = [record for record in group if record.possible]
+    back = _share(possible, _is_back) if possible else None
+    return back, len(possible), len(group)
+
+
+def _seconds_to_zero(record: Record) -> float:
+    if record.back_s is None or record.bad_from_s is None:
+        return 0
+    return record.back_s - record.bad_from_s
+
+
+def _is_in_time(record: Record) -> bool:
+    return record.done_s is not None and record.done_s <= DURATION_S
+
+
+def _is_back(record: Record) -> bool:
+    return record.back_s is not None
+
+
+def _share(
+    records: Sequence[Record], is_counted: Callable[[Record], bool]
+) -> float:
+    if not records:
+        return 0
+    return sum(is_counted(record) for record in records) / len(records)
+
+
+def _quantile(ordered: Sequence[float], fraction: float) -> float | None:
+    if not ordered:
+        return None
+    return ordered[min(len(ordered) - 1, int(fraction * len(ordered)))]
+
+
+def _good_cell(summary: Summary | None) -> str:
+    if summary is None:
+        return ''
+    return f'{_percent(summary.in_time)} ({_percent(summary.withdrawn)})'
+
+
+def _back(summary: Summary | None) -> str:
+    return '' if summary is None else _percent(summary.back)
+
+
+def _parts(summary: Summary) -> str:
+    if summary.bad_share_p50 is None or summary.bad_share_p99 is None:
+        return '-'
+    return (
+        f'{100 * summary.bad_share_p50:.1f} {100 * summary.bad_share_p99:.1f}'
+    )
+
+
+def _pair(low: float | None, high: float | None) -> str:
+    return '-' if low is None or high is None else f'{low:.0f} {high:.0f}'
+
+
+def _percent(share: float | None) -> str:
+    return '-' if share is None else f'{100 * share:.1f}'
--- a/packages/bluebellslip/src/bluebellslip/_internal/kernel/moves.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/moves.py
@@ -21,7 +21,8 @@
     """How a service's calls divide between two versions.
 
     ``share`` is the new version's part in basis points; ``stopped`` says
-    that the new version gets nothing, whatever the share.
+    that the new version gets nothing, whatever the share; ``old_stopped``
+    says it of the old one, which an earlier move had led to.
     """
 
     move: MoveId
@@ -30,13 +31,15 @@
     share: int
     state: MoveState
     stopped: bool
+    returns: MoveId | None = None
+    old_stopped: bool = False
 
     @property
     def new_share(self) -> int:
         """Basis points of calls that the new version is to get now."""
         if self.stopped or self.state is MoveState.WITHDRAWN:
             return 0
-        if self.state is MoveState.DONE:
+        if self.state is MoveState.DONE or self.old_stopped:
             return FULL_SHARE
         return self.share
 
@@ -63,24 +66,37 @@
     def is_stopped(self, service: ServiceName, version: VersionName) -> bool:
         """Tell whether a version must get no new work."""
         split = self._splits.get(service)
-        if split is None or split.new != version:
+        if split is None:
             return False
+        if split.old == version:
+            return split.old_stopped and not split.stopped
+        if split.new != version:
+            return False
+        if split.returns is not None:
+            return split.stopped
         return split.stopped or split.state is MoveState.WITHDRAWN
 
     def _follow_move(self, fact: MoveFact) -> None:
-        stop = self._facts.find(f'stop/{fact.service}/{fact.move}')
         self._splits[fact.service] = VersionSplit(
             move=fact.move,
             old=fact.old,
             new=fact.new,
             share=fact.share,
             state=fact.state,
-            stopped=stop is not None,
+            stopped=self._has_stop(fact.service, fact.move),
+            returns=fact.returns,
+            old_stopped=self._has_stop(fact.service, fact.returns),
         )
 
+    def _has_stop(self, service: ServiceName, move: MoveId | None) -> bool:
+        return self._facts.find(f'stop/{service}/{move}') is not None
+
     def _follow_stop(self, fact: StopFact) -> None:
         split = self._splits.get(fact.service)
-        if split is not None and split.move == fact.move:
-            self._splits[fact.service] = dataclasses.replace(
-                split, stopped=True
-            )
+        if split is None:
+            return
+        if split.move == fact.move:
+            split = dataclasses.replace(split, stopped=True)
+        elif split.returns == fact.move:
+            split = dataclasses.replace(split, old_stopped=True)
+        self._splits[fact.service] = split
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/facts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/facts.py
@@ -123,7 +123,9 @@
 
     ``step`` is the version of the move's row in the table, which rises with
     every step and every later move of the service. ``share`` is in basis
-    points of the service's calls.
+    points of the service's calls. ``forecast`` is when the move is expected
+    to be done; ``renewed`` is the wall clock of the steward at the step.
+    ``returns`` names the done move whose version this one leads back from.
     """
 
     service: ServiceName
@@ -140,6 +142,7 @@
     reason: str = ''
     forecast: dt.datetime | None = None
     renewed: dt.datetime | None = None
+    returns: MoveId | None = None
 
     urgent: ClassVar[bool] = True
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/move_rows.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/move_rows.py
@@ -19,7 +19,8 @@
 
     ``share`` is in basis points. ``epoch`` rises whenever another node takes
     the lease over. ``renewed`` is the steward's wall clock, for reading
-    only: a lease lapses by the watchers' own monotonic clocks.
+    only: a lease lapses by the watchers' own monotonic clocks. ``returns``
+    names the done move whose version this one leads back from.
     """
 
     service: ServiceName
@@ -56,6 +57,7 @@
             reason=self.reason,
             forecast=self.forecast,
             renewed=self.renewed,
+            returns=self.returns,
         )
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/assessment.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/assessment.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Mapping
 from itertools import starmap
+from operator import itemgetter
 from typing import Final
 
 from bluebellslip._internal.kernel.services import RouteEvidence
@@ -35,34 +36,30 @@
     SLOW_FAR_TAIL = 'is slower for the slowest hundredth of calls'
 
 
-_QUANTILES: Final = (
-    (Sign.SLOW, _MIDDLE),
-    (Sign.SLOW_TAIL, _TAIL),
-    (Sign.SLOW_FAR_TAIL, _FAR_TAIL),
+SIGNS: Final = tuple(Sign)
+_FIRST_SLOW: Final = SIGNS.index(Sign.SLOW)
+_QUANTILES: Final = (_MIDDLE, _TAIL, _FAR_TAIL)  # of the signs from SLOW on
+_TOLERANCES: Final = (1.4, 3, 1.2, 1.25, 1.5)
+_TILTS: Final = (
+    (2.5, 8, 80),
+    (4, 30),
+    (1.2, 1.6, 4, 20),
+    (1.4, 3, 12),
+    (2.5, 15),
 )
-_TOLERANCES: Final = {
-    Sign.FAILED: 1.5,
-    Sign.REFUSED: 3.0,
-    Sign.SLOW: 1.2,
-    Sign.SLOW_TAIL: 1.25,
-    Sign.SLOW_FAR_TAIL: 1.5,
-}
-_TILTS: Final = {
-    Sign.FAILED: (3.0, 12.0, 100.0),
-    Sign.REFUSED: (4.0, 30.0),
-    Sign.SLOW: (1.5, 4.0, 20.0),
-    Sign.SLOW_TAIL: (2.0, 6.0, 30.0),
-    Sign.SLOW_FAR_TAIL: (3.0, 20.0),
-}
+_WEIGHTS: Final = (0.4, 0.05, 0.3, 0.15, 0.1)
+_LOG_WEIGHTS: Final = tuple(math.log(weight) for weight in _WEIGHTS)
+_ALL_ROUTES_WEIGHT: Final = 0.5  # the routes share the rest
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finding:
     """The strongest evidence so far against the new version.
 
-    ``log_evidence`` is the natural logarithm of a value that exceeds
-    ``1 / alpha`` with a chance of at most ``alpha`` while the new version is
-    within tolerance, over all routes and signs and all times of looking.
+    ``log_evidence`` is the natural logarithm of the weighted average over
+    all routes and signs; while the new version is within tolerance, it ever
+    exceeds ``1 / alpha`` with a chance of at most ``alpha``. ``route`` and
+    ``sign`` name what contributes most.
     """
 
     route: RouteName
@@ -84,9 +81,7 @@
     def __init__(self) -> None:
         self.old = Tally()
         self.new = Tally()
-        self.tests = {
-            sign: OddsTest(_TOLERANCES[sign], _TILTS[sign]) for sign in Sign
-        }
+        self.tests = tuple(map(OddsTest, _TOLERANCES, _TILTS))
         self._open = OpenStratum()
 
     def observe(self, old: Tally | None, new: Tally | None) -> bool:
@@ -106,12 +101,12 @@
         old, new = self._open.old, self._open.new
         self._open = OpenStratum()
         if old.calls and new.calls:
-            self.tests[Sign.FAILED].observe(
+            self.tests[0].observe(
                 old.calls, new.calls, old.failures, new.failures
             )
             self._observe_latency(old.buckets, new.buckets)
         if old.refused or new.refused:
-            self.tests[Sign.REFUSED].observe(
+            self.tests[1].observe(
                 old.calls + old.refused,
                 new.calls + new.refused,
                 old.refused,
@@ -127,9 +122,9 @@
         for bucket, count in new.items():
             pooled[bucket] = pooled.get(bucket, 0) + count
         sizes = (sum(old.values()), sum(new.values()))
-        for sign, fraction in _QUANTILES:
+        for index, fraction in enumerate(_QUANTILES, _FIRST_SLOW):
             limit = find_quantile(pooled, fraction)
-            self.tests[sign].observe(
+            self.tests[index].observe(
                 *sizes, count_beyond(old, limit), count_beyond(new, limit)
             )
 
@@ -172,7 +167,7 @@
         """Take in one window's tallies of both versions by route."""
         judged = False
         for name in old.keys() | new.keys():
-            route = self._routes.setdefault(name, RouteAssessment())
+            route = self._find_route(name)
             judged |= route.observe(old.get(name), new.get(name))
         if judged:
             self._strongest = self._find_strongest()
@@ -184,23 +179,33 @@
         if self._routes:
             self._strongest = self._find_strongest()
 
+    def _find_route(self, name: RouteName) -> RouteAssessment:
+        route = self._routes.get(name)
+        if route is None:
+            route = RouteAssessment()
+            self._routes[name] = route
+        return route
+
     def _find_strongest(self) -> Finding:
-        findings = [
-            Finding(name, sign, route.tests[sign].log_evidence)
+        part = math.log((1 - _ALL_ROUTES_WEIGHT) / len(self._routes))
+        scores = [
+            (test.log_evidence + weight + part, name, sign)
             for name, route in self._routes.items()
-            for sign in Sign
+            for test, weight, sign in zip(
+                route.tests, _LOG_WEIGHTS, SIGNS, strict=True
+            )
         ]
-        findings.extend(
-            Finding(ALL_ROUTES, sign, self._pool(sign)) for sign in Sign
-        )
-        strongest = max(findings, key=lambda finding: finding.log_evidence)
-        spent = math.log(len(findings))
-        return dataclasses.replace(
-            strongest, log_evidence=strongest.log_evidence - spent
+        part = math.log(_ALL_ROUTES_WEIGHT)
+        scores.extend(
+            (self._pool(index) + weight + part, ALL_ROUTES, SIGNS[index])
+            for index, weight in enumerate(_LOG_WEIGHTS)
         )
+        greatest, route, sign = max(scores, key=itemgetter(0))
+        total = sum(math.exp(score[0] - greatest) for score in scores)
+        return Finding(route, sign, greatest + math.log(total))
 
-    def _pool(self, sign: Sign) -> float:
-        by_route = [route.tests[sign].logs for route in self._routes.values()]
+    def _pool(self, index: int) -> float:
+        by_route = [route.tests[index].logs for route in self._routes.values()]
         return average_logs([sum(logs) for logs in zip(*by_route, strict=True)])
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/guard.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/guard.py
@@ -14,6 +14,7 @@
     compute_capacity,
     live_endpoints,
 )
+from bluebellslip._internal.moves.transitions import is_settled
 from bluebellslip._internal.moves.watch import MoveWatch
 
 
@@ -69,18 +70,25 @@
             return
         fact = self._ledger.find_fact(service)
         watch = None
-        if fact is not None and fact.state is not MoveState.WITHDRAWN:
+        if fact is not None and self._is_watched(fact):
             watch = self._follow_move(fact)
         windows = self._exchange.tick(send=watch is not None)
         if fact is not None and watch is not None:
             watch.observe(windows)
             self._judge(fact, watch)
 
+    def is_alarmed(self, row: MoveRow) -> bool:
+        """Tell whether a version that is done has changed for the worse."""
+        watch = self._watch
+        if watch is None or watch.move != row.move:
+            return False
+        return watch.has_changed and self._has_way_back(row)
+
     def view(self, row: MoveRow) -> MoveView:
         """Return what the policy decides on."""
         watch = self._watch
         if watch is None or watch.move != row.move:
-            watch = MoveWatch(row.move, row.old, row.new, row.share)
+            watch = MoveWatch(row)
         endpoints = live_endpoints(
             self._context.directory, row.service, row.new
         )
@@ -103,7 +111,7 @@
     def _follow_move(self, fact: MoveFact) -> MoveWatch:
         watch = self._watch
         if watch is None or watch.move != fact.move:
-            watch = MoveWatch(fact.move, fact.old, fact.new, fact.share)
+            watch = MoveWatch.following(fact, watch)
             self._watch = watch
         watch.follow_share(fact.share)
         return watch
@@ -112,5 +120,21 @@
         finding = watch.assessment.strongest
         if finding is None:
             return
-        if is_bad(finding, RULES[self.preference]):
+        if not is_bad(finding, RULES[self.preference]):
+            return
+        if fact.returns is None:
             self._ledger.stop(fact.service, fact.move, fact.new, finding.text)
+        else:
+            self._ledger.stop(
+                fact.service, fact.returns, fact.old, finding.text
+            )
+
+    def _is_watched(self, fact: MoveFact) -> bool:
+        """Tell whether there still is something to compare."""
+        if fact.state is MoveState.MOVING:
+            return True
+        return is_settled(fact) and self._has_way_back(fact)
+
+    def _has_way_back(self, move: MoveFact | MoveRow) -> bool:
+        left = move.old if move.returns is None else move.new
+        return bool(live_endpoints(self._context.directory, move.service, left))
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/plan.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/plan.py
@@ -10,14 +10,21 @@
 
 LEAST_DWELL: Final = dt.timedelta(seconds=10)
 LEAST_DWELL_PART: Final = 0.02  # of the time from start to deadline
+PLENTY_OF_CALLS: Final = 1000  # of the new version in one stage
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stage:
-    """A share in basis points and the part of the time when it may begin."""
+    """A share in basis points, and when it may begin.
+
+    ``begin`` and ``latest`` are parts of the time from start to deadline.
+    From ``begin`` on the stage may begin when the one before it has had
+    plenty of calls; from ``latest`` on fewer suffice.
+    """
 
     share: int
     begin: float
+    latest: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,52 +39,57 @@
         Part of the time from start to deadline when the move may be done.
     alpha
         Chance of taking a good version back that is put up with.
+    clear
+        Evidence, as a factor, below which the share rises as planned.
     doubt
-        Evidence, as a factor, at which the share rises no further.
+        Evidence below which it rises when the time gets short.
     enough_calls
         Calls of the new version in a stage before the next may begin.
-    waits_for_calls
-        Whether too few calls hold a move beyond its deadline.
+    waits
+        Whether too few calls, or doubt, hold a move beyond its deadline.
     """
 
     stages: tuple[Stage, ...]
     finish: float
     alpha: float
+    clear: float
     doubt: float
     enough_calls: int
-    waits_for_calls: bool
+    waits: bool
 
 
 RULES: Final[Mapping[Preference, Rules]] = MappingProxyType({
     Preference.SAFETY: Rules(
         stages=(
-            Stage(400, 0),
-            Stage(1000, 0.42),
-            Stage(2500, 0.49),
-            Stage(5000, 0.56),
-            Stage(7000, 0.7),
-            Stage(8500, 0.8),
+            Stage(450, 0, 0),
+            Stage(1000, 0.3, 0.5),
+            Stage(2500, 0.36, 0.54),
+            Stage(4000, 0.42, 0.58),
+            Stage(7000, 0.6, 0.7),
+            Stage(8500, 0.7, 0.76),
         ),
-        finish=0.93,
-        alpha=0.01,
-        doubt=20,
+        finish=0.86,
+        alpha=0.02,
+        clear=1,
+        doubt=3,
         enough_calls=25,
-        waits_for_calls=True,
+        waits=True,
     ),
     Preference.DEADLINE: Rules(
         stages=(
-            Stage(400, 0),
-            Stage(1000, 0.34),
-            Stage(2500, 0.4),
-            Stage(5000, 0.46),
-            Stage(7000, 0.58),
-            Stage(8500, 0.67),
+            Stage(450, 0, 0),
+            Stage(1000, 0.3, 0.48),
+            Stage(2500, 0.36, 0.52),
+            Stage(4000, 0.4, 0.56),
+            Stage(7000, 0.56, 0.66),
+            Stage(8500, 0.65, 0.71),
         ),
         finish=0.8,
-        alpha=0.002,
-        doubt=50,
-        enough_calls=10,
-        waits_for_calls=False,
+        alpha=0.005,
+        clear=1.5,
+        doubt=4,
+        enough_calls=0,
+        waits=False,
     ),
 })
 
@@ -115,9 +127,15 @@
         """Share of the last stage."""
         return self.rules.stages[-1].share
 
-    def begin_of(self, stage: Stage) -> dt.datetime:
-        """Return when a stage may begin."""
-        return self.started + stage.begin * self.duration
+    def begin_of(self, stage: Stage, calls: int) -> dt.datetime:
+        """Return when a stage may begin after some calls in the one before."""
+        part = stage.begin if calls >= PLENTY_OF_CALLS else stage.latest
+        return self.started + part * self.duration
+
+    def latest_rise(self, share: int) -> dt.datetime:
+        """Return until when a rise can wait without harm to the deadline."""
+        rises = sum(stage.share > share for stage in self.rules.stages) + 1
+        return self.finish - rises * self.dwell
 
     def next_stage(self, share: int) -> Stage | None:
         """Return the first stage with more than the given share."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/policy.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/policy.py
@@ -11,7 +11,7 @@
 from bluebellslip._internal.moves.assessment import Finding
 from bluebellslip._internal.moves.plan import Plan, Rules
 
-CLOSER_LOOK_SHARE: Final = 5000  # where both versions tell most
+FALLBACK_SHARE: Final = 2500  # that lost servers come back to
 _PERCENT: Final = 100
 
 
@@ -31,7 +31,9 @@
 
     ``stage_calls`` counts the new version's calls since the share last
     changed, at ``stepped``. ``capacity_share`` is the greatest share, in
-    basis points, that the new version's servers can carry.
+    basis points, that the new version's servers can carry. A ``returning``
+    move leads back from a version that is done but suspected; its evidence
+    is on the version that it leaves.
     """
 
     plan: Plan
@@ -42,6 +44,7 @@
     stage_calls: int
     new_servers: int
     capacity_share: int = FULL_SHARE
+    returning: bool = False
 
     @property
     def log_evidence(self) -> float:
@@ -86,7 +89,7 @@
     if view.new_servers:
         return None
     reason = 'No server of the new version is alive.'
-    return _change_share(view, 0, reason)
+    return _change_share(view, min(view.share, FALLBACK_SHARE), reason)
 
 
 def _fit_capacity(view: MoveView) -> Decision | None:
@@ -99,17 +102,22 @@
     return _change_share(view, view.capacity_share, reason)
 
 
-def _look_closer(view: MoveView) -> Decision | None:
-    doubt = math.log(view.plan.rules.doubt)
-    if view.strongest is None or view.log_evidence < doubt:
+def _await_clarity(view: MoveView) -> Decision | None:
+    rules = view.plan.rules
+    late = view.now >= view.plan.latest_rise(view.share)
+    if view.strongest is None or (late and not rules.waits):
+        return None
+    limit = rules.doubt if late else rules.clear
+    if view.log_evidence <= math.log(limit):
         return None
-    reason = f'{view.strongest.text} The evidence is not strong.'
-    return _change_share(view, min(view.share, CLOSER_LOOK_SHARE), reason)
+    return _hold(view, f'{view.strongest.text} The evidence is still weak.')
 
 
 def _await_stage(view: MoveView) -> Decision | None:
     stage = view.plan.next_stage(view.share)
-    begin = view.plan.finish if stage is None else view.plan.begin_of(stage)
+    begin = view.plan.finish
+    if stage is not None:
+        begin = view.plan.begin_of(stage, view.stage_calls)
     if view.share:
         begin = max(begin, view.stepped + view.plan.dwell)
     if view.now >= begin:
@@ -120,9 +128,9 @@
 
 def _await_calls(view: MoveView) -> Decision | None:
     rules = view.plan.rules
-    if not view.share:
+    if not view.share or not rules.waits:
         return None
-    if view.stage_calls >= rules.enough_calls or not rules.waits_for_calls:
+    if view.stage_calls >= rules.enough_calls:
         return None
     return _hold(
         view,
@@ -174,7 +182,7 @@
     _withdraw,
     _await_servers,
     _fit_capacity,
-    _look_closer,
+    _await_clarity,
     _await_stage,
     _await_calls,
     _await_capacity,
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/servers.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/servers.py
@@ -13,11 +13,11 @@
 def live_endpoints(
     directory: Directory, service: ServiceName, version: VersionName
 ) -> list[Endpoint]:
-    """Return the servers of one version that answer their peers."""
+    """Return the servers of one version, the suspected ones too."""
     return [
         endpoint
         for endpoint in directory.endpoints(service)
-        if endpoint.backend.version == version and not endpoint.suspect
+        if endpoint.backend.version == version
     ]
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/steward.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/steward.py
@@ -16,8 +16,13 @@
     StoredMove,
 )
 from bluebellslip._internal.moves.policy import Action, decide
+from bluebellslip._internal.moves.returning import decide_return
 
 IDLE_LOOK: Final = dt.timedelta(seconds=30)
+SUSPICION: Final = (
+    'The version behaves worse than before; it is compared with the one '
+    'before it.'
+)
 
 _ACTIONS: Final = {
     Action.STEP: 'move.step',
@@ -75,11 +80,18 @@
         row = self._lease.row
         if row is None:
             return
-        stop = self._ledger.find_stop(service, row.move)
+        stop = self._find_stop(row)
         if stop is not None:
             await self._record_stop(row, stop)
         elif row.state is MoveState.MOVING:
             await self._step(row)
+        elif transitions.is_settled(row) and self._guard.is_alarmed(row):
+            await self._begin_return(row, SUSPICION)
+
+    def _find_stop(self, row: MoveRow) -> StopFact | None:
+        """Return the stop of the version that the move led, or leads, to."""
+        move = row.move if row.returns is None else row.returns
+        return self._ledger.find_stop(row.service, move)
 
     def _must_look(self, service: ServiceName) -> bool:
         if self._doubtful:
@@ -105,15 +117,22 @@
         self._lease.learn(stored.row, stored.version, elapsed)
 
     async def _record_stop(self, row: MoveRow, stop: StopFact) -> None:
+        if transitions.is_settled(row):
+            await self._begin_return(row, stop.reason)
+        elif row.state is MoveState.MOVING:
+            now = self._context.clock.now()
+            if row.returns is None:
+                after = transitions.withdraw(row, stop.reason, now)
+                await self._commit(after, 'move.withdrawn')
+            else:
+                after = transitions.finish(row, stop.reason, now)
+                await self._commit(after, 'move.done')
+
+    async def _begin_return(self, row: MoveRow, reason: str) -> None:
         now = self._context.clock.now()
-        if row.state is MoveState.MOVING:
-            after = transitions.withdraw(row, stop.reason, now)
-            await self._commit(after, 'move.withdrawn')
-        elif row.state is MoveState.DONE:
-            after = transitions.begin_return(
-                row, self._context.node, stop.reason, now
-            )
-            await self._commit(after, 'move.return')
+        node = self._context.node
+        after = transitions.begin_return(row, node, reason, now)
+        await self._commit(after, 'move.return')
 
     async def _step(self, row: MoveRow) -> None:
         now = self._context.clock.now()
@@ -123,7 +142,8 @@
                 after = transitions.take_over(row, self._context.node, now)
                 await self._commit(after, 'move.steward')
             return
-        decision = decide(self._guard.view(row))
+        view = self._guard.view(row)
+        decision = decide_return(view) if view.returning else decide(view)
         after = transitions.apply_decision(row, decision, now)
         if transitions.is_step(row, after):
             await self._commit(after, _ACTIONS[decision.action])
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/tallies.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/tallies.py
@@ -12,6 +12,10 @@
 LAST_BUCKET: Final = 72
 
 _LOG_LEAST: Final = math.log2(LEAST_LATENCY_S)
+_BOUNDS_S: Final = tuple(
+    LEAST_LATENCY_S * 2 ** (bucket / BUCKETS_PER_DOUBLING)
+    for bucket in range(LAST_BUCKET + 1)
+)
 
 
 def find_bucket(latency_s: float) -> int:
@@ -24,8 +28,7 @@
 
 def bound_of(bucket: int) -> dt.timedelta:
     """Return the upper bound of a bucket."""
-    factor = 2 ** (bucket / BUCKETS_PER_DOUBLING)
-    return dt.timedelta(seconds=LEAST_LATENCY_S * factor)
+    return dt.timedelta(seconds=_BOUNDS_S[bucket])
 
 
 class Tally:
@@ -62,8 +65,7 @@
     def total_seconds(self) -> float:
         """Return the sum of the latencies, in seconds."""
         return sum(
-            count * bound_of(bucket).total_seconds()
-            for bucket, count in self.buckets.items()
+            count * _BOUNDS_S[bucket] for bucket, count in self.buckets.items()
         )
 
     def quantile(self, fraction: float) -> dt.timedelta:
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/transitions.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/transitions.py
@@ -11,7 +11,7 @@
     Write,
 )
 from bluebellslip._internal.kernel.services import MoveRequest
-from bluebellslip._internal.models.facts import FULL_SHARE, MoveState
+from bluebellslip._internal.models.facts import FULL_SHARE, MoveFact, MoveState
 from bluebellslip._internal.models.identity import (
     MoveId,
     NodeId,
@@ -25,8 +25,9 @@
     name_move_key,
 )
 from bluebellslip._internal.moves.policy import Action, Decision
+from bluebellslip._internal.moves.returning import LONGEST_PROBE
 
-RETURN_TIME: Final = dt.timedelta(minutes=10)
+PROBE_SHARE: Final = 2500  # of calls, to the version that was left
 
 _STATES: Final = {
     Action.HOLD: MoveState.MOVING,
@@ -70,25 +71,28 @@
 ) -> MoveRow:
     """Return the row of a move back from a version that is done.
 
-    A move that is done stays done; calls go back under a move of its own.
+    A move that is done stays done; calls go back under a move of its own,
+    which compares both versions first unless the version is stopped.
     """
+    done = row.returns or row.move
+    versions = (row.new, row.old) if row.returns is None else (row.old, row.new)
     return msgspec.structs.replace(
         row,
-        move=MoveId(f'{row.move}.return'),
-        state=MoveState.DONE,
-        old=row.new,
-        new=row.old,
-        share=FULL_SHARE,
+        move=MoveId(f'{done}.return-{row.epoch}'),
+        state=MoveState.MOVING,
+        old=versions[0],
+        new=versions[1],
+        share=PROBE_SHARE,
         started=now,
-        deadline=now + RETURN_TIME,
+        deadline=now + LONGEST_PROBE,
         who=node,
         steward=node,
         epoch=row.epoch + 1,
         renewed=now,
         stepped=now,
         reason=reason,
-        forecast=now,
-        returns=row.move,
+        forecast=None,
+        returns=done,
     )
 
 
@@ -128,6 +132,19 @@
     )
 
 
+def finish(row: MoveRow, reason: str, now: dt.datetime) -> MoveRow:
+    """Return the row of a move that is done."""
+    return msgspec.structs.replace(
+        row,
+        state=MoveState.DONE,
+        share=FULL_SHARE,
+        reason=reason,
+        forecast=now,
+        renewed=now,
+        stepped=now,
+    )
+
+
 def move_deadline(
     row: MoveRow, deadline: dt.datetime, now: dt.datetime
 ) -> MoveRow:
@@ -140,6 +157,13 @@
     )
 
 
+def is_settled(move: MoveFact | MoveRow) -> bool:
+    """Tell whether all calls go to a version that a move had led to."""
+    if move.returns is None:
+        return move.state is MoveState.DONE
+    return move.state is MoveState.WITHDRAWN
+
+
 def is_step(before: MoveRow, after: MoveRow) -> bool:
     """Tell whether a change of the row is more than a renewal."""
     return _essence(before) != _essence(after)
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/watch.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/watch.py
@@ -5,9 +5,11 @@
 from typing import Final
 
 from bluebellslip._internal.models.config import Preference
+from bluebellslip._internal.models.facts import FULL_SHARE, MoveFact
 from bluebellslip._internal.models.identity import MoveId, VersionName
 from bluebellslip._internal.models.move_rows import MoveRow
 from bluebellslip._internal.moves.assessment import Assessment
+from bluebellslip._internal.moves.change import ChangeDetector
 from bluebellslip._internal.moves.plan import RULES, Plan
 from bluebellslip._internal.moves.policy import MoveView
 from bluebellslip._internal.moves.tallies import Tally, sum_tallies
@@ -19,29 +21,60 @@
 class MoveWatch:
     """Evidence on one move, and the calls since its share last changed.
 
+    The evidence is against the version that calls go to, or, in a move back
+    from a version that is done, against the one that they leave.
+
     Parameters
     ----------
     move
-        Name of the move.
-    old
-        The version that calls leave.
-    new
-        The version that calls go to.
-    share
-        Basis points of calls that the new version gets.
+        The move as it is known first: a fact or a row.
     """
 
     def __init__(
-        self, move: MoveId, old: VersionName, new: VersionName, share: int
+        self,
+        move: MoveFact | MoveRow,
+        change: ChangeDetector | None = None,
     ) -> None:
-        self.move = move
-        self.old = old
-        self.new = new
+        self.move = move.move
+        self._returns = move.returns
         self.assessment = Assessment()
-        self._share = share
+        self._control = move.old
+        self._suspect = move.new
+        if move.returns is not None:
+            self._control = move.new
+            self._suspect = move.old
+        self._change = change or ChangeDetector()
+        self._share = move.share
         self._calls_before = 0
         self._busy_slots: float = 0
 
+    @classmethod
+    def following(
+        cls, move: MoveFact | MoveRow, earlier: 'MoveWatch | None'
+    ) -> 'MoveWatch':
+        """Begin to watch a move; a move back keeps what was learnt before."""
+        if earlier is None or move.returns not in {
+            earlier.move,
+            earlier.returns,
+        }:
+            return cls(move)
+        return cls(move, earlier.change)
+
+    @property
+    def returns(self) -> MoveId | None:
+        """The done move whose version this one leads back from."""
+        return self._returns
+
+    @property
+    def change(self) -> ChangeDetector:
+        """What is known of the suspect's own behaviour."""
+        return self._change
+
+    @property
+    def has_changed(self) -> bool:
+        """Whether the version behaves worse than while it was compared."""
+        return self._change.is_alarmed
+
     @property
     def busy_slots(self) -> float:
         """Slots that the service's calls keep busy, smoothed."""
@@ -57,15 +90,17 @@
         if share == self._share:
             return
         self._share = share
+        self._change.reset()
         self._calls_before = self.assessment.new_calls
         self.assessment.close_strata()
 
     def observe(self, windows: Iterable[dict[VersionName, Window]]) -> None:
         """Take in settled windows in their order."""
         for window in windows:
-            old = window.get(self.old, {})
-            new = window.get(self.new, {})
+            old = window.get(self._control, {})
+            new = window.get(self._suspect, {})
             self.assessment.observe(old, new)
+            self._follow_change(new)
             self._follow_load([*old.values(), *new.values()])
 
     def view(
@@ -98,8 +133,16 @@
             stage_calls=self.stage_calls,
             new_servers=servers[0],
             capacity_share=servers[1],
+            returning=row.returns is not None,
         )
 
+    def _follow_change(self, suspect: Window) -> None:
+        others = self._share if self._returns else FULL_SHARE - self._share
+        if not others:
+            self._change.observe(suspect, learn=False)
+        elif self._returns is None:
+            self._change.observe(suspect, learn=True)
+
     def _follow_load(self, tallies: Iterable[Tally]) -> None:
         seconds = sum_tallies(tallies).total_seconds()
         busy = seconds / WINDOW.total_seconds()
