Answer exchanges of peers in a node of its own process

Seen in the demo: six nodes, each knowing only itself; connections to the peer address stayed in the listener's backlog. Cause: grpclib's server binds itself to the loop of the time of its making, and the node is built before its loop runs, so the server listened on a loop that never ran. In one test process the loop runs already, which hid it. The server is now made when it opens. The demo's steps follow the command line's arguments as they are, and the stand-in leaves by falling silent.

--- a/packages/bluebellslip-lab/src/bluebellslip_lab/announcer.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/announcer.py
@@ -41,21 +41,18 @@
         """Announce every period until told to leave."""
         async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
             while not self._leaving:
-                await self._send(pool, 'PUT')
+                await self._send(pool)
                 await anyio.sleep(ANNOUNCE_PERIOD.total_seconds())
-            await self._send(pool, 'DELETE')
 
     def leave(self) -> None:
-        """Say at the next turn that the server leaves, then fall silent."""
+        """Fall silent, so that the announcement expires."""
         self._leaving = True
 
-    async def _send(
-        self, pool: httpcore.AsyncConnectionPool, method: str
-    ) -> None:
+    async def _send(self, pool: httpcore.AsyncConnectionPool) -> None:
         with anyio.move_on_after(_TIMEOUT.total_seconds()):
             try:
                 await pool.request(
-                    method, self._url, headers=self._headers, content=self._body
+                    'PUT', self._url, headers=self._headers, content=self._body
                 )
             except (httpcore.NetworkError, httpcore.ProtocolError):
                 # The node is away; the next announcement finds it again.
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/backend.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/backend.py
@@ -19,7 +19,7 @@
 from bluebellslip_lab.backend_app import BackendApp, Identity, Journal
 from bluebellslip_lab.behaviour import Behaviour
 
-_GRACE: Final = dt.timedelta(seconds=4)
+_GRACE: Final = dt.timedelta(seconds=5)  # over an announcement's lease
 _POLL: Final = dt.timedelta(milliseconds=50)
 
 
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/demo_moves.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/demo_moves.py
@@ -51,11 +51,11 @@
 ) -> MoveEnd:
     await anyio.sleep(_ANNOUNCED.total_seconds())
     start = anyio.current_time()
-    by = f'{int(deadline.total_seconds())}s'
-    await bench.tell('move', MOVED, '--to', version, '--by', by)
+    within = f'{int(deadline.total_seconds())}s'
+    await bench.tell('move', MOVED, version, '--within', within)
     status = await bench.watcher.wait_move(
         bench.mesh.admin(PLACES[0]), MOVED, version, deadline + _SLACK
     )
     seconds = anyio.current_time() - start
-    await bench.tell('status', MOVED)
+    await bench.tell('status')
     return MoveEnd(str(status.get('state', '')).lower(), round(seconds, 1))
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/load.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/load.py
@@ -22,6 +22,7 @@
 _US_PER_SECOND: Final = 1_000_000
 _US_PER_MS: Final = 1000
 _MAX_IN_FLIGHT: Final = 2000
+_POLL_SECONDS: Final = 0.1
 
 
 class ClassReport(msgspec.Struct, frozen=True):
@@ -121,12 +122,17 @@
         async with anyio.create_task_group() as group:
             for arrival in self._merge(kinds):
                 due = start + arrival.at
-                while anyio.current_time() < due and not is_over():
-                    await anyio.sleep(min(due - anyio.current_time(), 0.1))
+                await self._wait(due, is_over)
                 if is_over():
                     break
                 self._launch(group, arrival, due)
 
+    async def _wait(self, due: float, is_over: Callable[[], bool]) -> None:
+        remaining = due - anyio.current_time()
+        while remaining > 0 and not is_over():
+            await anyio.sleep(min(remaining, _POLL_SECONDS))
+            remaining = due - anyio.current_time()
+
     def _merge(self, kinds: Iterable[CallClass]) -> Iterator[Arrival]:
         plans = [
             plan_arrivals(kind, Random(self._random.random())) for kind in kinds
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/operator_cli.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/operator_cli.py
@@ -40,7 +40,7 @@
 
     def __init__(self, admin: str, token: str) -> None:
         self._environment = {
-            'BLUEBELL_ADMIN': admin,
+            'BLUEBELL_NODE': admin.removeprefix('http://'),
             'BLUEBELL_TOKEN': token,
         }
 
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/watching.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/watching.py
@@ -2,6 +2,7 @@
 
 import datetime as dt
 from collections.abc import Iterable, Mapping
+from itertools import chain
 from typing import Any, Final
 
 import anyio
@@ -107,12 +108,17 @@
 
 
 def sum_counters(tree: Any, names: Iterable[str]) -> int:
-    """Add up counters of a node's metrics, over all labels."""
+    """Add up counters in OpenTelemetry's JSON, over all labels."""
     wanted = frozenset(names)
+    scopes = chain.from_iterable(
+        resource['scope_metrics'] for resource in tree['resource_metrics']
+    )
+    metrics = chain.from_iterable(scope['metrics'] for scope in scopes)
     return sum(
-        int(point.get('value', 0))
-        for point in tree.get('metrics', ())
-        if point.get('name') in wanted
+        int(point['value'])
+        for metric in metrics
+        if metric['name'] in wanted
+        for point in metric['data']['data_points']
     )
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/peers/exchanges.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/peers/exchanges.py
@@ -64,22 +64,29 @@
     """
 
     def __init__(self, codec: ExchangeCodec, counters: Counters) -> None:
+        self._codec = codec
         self._counters = counters
         self._handlers: dict[type[PeerMessage], _Answerer] = {}
-        self._server = Server([self], codec=codec)
+        self._server: Server | None = None
 
     def enter(self, kind: type[PeerMessage], handler: _Answerer) -> None:
         """Answer exchanges of a kind by the handler."""
         self._handlers[kind] = handler
 
     async def open(self, listen: Address) -> None:
-        """Listen."""
+        """Listen.
+
+        The server is made here, since it binds itself to the loop that runs
+        when it is made, and the node is built before its loop runs.
+        """
+        self._server = Server([self], codec=self._codec)
         await self._server.start(listen.host, listen.port)
 
     async def close(self) -> None:
         """Stop listening and end what runs."""
-        self._server.close()
-        await self._server.wait_closed()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
 
     async def _exchange(
         self, stream: 'Stream[PeerMessage, PeerMessage]'
