Look for free ports in the demo and in the test of real sockets

Two runs at once took each other's ports: the demo ended with exit 41 of every node and the test with a ListenError. Both now take a range that is free when they begin.

--- a/packages/bluebellslip-lab/src/bluebellslip_lab/demo.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/demo.py
@@ -18,13 +18,15 @@
 from bluebellslip_lab.children import Children
 from bluebellslip_lab.demo_plan import MESH, PLACES
 from bluebellslip_lab.demo_run import DemoRun
+from bluebellslip_lab.free_ports import find_free_range
 from bluebellslip_lab.mesh import OPERATOR_TOKEN, Mesh
 from bluebellslip_lab.operator_cli import OperatorCli
 from bluebellslip_lab.verdict import Summary, judge
 from bluebellslip_lab.watching import Watcher
 from bluebellslip_lab.workbench import Workbench
 
-_DEFAULT_PORT: Final = 27400
+_FIRST_PORT: Final = 27400
+_PORTS: Final = 150
 _TIME_LIMIT_SECONDS: Final = 120
 
 
@@ -63,14 +65,15 @@
 def main() -> int:
     """Run the demo; return the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--base-port', type=int, default=_DEFAULT_PORT)
+    parser.add_argument('--base-port', type=int, help='default: a free one')
     parser.add_argument('--keep', type=Path, help='directory for logs')
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, interrupt)
     with tempfile.TemporaryDirectory(prefix='bluebell-demo-') as scratch:
         directory = options.keep or Path(scratch)
         directory.mkdir(parents=True, exist_ok=True)
-        return report(anyio.run(run_demo, directory, options.base_port))
+        port = options.base_port or find_free_range(_FIRST_PORT, _PORTS)
+        return report(anyio.run(run_demo, directory, port))
 
 
 if __name__ == '__main__':
--- a/tests/functional/test_peers.py
+++ b/tests/functional/test_peers.py
@@ -14,18 +14,21 @@
     compute_digest,
     encode_record,
 )
+from bluebellslip_lab.free_ports import find_free_range
 from lib.peers import FakePlatform, RealNode, make_settings, wait_until
 from lib.snapshots import make_record
 
-PORT = 21000
+FIRST_PORT = 21000
+PORTS = 30
 
 
 @pytest.mark.anyio
 async def test_nodes_join_and_apply_an_offer() -> None:
     platform = FakePlatform()
-    seed = f'127.0.0.1:{PORT}'
+    port = find_free_range(FIRST_PORT, PORTS)
+    seed = f'127.0.0.1:{port}'
     nodes = [
-        RealNode(make_settings(number, PORT, (seed,)), platform)
+        RealNode(make_settings(number, port, (seed,)), platform)
         for number in range(3)
     ]
     backend = Backend(
