Build the plug-ins inside the loop that runs them

Cause: the node was built before the loop started, so the grpclib server of the peers belonged to another loop and never accepted a connection: nodes on one instance each knew only themselves (seen with six processes; ss showed the backlog of the peer listeners filling up). Ruled out: the seeds, which stood in the settings and in the table. Change: the entry point builds the plug-ins in the running loop. A log line about another revision keeps that revision.

--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/main.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/main.py
@@ -44,7 +44,7 @@
     describe_node(handler, context)
     load_plugins()
     try:
-        anyio.run(Node.from_context(context).run)
+        anyio.run(_run_plugins, context)
     except BluebellError as refusal:
         return _report(refusal)
     except BaseExceptionGroup as group:
@@ -52,6 +52,11 @@
     return 0
 
 
+async def _run_plugins(context: Context) -> None:
+    # Servers of libraries belong to the loop that they are built in.
+    await Node.from_context(context).run()
+
+
 def build_context(settings: NodeSettings) -> Context:
     """Build the shared state of a node process."""
     counters = TelemetryCounters.from_attributes(
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/logs.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/logs.py
@@ -25,10 +25,11 @@
         self._context = context
 
     def filter(self, record: logging.LogRecord) -> bool:
-        """Add the fields; every record passes."""
+        """Add the fields; a line about another revision keeps it."""
         record.node = self._context.node
         record.mesh = self._context.settings.mesh
-        record.revision = self._context.applied.revision
+        if not hasattr(record, 'revision'):
+            record.revision = self._context.applied.revision
         return True
 
 
