Refuse the configuration of another mesh

Change: the administration API compares the mesh before handing over. Left: the acceptor and the distribution do not compare it themselves. Seen red: with the comparison off.

--- a/packages/bluebellslip/src/bluebellslip/_internal/admin/app.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/app.py
@@ -130,7 +130,7 @@
         error: BluebellError,
     ) -> None:
         if route.action or error.kind in _ALWAYS_AUDITED:
-            action = route.action or f'{route.method} {route.path}'
+            action = route.action or route.method.lower()
             await self._auditor.refuse(holder.name, action, subject, error)
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/admin/routes/config.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/routes/config.py
@@ -12,7 +12,11 @@
 )
 from bluebellslip._internal.admin.teams import check_team_change
 from bluebellslip._internal.admin.tokens import Scope
-from bluebellslip._internal.exceptions import ConflictError, ForbiddenError
+from bluebellslip._internal.exceptions import (
+    BadValueError,
+    ConflictError,
+    ForbiddenError,
+)
 from bluebellslip._internal.kernel.services import (
     Accepted,
     Acceptor,
@@ -48,6 +52,7 @@
 async def put_config(call: AdminCall) -> Answered:
     """Accept a change of the configuration, or say why not."""
     body = call.decode(ApplyBody)
+    _check_mesh(call, body)
     acceptor = call.port(Acceptor)
     request = ChangeRequest(
         change=body.change,
@@ -61,6 +66,17 @@
     return submitted.map(_view_accepted)
 
 
+def _check_mesh(call: AdminCall, body: ApplyBody) -> None:
+    """Refuse the configuration of another mesh, which would wipe this one."""
+    own = call.context.settings.mesh
+    if body.document.mesh != own:
+        raise BadValueError(
+            'The configuration is of another mesh.',
+            context={'path': '$.mesh', 'found': body.document.mesh},
+            hint=f'This node is of the mesh {own}: check --node and the file.',
+        )
+
+
 def _limit_to_teams(call: AdminCall, request: ChangeRequest) -> ChangeRequest:
     """Refuse what the holder's teams do not own.
 
--- a/tests/functional/test_admin_app.py
+++ b/tests/functional/test_admin_app.py
@@ -145,6 +145,13 @@
     assert not mesh.trail.rows, 'the acceptor audits what it accepts'
 
 
+async def test_configuration_of_another_mesh_is_refused(mesh: _Mesh) -> None:
+    body = _change(mesh='tawhiri')
+    answer = await mesh.admin.call('PUT', '/v1/config', body=body)
+    assert (answer.status, answer.body['kind']) == (422, 'bad-value')
+    assert not mesh.acceptor.requests
+
+
 async def test_team_may_change_its_own_routes_only(mesh: _Mesh) -> None:
     routes = msgspec.to_builtins(make_document().routes)
     own = {**routes[1], 'path': '/payments'}
