--- a/tests/functional/test_node_process.py
+++ b/tests/functional/test_node_process.py
@@ -1,6 +1,7 @@
 """A node as a process: its start, stop, errors and import set."""
 
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -16,18 +17,22 @@
 # uvicorn imports click and httpcore h11, so those can't be kept out.
 _FORBIDDEN = ('typer', 'pydantic', 'rich', 'uvloop')
 
+# A loopback address of this process alone, so that runs of the tests side by
+# side don't take each other's ports.
+_HOST = f'127.26.{os.getpid() >> 8 & 255}.{os.getpid() & 255}'
+
 
 def _write_settings(path: Path, **fields: object) -> Path:
     settings = msgspec.to_builtins(make_settings('127.0.0.1:0'))
     settings['listen'].update({
-        'egress': '127.0.26.1:26102',
-        'ingress': '127.0.26.1:26202',
-        'peer': '127.0.26.1:26302',
-        'admin': '127.0.26.1:26402',
+        'egress': f'{_HOST}:26102',
+        'ingress': f'{_HOST}:26202',
+        'peer': f'{_HOST}:26302',
+        'admin': f'{_HOST}:26402',
     })
     settings['platform'] = {
-        'table': 'http://127.0.26.1:26999',
-        'objects': 'http://127.0.26.1:26999',
+        'table': f'http://{_HOST}:26999',
+        'objects': f'http://{_HOST}:26999',
     }
     settings.update(fields)
     file = path / 'node.json5'
