Report the state of the node and its process as gauges

Cause: alerts need the revision in force beside the newest known one, and the limits on processor time and memory need a reading per node. Seen red: with the call that enters the gauges left out (KeyError).

--- a/packages/bluebellslip/src/bluebellslip/_internal/admin/routes/status.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/routes/status.py
@@ -19,17 +19,14 @@
 from bluebellslip._internal.kernel.context import Context
 from bluebellslip._internal.kernel.ports import TableService
 from bluebellslip._internal.kernel.services import Moves
-from bluebellslip._internal.models.facts import (
-    HeadFact,
-    MemberFact,
-    MemberStatus,
-)
+from bluebellslip._internal.models.facts import MemberFact, MemberStatus
 from bluebellslip._internal.models.rows import HEAD_KEY, HeadRow
 from bluebellslip._internal.models.views import (
     MoveView,
     PlatformView,
     StatusBody,
 )
+from bluebellslip._internal.telemetry.gauges import read_head
 
 _PROBE_TIMEOUT: Final = dt.timedelta(seconds=1)
 
@@ -45,7 +42,7 @@
             mesh=context.settings.mesh,
             revision=context.applied.revision,
             ready=context.applied.current is not None,
-            known_head=_find_known_head(context),
+            known_head=read_head(context),
             holders=count_holders(members),
             moves=_list_moves(context),
             draining=tuple(
@@ -90,13 +87,6 @@
     return PlatformView(reachable=True, head=head.revision)
 
 
-def _find_known_head(context: Context) -> int:
-    heads = context.facts.select(HeadFact)
-    return max(
-        (head.revision for head in heads), default=context.applied.revision
-    )
-
-
 def _list_moves(context: Context) -> tuple[MoveView, ...]:
     try:
         moves = context.ports.get(Moves)
--- a/packages/bluebellslip/src/bluebellslip/_internal/cli/options.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/cli/options.py
@@ -45,7 +45,7 @@
         """Take the values out of a command's arguments."""
         return cls(
             as_json=arguments.pop('as_json'),
-            nodes=tuple(arguments.pop('nodes', ())),
+            nodes=tuple(map(_strip_scheme, arguments.pop('nodes', ()))),
             token=arguments.pop('token', ''),
         )
 
@@ -65,3 +65,7 @@
         )
         for name, (annotation, default) in options.items()
     }
+
+
+def _strip_scheme(node: str) -> str:
+    return node.removeprefix('http://').rstrip('/')
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/main.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/main.py
@@ -23,6 +23,7 @@
 from bluebellslip._internal.nodes.loading import load_plugins
 from bluebellslip._internal.nodes.settings import load_settings
 from bluebellslip._internal.telemetry.counters import TelemetryCounters
+from bluebellslip._internal.telemetry.gauges import register_gauges
 from bluebellslip._internal.telemetry.logs import configure_logs, describe_node
 
 logger = logging.getLogger(__name__)
@@ -69,6 +70,7 @@
         settings, SystemClock(), SystemRandom(), counters
     )
     context.ports.provide(MetricsReader, counters)
+    register_gauges(context)
     return context
 
 
--- a/tests/unit/test_telemetry.py
+++ b/tests/unit/test_telemetry.py
@@ -8,9 +8,12 @@
 
 import pytest
 
+from bluebellslip._internal.kernel.services import MetricsReader
+from bluebellslip._internal.models.facts import HeadFact
+from bluebellslip._internal.nodes.main import build_context
 from bluebellslip._internal.telemetry.counters import TelemetryCounters
 from bluebellslip._internal.telemetry.logs import configure_logs, describe_node
-from lib.operators import make_context
+from lib.operators import make_context, make_settings
 from lib.snapshots import make_snapshot
 
 
@@ -58,6 +61,20 @@
     assert json.loads(counters.read_json())['resource_metrics'] == []
 
 
+def test_gauges_tell_the_state_of_a_node() -> None:
+    settings = make_settings()
+    context = build_context(settings)
+    context.applied.apply(make_snapshot(3))
+    context.facts.merge([HeadFact(revision=4, digest='d4')])
+    counters = context.ports.get(MetricsReader)
+    assert isinstance(counters, TelemetryCounters)
+    metrics = _read(counters)
+    assert metrics['config_revision'][0]['value'] == 3
+    assert metrics['config_head'][0]['value'] == 4
+    assert metrics['config_ready'][0]['value'] == 1
+    assert metrics['process_private_bytes'][0]['value'] > 0
+
+
 @pytest.fixture
 def _keep_logging() -> Iterator[None]:
     root = logging.getLogger()
