Build the exchange server inside the running loop; measure real nodes

Cause: grpclib's server takes the loop that is current when it is made. The plug-in made it before the loop ran, so real node processes never answered an exchange and never found each other; the functional test built its nodes inside the loop and so passed. Change: the server is made when it begins to listen, and the test builds its nodes before the loop, as the node process does. Seen red: with the old constructor the test waits for ever for the members. A laggard's backoff now starts anew once it has caught up by any way. bench/peers.py runs 10 to 54 node processes beside the polling baseline, bench/peer_kernel.py gives slopes of one node's view.

--- /dev/null
+++ b/bench/peer_baseline.py
@@ -0,0 +1,70 @@
+"""The baseline: every node polls the head of the configuration."""
+
+import time
+from collections import defaultdict
+from random import Random
+from typing import Final
+
+import anyio
+import httpcore
+import msgspec
+
+from bluebellslip._internal.models.rows import HEAD_KEY, HeadRow
+from bluebellslip._internal.platform.wire import (
+    name_object_path,
+    name_row_path,
+)
+
+_PERIOD: Final = 1.0  # seconds
+
+
+class _RowReply(msgspec.Struct):
+    body: bytes
+
+
+class HeadPollers:
+    """As many pollers as there are nodes, each with its own connection.
+
+    Parameters
+    ----------
+    platform
+        URL of the platform.
+    count
+        Number of pollers.
+
+    Attributes
+    ----------
+    seen
+        Moments at which each revision was fetched, in seconds.
+    """
+
+    def __init__(self, platform: str, count: int) -> None:
+        self._platform = platform
+        self._count = count
+        self._random = Random(count)
+        self.seen: dict[int, list[float]] = defaultdict(list)
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        async with anyio.create_task_group() as group:
+            for _ in range(self._count):
+                group.start_soon(self._poll)
+
+    async def _poll(self) -> None:
+        await anyio.sleep(_PERIOD * self._random.random())
+        revision = 0
+        async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
+            while True:
+                head = await self._read_head(pool)
+                if head.revision > revision:
+                    path = name_object_path(head.digest)
+                    await pool.request('GET', f'{self._platform}{path}')
+                    revision = head.revision
+                    self.seen[revision].append(time.time())
+                await anyio.sleep(_PERIOD)
+
+    async def _read_head(self, pool: httpcore.AsyncConnectionPool) -> HeadRow:
+        path = name_row_path(HEAD_KEY)
+        reply = await pool.request('GET', f'{self._platform}{path}')
+        row = msgspec.json.decode(reply.content, type=_RowReply)
+        return msgspec.msgpack.decode(row.body, type=HeadRow)
--- /dev/null
+++ b/bench/peers.py
@@ -0,0 +1,346 @@
+"""Convergence and control cost of real node processes on loopback.
+
+Run as ``python -m bench.peers [--sizes 10,20,40]``. For each size of mesh:
+changes are accepted at random nodes, half of the nodes are killed together
+and returned, and costs are read over a quiet and a busy window. The baseline
+polls the head for as many nodes in the same run, against the same platform.
+"""
+
+import argparse
+import datetime as dt
+import json
+import statistics
+import tempfile
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from random import Random
+from typing import Any, Final
+
+import anyio
+import msgspec
+
+from bench.peer_baseline import HeadPollers
+from bench.processes import Usage, read_usage
+from bench.results import Cell, fit_slope, print_rows, write_results
+from bench.snapshot import build_record
+from bluebellslip._internal.models.config import ConfigDocument
+from bluebellslip_lab.admin_client import AdminClient
+from bluebellslip_lab.children import Children
+from bluebellslip_lab.mesh import OPERATOR_TOKEN, Mesh, Place, wait_answering
+
+_SIZES: Final = (10, 20, 40, 54)
+_BASE_PORT: Final = 21000
+_DOMAINS: Final = 3
+_SERVICES: Final = 270
+_QUIET_SECONDS: Final = 12.0
+_CHANGES: Final = 20
+_BASELINE_CHANGES: Final = 6
+_CHANGE_PERIOD: Final = 0.7  # seconds
+_READY: Final = dt.timedelta(seconds=60)
+_SETTLE: Final = 4.0  # seconds
+_APPLIED: Final = 'configuration applied'
+_MS: Final = 1000
+
+
+class Fleet:
+    """The nodes of one run.
+
+    Parameters
+    ----------
+    mesh
+        Starts and reaches the processes.
+    client
+        Sends requests to admin interfaces.
+    count
+        Number of nodes.
+    """
+
+    def __init__(self, mesh: Mesh, client: AdminClient, count: int) -> None:
+        self.mesh = mesh
+        self.client = client
+        self.places = [
+            Place(
+                index=index,
+                service=f'service-{index % 5}',
+                version='v1',
+                failure_domain=f'domain-{index % _DOMAINS}',
+            )
+            for index in range(count)
+        ]
+        self.revision = 0
+        self._random = Random(count)
+
+    async def start(self) -> None:
+        """Start all and wait until all see each other."""
+        self.mesh.start_platform()
+        await wait_answering(
+            self.client, f'{self.mesh.platform}/counts', _READY
+        )
+        for place in self.places:
+            self.mesh.start_node(place)
+        for waited in self.places:
+            await wait_answering(self.client, self.mesh.admin(waited), _READY)
+        await self.wait_members()
+
+    async def wait_members(self) -> None:
+        """Wait until every node knows every other one."""
+        with anyio.fail_after(_READY.total_seconds()):
+            for place in self.places:
+                while await self._count_members(place) < len(self.places):
+                    await anyio.sleep(0.2)
+
+    async def change(self, number: int) -> None:
+        """Have one route's class changed at a random node."""
+        place = self._random.choice(self.places)
+        body = {
+            'change': f'bench-change-{len(self.places)}-{number}',
+            'document': msgspec.to_builtins(build_document(number)),
+        }
+        url = f'{self.mesh.admin(place)}/v1/config'
+        reply = await self.client.send('PUT', url, body)
+        if reply.status != 200:
+            raise RuntimeError(f'{reply.status} {reply.body!r}')
+        self.revision = reply.tree['revision']
+
+    def pick_half(self) -> list[Place]:
+        """Return a random half of the nodes."""
+        return self._random.sample(self.places, len(self.places) // 2)
+
+    async def read_bytes(self) -> float:
+        """Return the control bytes that all nodes have sent so far."""
+        total: float = 0
+        for place in self.places:
+            url = f'{self.mesh.admin(place)}/v1/metrics'
+            reply = await self.client.send('GET', url)
+            total += sum_metric(reply.tree, 'peer_bytes_sent')
+        return total
+
+    def read_usages(self) -> list[Usage]:
+        """Return processor time and memory of every node."""
+        return [
+            read_usage(self.mesh.children.pid(place.node))
+            for place in self.places
+        ]
+
+    def read_applied(self) -> dict[int, dict[str, float]]:
+        """Return when each revision came into force at each node."""
+        applied: dict[int, dict[str, float]] = {}
+        for place in self.places:
+            for line in self.mesh.children.read_log(place.node).splitlines():
+                if _APPLIED in line:
+                    tree = json.loads(line)
+                    moment = dt.datetime.fromisoformat(tree['time'])
+                    by_node = applied.setdefault(tree['revision'], {})
+                    by_node[place.node] = moment.timestamp()
+        return applied
+
+    async def _count_members(self, place: Place) -> int:
+        url = f'{self.mesh.admin(place)}/v1/nodes'
+        reply = await self.client.send('GET', url)
+        nodes: list[dict[str, Any]] = reply.tree.get('nodes', [])
+        return sum(1 for node in nodes if node['status'] == 'alive')
+
+
+def build_document(number: int) -> ConfigDocument:
+    """Return a large document in which one route differs by the number."""
+    document = build_record(_SERVICES).document
+    changed = msgspec.structs.replace(
+        document.routes[0], path=f'/v1/things-{number}'
+    )
+    return msgspec.structs.replace(
+        document, routes=(changed, *document.routes[1:])
+    )
+
+
+def sum_metric(tree: dict[str, Any], name: str) -> float:
+    """Return the sum of a counter over its labels."""
+    metrics = [
+        metric
+        for resource in tree.get('resource_metrics', ())
+        for metric in resource['scope_metrics'][0]['metrics']
+    ]
+    points = [
+        point['value']
+        for metric in metrics
+        if metric['name'] == name
+        for point in metric['data']['data_points']
+    ]
+    return float(sum(points))
+
+
+def describe_delays(delays: Sequence[float], prefix: str) -> Cell:
+    """Return median, 99th percentile and maximum in milliseconds."""
+    ordered = sorted(delays)
+    last = len(ordered) - 1
+    return {
+        f'{prefix}_p50_ms': statistics.median(ordered) * _MS,
+        f'{prefix}_p99_ms': ordered[round(last * 0.99)] * _MS,
+        f'{prefix}_max_ms': ordered[-1] * _MS,
+    }
+
+
+async def measure_quiet(fleet: Fleet) -> Cell:
+    """Measure what nodes cost while nothing changes."""
+    await anyio.sleep(_SETTLE)
+    begun = time.monotonic()
+    counts = await fleet.client.count(fleet.mesh.platform)
+    sent = await fleet.read_bytes()
+    before = fleet.read_usages()
+    await anyio.sleep(_QUIET_SECONDS)
+    after = fleet.read_usages()
+    seconds = time.monotonic() - begun
+    more = await fleet.read_bytes()
+    later = await fleet.client.count(fleet.mesh.platform)
+    nodes = len(fleet.places)
+    cpu = sum(
+        late.cpu_seconds - early.cpu_seconds
+        for late, early in zip(after, before, strict=True)
+    )
+    return {
+        'sent_bytes_s': (more - sent) / seconds / nodes,
+        'cpu_percent': cpu / _QUIET_SECONDS / nodes * 100,
+        'private_mb': max(usage.private_mb for usage in after),
+        'source_reads_s': (later.reads - counts.reads) / seconds,
+    }
+
+
+async def measure_changes(fleet: Fleet) -> Cell:
+    """Measure the time from acceptance to in force."""
+    first = fleet.revision + 1
+    sent = await fleet.read_bytes()
+    for number in range(_CHANGES):
+        await fleet.change(number)
+        await anyio.sleep(_CHANGE_PERIOD)
+    await anyio.sleep(_SETTLE)
+    more = await fleet.read_bytes()
+    applied = fleet.read_applied()
+    delays: list[float] = []
+    missing = 0
+    for revision in range(first, fleet.revision + 1):
+        moments = applied.get(revision, {})
+        missing += len(fleet.places) - len(moments)
+        accepted = min(moments.values())
+        delays.extend(moment - accepted for moment in moments.values())
+    return {
+        **describe_delays(delays, 'force'),
+        'skipped': missing,
+        'bytes_change': (more - sent) / _CHANGES / len(fleet.places),
+    }
+
+
+async def measure_herd(fleet: Fleet) -> Cell:
+    """Kill half of the nodes, change, return them, and time the recovery."""
+    half = fleet.pick_half()
+    names = {place.node for place in half}
+    for place in half:
+        fleet.mesh.children.kill(place.node)
+    await anyio.sleep(_SETTLE)
+    begun = time.time()
+    for returning in half:
+        fleet.mesh.start_node(returning)
+    with anyio.fail_after(_READY.total_seconds()):
+        moments = await _wait_applied(fleet, names, begun)
+    await fleet.wait_members()
+    return {
+        'herd_s': max(moments) - begun,
+        'herd_members_s': time.time() - begun,
+    }
+
+
+async def measure_baseline(fleet: Fleet) -> Cell:
+    """Measure every node polling the head, against the same platform."""
+    pollers = HeadPollers(fleet.mesh.platform, len(fleet.places))
+    async with anyio.create_task_group() as group:
+        group.start_soon(pollers.run)
+        await anyio.sleep(_SETTLE)
+        counts = await fleet.client.count(fleet.mesh.platform)
+        begun = time.monotonic()
+        first = fleet.revision + 1
+        for number in range(_BASELINE_CHANGES):
+            await fleet.change(_CHANGES + number)
+            await anyio.sleep(2)
+        later = await fleet.client.count(fleet.mesh.platform)
+        seconds = time.monotonic() - begun
+        group.cancel_scope.cancel()
+    applied = fleet.read_applied()
+    delays = [
+        moment - min(applied[revision].values())
+        for revision, moments in pollers.seen.items()
+        if revision >= first
+        for moment in moments
+    ]
+    return {
+        **describe_delays(delays, 'polling'),
+        'polling_reads_s': (later.reads - counts.reads) / seconds,
+    }
+
+
+async def measure_fleet(count: int) -> Cell:
+    """Measure one size of mesh."""
+    with (
+        tempfile.TemporaryDirectory() as directory,
+        Children(Path(directory)) as children,
+    ):
+        mesh = Mesh(children, Path(directory), _BASE_PORT, 'capacity')
+        client = AdminClient(OPERATOR_TOKEN)
+        row = await _measure(Fleet(mesh, client, count))
+        await client.aclose()
+    return row
+
+
+async def _measure(fleet: Fleet) -> Cell:
+    await fleet.start()
+    await fleet.change(_CHANGES * 2)
+    return {
+        'nodes': len(fleet.places),
+        **await measure_quiet(fleet),
+        **await measure_changes(fleet),
+        **await measure_herd(fleet),
+        **await measure_baseline(fleet),
+    }
+
+
+async def _wait_applied(
+    fleet: Fleet, names: set[str], begun: float
+) -> list[float]:
+    while True:
+        applied = fleet.read_applied().get(fleet.revision, {})
+        moments = [
+            moment
+            for node, moment in applied.items()
+            if node in names and moment > begun
+        ]
+        if len(moments) == len(names):
+            return moments
+        await anyio.sleep(0.2)
+
+
+def main() -> None:
+    """Measure all sizes, print the tables and write the results."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--sizes', default=','.join(map(str, _SIZES)))
+    sizes = [int(size) for size in parser.parse_args().sizes.split(',')]
+    rows = []
+    for size in sizes:
+        rows.append(anyio.run(measure_fleet, size))
+        print_rows([
+            {'measure': key, 'value': value} for key, value in rows[-1].items()
+        ])
+    slopes = {}
+    if len(sizes) > 1:
+        slopes = {
+            f'{key}_per_node': fit_slope([
+                (float(row['nodes'] or 0), float(row[key] or 0)) for row in rows
+            ])[0]
+            for key in rows[0]
+            if key != 'nodes'
+        }
+        print_rows([
+            {'slope': key, 'value': value} for key, value in slopes.items()
+        ])
+    write_results('peers', rows, **slopes)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,32 @@
+"""Processor time and memory of processes."""
+
+import dataclasses
+import os
+from pathlib import Path
+from typing import Final
+
+_USER_FIELD: Final = 11  # of /proc/PID/stat after the command's name
+_SYSTEM_FIELD: Final = 12
+_TICKS_PER_SECOND: Final = os.sysconf('SC_CLK_TCK')
+_KB_PER_MB: Final = 1024
+_PRIVATE: Final = 'Private_Dirty:'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """Processor time so far, and dirty private memory in MB."""
+
+    cpu_seconds: float
+    private_mb: float
+
+
+def read_usage(pid: int) -> Usage:
+    """Return the usage of a process."""
+    directory = Path('/proc') / str(pid)
+    fields = (directory / 'stat').read_text().rpartition(')')[2].split()
+    ticks = int(fields[_USER_FIELD]) + int(fields[_SYSTEM_FIELD])
+    lines = (directory / 'smaps_rollup').read_text().splitlines()
+    private = next(line for line in lines if line.startswith(_PRIVATE))
+    return Usage(
+        ticks / _TICKS_PER_SECOND, int(private.split()[1]) / _KB_PER_MB
+    )
--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/catching_up.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/catching_up.py
@@ -93,8 +93,12 @@
         """Catch up whenever something newer is known."""
         async with anyio.create_task_group() as group:
             while True:
-                wait = self._step(group) if self._lags() else None
-                await self._wait(wait)
+                if self._lags():
+                    await self._wait(self._step(group))
+                    continue
+                self._puller.succeed()
+                self._guess_at = self._clock.elapsed()
+                await self._wait(None)
 
     async def pull(self, source: Address) -> Pulled:
         """Ask one peer for what is newer."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/peers/exchanges.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/peers/exchanges.py
@@ -64,9 +64,10 @@
     """
 
     def __init__(self, codec: ExchangeCodec, counters: Counters) -> None:
+        self._codec = codec
         self._counters = counters
         self._handlers: dict[type[PeerMessage], _Answerer] = {}
-        self._server = Server([self], codec=codec)
+        self._server: Server | None = None
 
     def enter(self, kind: type[PeerMessage], handler: _Answerer) -> None:
         """Answer exchanges of a kind by the handler."""
@@ -74,12 +75,15 @@
 
     async def open(self, listen: Address) -> None:
         """Listen."""
+        # The server binds itself to the running loop when it is made.
+        self._server = Server([self], codec=self._codec)
         await self._server.start(listen.host, listen.port)
 
     async def close(self) -> None:
         """Stop listening and end what runs."""
-        self._server.close()
-        await self._server.wait_closed()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
 
     async def _exchange(
         self, stream: 'Stream[PeerMessage, PeerMessage]'
--- a/tests/functional/test_peers.py
+++ b/tests/functional/test_peers.py
@@ -2,7 +2,7 @@
 
 import contextlib
 
-import pytest
+import anyio
 
 from bluebellslip._internal.models.facts import Backend
 from bluebellslip._internal.models.identity import (
@@ -20,14 +20,18 @@
 PORT = 21000
 
 
-@pytest.mark.anyio
-async def test_nodes_join_and_apply_an_offer() -> None:
+def test_nodes_join_and_apply_an_offer() -> None:
     platform = FakePlatform()
     seed = f'127.0.0.1:{PORT}'
+    # As in the node process, plug-ins are built before the loop runs.
     nodes = [
         RealNode(make_settings(number, PORT, (seed,)), platform)
         for number in range(3)
     ]
+    anyio.run(_offer_and_announce, nodes)
+
+
+async def _offer_and_announce(nodes: list[RealNode]) -> None:
     backend = Backend(
         ServiceName('orders'),
         VersionName('v1'),
