--- a/bench/peers.py
+++ b/bench/peers.py
@@ -21,7 +21,7 @@
 import msgspec
 
 from bench.peer_baseline import HeadPollers
-from bench.processes import Usage, read_usage
+from bench.peer_usage import Usage, read_usage
 from bench.results import Cell, fit_slope, print_rows, write_results
 from bench.snapshot import build_record
 from bluebellslip._internal.models.config import ConfigDocument
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,32 +1,65 @@
-"""Processor time and memory of processes."""
+"""Processes of the call benchmarks: start, end, and their time."""
 
-import dataclasses
-import os
+import contextlib
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Generator
 from pathlib import Path
 from typing import Final
 
-_USER_FIELD: Final = 11  # of /proc/PID/stat after the command's name
-_SYSTEM_FIELD: Final = 12
-_TICKS_PER_SECOND: Final = os.sysconf('SC_CLK_TCK')
-_KB_PER_MB: Final = 1024
-_PRIVATE: Final = 'Private_Dirty:'
+import msgspec
 
+from bench.mesh import Spec
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Usage:
-    """Processor time so far, and dirty private memory in MB."""
+HOST: Final = '127.0.0.42'
 
-    cpu_seconds: float
-    private_mb: float
 
+def at(port: int) -> str:
+    """Return an address of the benchmark as text."""
+    return f'{HOST}:{port}'
 
-def read_usage(pid: int) -> Usage:
-    """Return the usage of a process."""
-    directory = Path('/proc') / str(pid)
-    fields = (directory / 'stat').read_text().rpartition(')')[2].split()
-    ticks = int(fields[_USER_FIELD]) + int(fields[_SYSTEM_FIELD])
-    lines = (directory / 'smaps_rollup').read_text().splitlines()
-    private = next(line for line in lines if line.startswith(_PRIVATE))
-    return Usage(
-        ticks / _TICKS_PER_SECOND, int(private.split()[1]) / _KB_PER_MB
-    )
+
+@contextlib.contextmanager
+def running(specs: dict[str, Spec]) -> Generator[dict[str, int], None, None]:
+    """Run processes and yield their ids by name."""
+    with contextlib.ExitStack() as stack:
+        started = {
+            name: stack.enter_context(_Ending(spec))
+            for name, spec in specs.items()
+        }
+        yield {name: process.pid for name, process in started.items()}
+
+
+class _Ending:
+    """A process that ends with its context."""
+
+    def __init__(self, spec: Spec) -> None:
+        self._spec = spec
+
+    def __enter__(self) -> 'subprocess.Popen[bytes]':
+        text = msgspec.json.encode(self._spec).decode()
+        command = [sys.executable, '-m', 'bench.mesh', text]
+        self._process = subprocess.Popen(command)
+        return self._process
+
+    def __exit__(self, *raised: object) -> None:
+        self._process.terminate()
+        self._process.wait()
+
+
+def wait_for(port: int) -> None:
+    """Return when something listens at a port."""
+    for _ in range(200):
+        with contextlib.suppress(OSError):
+            socket.create_connection((HOST, port)).close()
+            return
+        time.sleep(0.05)
+    raise TimeoutError(f'nothing listens at {port}')
+
+
+def read_cpu(pid: int) -> float:
+    """Return the seconds that a process ran."""
+    text = Path(f'/proc/{pid}/schedstat').read_text(encoding='ascii')
+    return int(text.split()[0]) / 1e9
--- a/packages/bluebellslip/src/bluebellslip/_internal/peers/exchanges.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/peers/exchanges.py
@@ -74,8 +74,11 @@
         self._handlers[kind] = handler
 
     async def open(self, listen: Address) -> None:
-        """Listen."""
-        # The server binds itself to the running loop when it is made.
+        """Listen.
+
+        The server is made here, since it binds itself to the loop that runs
+        when it is made, and the node is built before its loop runs.
+        """
         self._server = Server([self], codec=self._codec)
         await self._server.start(listen.host, listen.port)
 
