Test the evidence, and moves back from a version that is done

The watch of a move back began with the alarm that had led to it, so that a probe without a finding was followed by another one at once; it begins anew now (seen red: test_overload_after_done_leaves_the_version_in_place without the reset).

--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/sequential.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/sequential.py
@@ -10,7 +10,8 @@
 chance that one ever passes ``1 / alpha``, however often it is looked at.
 
 ``log M`` is the integral of the mean over the tilt. In large strata it is
-taken by Simpson's rule from Cornfield's mean. In small ones it is bounded
+taken by Simpson's rule from Cornfield's mean, and raised by the most that
+this mean falls short by. In small ones it is bounded
 from above: the distribution is that of a sum of independent indicators, so it
 lies in convex order below both binomials of the same mean, over the marked
 calls and over the new version's calls.
@@ -24,6 +25,7 @@
 from typing import Final, NamedTuple
 
 _TINY: Final = 1e-12
+_EXCESS_PART: Final = 32
 _LARGE_CELL: Final = 5  # expected calls in each cell of a large stratum
 
 
@@ -53,7 +55,8 @@
         if self._least_cell(mean) >= _LARGE_CELL:
             middle = self.expect(odds_ratio * math.exp(tilt / 2))
             end = self.expect(odds_ratio * math.exp(tilt))
-            return tilt * (mean + 4 * middle + end) / 6
+            excess = tilt * (tilt + 2 * math.log(odds_ratio)) / _EXCESS_PART
+            return tilt * (mean + 4 * middle + end) / 6 + excess
         factor = mean * math.expm1(tilt)
         return min(
             self.marked * math.log1p(factor / self.marked),
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/watch.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/watch.py
@@ -58,6 +58,7 @@
             earlier.returns,
         }:
             return cls(move)
+        earlier.change.reset()
         return cls(move, earlier.change)
 
     @property
--- a/tests/functional/test_moves.py
+++ b/tests/functional/test_moves.py
@@ -4,7 +4,7 @@
 
 from bluebellslip._internal.exceptions import ErrorKind
 from bluebellslip._internal.models.facts import FULL_SHARE, MoveState
-from lib.moves import OLD, ORDERS, MoveMesh
+from lib.moves import NEW, OLD, ORDERS, MoveMesh
 
 pytestmark = pytest.mark.anyio
 
@@ -154,3 +154,82 @@
     await mesh.run(60)
     assert mesh.share == 0
     assert 'No server of the new version' in mesh.stored.reason
+
+
+async def run_until_done(mesh: MoveMesh) -> None:
+    await mesh.nodes[0].service.request(mesh.make_request())
+    while mesh.stored.state is MoveState.MOVING:
+        await mesh.second()
+    assert mesh.stored.state is MoveState.DONE
+
+
+async def test_version_bad_after_done_goes_back_by_a_move_of_its_own() -> None:
+    mesh = MoveMesh()
+    await run_until_done(mesh)
+    done = mesh.stored.move
+    mesh.new_failures = 0.5
+    await mesh.run(60)
+    assert mesh.stored.state is MoveState.DONE
+    assert mesh.stored.new == OLD
+    assert mesh.stored.returns == done
+    assert mesh.share == 0
+    assert not any(
+        row.move == done and row.state is MoveState.WITHDRAWN
+        for row in mesh.table.history
+    )
+    assert mesh.nodes[3].context.moves.is_stopped(ORDERS, NEW)
+    assert not mesh.nodes[0].context.moves.is_stopped(ORDERS, OLD)
+
+
+async def test_overload_after_done_leaves_the_version_in_place() -> None:
+    mesh = MoveMesh()
+    await run_until_done(mesh)
+    mesh.new_failures = 0.5
+    mesh.old_failures = 0.5
+    await mesh.run(200)
+    mesh.new_failures = 0
+    mesh.old_failures = 0
+    await mesh.run(200)
+    assert mesh.share == FULL_SHARE
+    assert any(row.returns for row in mesh.table.history)
+    assert not mesh.nodes[0].context.moves.is_stopped(ORDERS, OLD)
+
+
+async def test_stop_of_a_done_version_acts_while_the_table_is_down() -> None:
+    mesh = MoveMesh()
+    await run_until_done(mesh)
+    mesh.new_failures = 0.5
+    while mesh.stored.returns is None:
+        await mesh.second()
+    mesh.table.down = True
+    await mesh.run(60)
+    assert mesh.share == 0
+    mesh.table.down = False
+    await mesh.run(3)
+    assert mesh.stored.state is MoveState.DONE
+    assert mesh.stored.new == OLD
+
+
+async def test_lost_datagrams_do_not_hide_a_bad_version() -> None:
+    mesh = MoveMesh()
+    mesh.new_failures = 1
+    mesh.network.lost = {mesh.nodes[3].record.peer}
+    await mesh.nodes[0].service.request(mesh.make_request())
+    await mesh.run(60)
+    assert mesh.stored.state is MoveState.WITHDRAWN
+
+
+async def test_operator_stops_a_version_while_the_table_is_down() -> None:
+    mesh = MoveMesh()
+    await mesh.nodes[0].service.request(mesh.make_request())
+    await mesh.run(20)
+    mesh.table.down = True
+    answer = await mesh.nodes[1].service.withdraw(ORDERS, 'bo', 'ugly')
+    assert answer.ok.stopped
+    assert 'bo withdrew' in answer.ok.reason
+    await mesh.run(2)
+    assert mesh.share == 0
+    mesh.table.down = False
+    await mesh.run(5)
+    assert mesh.stored.state is MoveState.WITHDRAWN
+    assert 'ugly' in mesh.stored.reason
--- a/tests/lib/moves.py
+++ b/tests/lib/moves.py
@@ -23,6 +23,7 @@
 )
 from bluebellslip._internal.kernel.services import MoveRequest
 from bluebellslip._internal.models.facts import (
+    FULL_SHARE,
     Backend,
     MemberFact,
     MemberStatus,
@@ -256,6 +257,7 @@
         self.table = FakeTable()
         self.network = FakeNetwork()
         self.new_failures: float = 0
+        self.old_failures: float = 0
         self.new_latency = 0.02
         self.rate = 40
         self.nodes = [
@@ -271,7 +273,10 @@
     @property
     def share(self) -> int:
         split = self.nodes[0].context.moves.split(ORDERS)
-        return 0 if split is None else split.new_share
+        if split is None:
+            return 0
+        part = split.new_share
+        return part if split.new == NEW else FULL_SHARE - part
 
     def make_request(
         self, minutes: float = 10, name: str = 'one', new: VersionName = NEW
@@ -301,7 +306,7 @@
         new_calls = self.rate * self.share // 10_000
         for index, node in enumerate(self.nodes):
             count = new_calls if index >= 2 else self.rate - new_calls
-            failures = self.new_failures if index >= 2 else 0
+            failures = self.new_failures if index >= 2 else self.old_failures
             latency = self.new_latency if index >= 2 else 0.02
             if node.running:
                 node.run_calls(count, round(count * failures), latency)
