--- a/packages/bluebellslip-lab/src/bluebellslip_lab/demo.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/demo.py
@@ -8,6 +8,7 @@
 import sys
 import tempfile
 from pathlib import Path
+from random import SystemRandom
 from types import FrameType
 from typing import Final
 
@@ -16,15 +17,16 @@
 
 from bluebellslip_lab.admin_client import AdminClient
 from bluebellslip_lab.children import Children
-from bluebellslip_lab.demo_plan import MESH, PLACES
+from bluebellslip_lab.demo_plan import ALL_PLACES, MESH, PLACES
 from bluebellslip_lab.demo_run import DemoRun
-from bluebellslip_lab.mesh import OPERATOR_TOKEN, Mesh
+from bluebellslip_lab.free_ports import find_free_range
+from bluebellslip_lab.mesh import OPERATOR_TOKEN, PORTS_PER_PLACE, Mesh
 from bluebellslip_lab.operator_cli import OperatorCli
 from bluebellslip_lab.verdict import Summary, judge
 from bluebellslip_lab.watching import Watcher
 from bluebellslip_lab.workbench import Workbench
 
-_DEFAULT_PORT: Final = 27400
+_PORTS: Final = PORTS_PER_PLACE * (len(ALL_PLACES) + 1)
 _TIME_LIMIT_SECONDS: Final = 120
 
 
@@ -63,14 +65,15 @@
 def main() -> int:
     """Run the demo; return the exit status."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--base-port', type=int, default=_DEFAULT_PORT)
+    parser.add_argument('--base-port', type=int, help='first of all ports')
     parser.add_argument('--keep', type=Path, help='directory for logs')
     options = parser.parse_args()
+    base_port = options.base_port or find_free_range(_PORTS, SystemRandom())
     signal.signal(signal.SIGTERM, interrupt)
     with tempfile.TemporaryDirectory(prefix='bluebell-demo-') as scratch:
         directory = options.keep or Path(scratch)
         directory.mkdir(parents=True, exist_ok=True)
-        return report(anyio.run(run_demo, directory, options.base_port))
+        return report(anyio.run(run_demo, directory, base_port))
 
 
 if __name__ == '__main__':
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/demo_moves.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/demo_moves.py
@@ -51,8 +51,8 @@
 ) -> MoveEnd:
     await anyio.sleep(_ANNOUNCED.total_seconds())
     start = anyio.current_time()
-    within = f'{int(deadline.total_seconds())}s'
-    await bench.tell('move', MOVED, version, '--within', within)
+    by = f'{int(deadline.total_seconds())}s'
+    await bench.tell('move', MOVED, '--to', version, '--by', by)
     status = await bench.watcher.wait_move(
         bench.mesh.admin(PLACES[0]), MOVED, version, deadline + _SLACK
     )
--- /dev/null
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/free_ports.py
@@ -0,0 +1,34 @@
+"""Ranges of ports that nobody listens at."""
+
+import socket
+from random import Random
+from typing import Final
+
+_HOST: Final = '127.0.0.1'
+_FIRST: Final = 27000
+_LAST: Final = 28999
+_TRIES: Final = 200
+
+
+def find_free_range(count: int, random_source: Random) -> int:
+    """Return the first of ``count`` ports in a row that are free now.
+
+    Raises
+    ------
+    OSError
+        When no such range is found.
+    """
+    for _ in range(_TRIES):
+        base = random_source.randrange(_FIRST, _LAST - count)
+        if all(_is_free(port) for port in range(base, base + count)):
+            return base
+    raise OSError(f'no {count} free ports in a row on {_HOST}')
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((_HOST, port))
+        except OSError:
+            return False
+    return True
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/mesh.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/mesh.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime as dt
 import hashlib
+import secrets
 from itertools import chain
 from pathlib import Path
 from typing import Final
@@ -23,8 +24,9 @@
 OPERATOR_TOKEN: Final = 'lab-operator-token'
 SERVER_TOKEN: Final = 'lab-server-token'
 
-_PEER_KEY: Final = 'lab-peer-key-of-32-characters---'
-_PORTS_PER_NODE: Final = 10
+PORTS_PER_PLACE: Final = 10
+
+_KEY_BYTES: Final = 16
 _HOST: Final = '127.0.0.1'
 _POLL: Final = dt.timedelta(milliseconds=50)
 _SEEDS: Final = 3
@@ -64,6 +66,9 @@
 class Mesh:
     """Starts and reaches the processes of a mesh.
 
+    Its nodes share a key of their own, so that two meshes which meet at an
+    address stay apart.
+
     Parameters
     ----------
     children
@@ -83,6 +88,7 @@
         self._directory = directory
         self._base_port = base_port
         self._name = name
+        self._peer_key = secrets.token_hex(_KEY_BYTES)
 
     @property
     def children(self) -> Children:
@@ -96,7 +102,7 @@
 
     def address(self, place: Place, offset: int) -> str:
         """Return an address of a place: host and port."""
-        port = self._base_port + _PORTS_PER_NODE * (place.index + 1) + offset
+        port = self._base_port + PORTS_PER_PLACE * (place.index + 1) + offset
         return f'{_HOST}:{port}'
 
     def egress(self, place: Place) -> str:
@@ -163,7 +169,7 @@
             platform=PlatformSettings(
                 table=self.platform, objects=self.platform
             ),
-            peer_key=_PEER_KEY,
+            peer_key=self._peer_key,
             seeds=seeds,
             tokens=(
                 _build_token('ana', OPERATOR_TOKEN, ('read', 'apply', 'move')),
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
@@ -8,7 +8,7 @@
     InboundConnection,
     ListenerState,
 )
-from bluebellslip._internal.exceptions import InvalidSettingsError
+from bluebellslip._internal.exceptions import ListenError
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.models.identity import Address
 
@@ -43,7 +43,7 @@
 
         Raises
         ------
-        InvalidSettingsError
+        ListenError
             When the address can't be listened at.
         """
         loop = asyncio.get_running_loop()
@@ -55,7 +55,7 @@
                 backlog=_BACKLOG,
             )
         except OSError as error:
-            raise InvalidSettingsError(
+            raise ListenError(
                 'An address can not be listened at.',
                 context={'address': str(self._address), 'found': str(error)},
             ) from error
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/versions.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/versions.py
@@ -1,6 +1,8 @@
 """Which version of a service a call goes to."""
 
+from collections import defaultdict
 from collections.abc import Sequence
+from itertools import chain
 from random import Random
 
 import xxhash
@@ -8,6 +10,7 @@
 from bluebellslip._internal.kernel.directory import Endpoint
 from bluebellslip._internal.kernel.moves import VersionSplit
 from bluebellslip._internal.models.facts import FULL_SHARE
+from bluebellslip._internal.models.identity import VersionName
 
 
 def choose_side(
@@ -31,15 +34,21 @@
 ) -> list[Endpoint]:
     """Return the endpoints of the version that a call goes to.
 
-    Where that version has no server, those of the others serve, but never
-    those of a version that was stopped.
+    Where that version has no server, those of the move's other version
+    serve, but never those of a version that was stopped. Servers of any
+    further version serve only where neither of the two has one.
     """
     if split is None:
         return list(endpoints)
-    news = [one for one in endpoints if one.backend.version == split.new]
-    others = [one for one in endpoints if one.backend.version != split.new]
+    by_version: dict[VersionName, list[Endpoint]] = defaultdict(list)
+    for endpoint in endpoints:
+        by_version[endpoint.backend.version].append(endpoint)
+    news = by_version.pop(split.new, [])
+    olds = by_version.pop(split.old, [])
     if wants_new and news:
         return news
-    if others or split.new_share == 0:
-        return others
-    return news
+    if olds:
+        return olds
+    if news and split.new_share:
+        return news
+    return list(chain.from_iterable(by_version.values()))
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/ledger.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/ledger.py
@@ -22,6 +22,7 @@
 )
 from bluebellslip._internal.models.move_rows import MoveRow, decode_move
 from bluebellslip._internal.models.rows import name_move_key
+from bluebellslip._internal.moves.adoption import is_adoption
 from bluebellslip._internal.moves.transitions import build_transaction
 
 logger = logging.getLogger(__name__)
@@ -86,7 +87,9 @@
     def find_fact(self, service: ServiceName) -> MoveFact | None:
         """Return the newest known step of a service's newest move."""
         fact = self._context.facts.find(f'move/{service}')
-        return fact if isinstance(fact, MoveFact) else None
+        if not isinstance(fact, MoveFact) or is_adoption(fact):
+            return None
+        return fact
 
     def find_stop(self, service: ServiceName, move: MoveId) -> StopFact | None:
         """Return the stop of a move."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/plan.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/plan.py
@@ -8,7 +8,7 @@
 
 from bluebellslip._internal.models.config import Preference
 
-LEAST_DWELL: Final = dt.timedelta(seconds=10)
+LEAST_DWELL: Final = dt.timedelta(seconds=3)
 LEAST_DWELL_PART: Final = 0.02  # of the time from start to deadline
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/service.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/service.py
@@ -23,6 +23,7 @@
     NodeId,
     ServiceName,
 )
+from bluebellslip._internal.moves.adoption import is_adoption
 from bluebellslip._internal.moves.guard import MoveGuard
 from bluebellslip._internal.moves.ledger import (
     PLATFORM_ERRORS,
@@ -100,7 +101,9 @@
     def all_statuses(self) -> tuple[MoveStatus, ...]:
         """Return the newest move of every service that ever had one."""
         facts = self._context.facts.select(MoveFact)
-        return tuple(self._describe(fact) for fact in facts)
+        return tuple(
+            self._describe(fact) for fact in facts if not is_adoption(fact)
+        )
 
     async def _change(
         self,
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/steward.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/steward.py
@@ -4,10 +4,12 @@
 from typing import Final
 
 from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.services import Membership
 from bluebellslip._internal.models.facts import MoveState, StopFact
 from bluebellslip._internal.models.identity import ServiceName
 from bluebellslip._internal.models.move_rows import MoveRow
 from bluebellslip._internal.moves import transitions
+from bluebellslip._internal.moves.adoption import ADOPT, adopt_version
 from bluebellslip._internal.moves.guard import MoveGuard
 from bluebellslip._internal.moves.lease import LeaseView
 from bluebellslip._internal.moves.ledger import (
@@ -95,11 +97,22 @@
 
     async def _look(self, service: ServiceName) -> None:
         stored = await self._ledger.read(service)
+        if stored is None:
+            stored = await self._adopt()
         self._doubtful = False
         self._looked = self._context.clock.elapsed()
         if stored is not None:
             self._learn(stored)
 
+    async def _adopt(self) -> StoredMove | None:
+        backend = self._context.ports.get(Membership).own_backend
+        if backend is None:
+            return None
+        row = adopt_version(
+            backend, self._context.node, self._context.clock.now()
+        )
+        return await self._ledger.write(row, 0, ADOPT, self._context.node)
+
     def _learn(self, stored: StoredMove) -> None:
         elapsed = self._context.clock.elapsed()
         self._lease.learn(stored.row, stored.version, elapsed)
--- a/packages/bluebellslip/src/bluebellslip/_internal/peers/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/peers/plugin.py
@@ -8,6 +8,7 @@
 import anyio
 from anyio.abc import TaskStatus
 
+from bluebellslip._internal.exceptions import ListenError
 from bluebellslip._internal.kernel.context import Context
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.kernel.plugin import Plugin, Stage, plugins
@@ -61,8 +62,7 @@
 
     async def run(self, task_status: TaskStatus[None]) -> None:
         """Listen until cancelled."""
-        await self._datagrams.open(self._listen)
-        await self._server.open(self._listen)
+        await self._open()
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._close)
             task_status.started()
@@ -90,6 +90,17 @@
         """Answer exchanges of a kind by the handler's return."""
         self._server.enter(kind, handler)
 
+    async def _open(self) -> None:
+        try:
+            await self._datagrams.open(self._listen)
+            await self._server.open(self._listen)
+        except OSError as error:
+            raise ListenError(
+                'The node can not listen for its peers.',
+                context={'address': str(self._listen), 'found': str(error)},
+                hint='Change listen.peer in the settings, or free the address.',
+            ) from error
+
     async def _close(self) -> None:
         self._datagrams.close()
         self._client.close()
