--- a/tests/functional/test_peers.py
+++ b/tests/functional/test_peers.py
@@ -1,6 +1,7 @@
 """Nodes on real sockets find each other and bring configurations in force."""
 
 import contextlib
+from random import SystemRandom
 
 import anyio
 
@@ -18,13 +19,12 @@
 from lib.peers import FakePlatform, RealNode, make_settings, wait_until
 from lib.snapshots import make_record
 
-FIRST_PORT = 21000
 PORTS = 30
 
 
 def test_nodes_join_and_apply_an_offer() -> None:
     platform = FakePlatform()
-    port = find_free_range(FIRST_PORT, PORTS)
+    port = find_free_range(PORTS, SystemRandom())
     seed = f'127.0.0.1:{port}'
     # As in the node process, plug-ins are built before the loop runs.
     nodes = [
