Refresh after a pause, forget lost regions and superseded stops

Cause: a node that stood still served on from what might be old; members of a region that never came back and stops of past moves were kept for ever; a revision that can't be applied here was pulled again and again.

--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/catching_up.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/catching_up.py
@@ -24,6 +24,7 @@
 from bluebellslip._internal.membership.roster import Roster
 from bluebellslip._internal.membership.selection import pick_members
 from bluebellslip._internal.models.identity import Address
+from bluebellslip._internal.utils.digests import compute_digest
 
 _GUESSES: Final = 3  # members asked when none is known to have more
 _PARALLEL: Final = 3  # peers asked at once
@@ -173,13 +174,16 @@
 
     def _take(self, reply: PullReply) -> None:
         if reply.body is not None:
-            self._take_body(reply.body, reply.digest)
+            self._take_body(reply, reply.body)
         elif reply.deltas and not self._spreader.take_deltas(reply.deltas):
             self._counters.add('pulls_refused')
             self._whole = True
 
-    def _take_body(self, body: bytes, digest: str) -> None:
+    def _take_body(self, reply: PullReply, body: bytes) -> None:
         try:
-            self._spreader.offer(body, digest)
+            self._spreader.offer(body, reply.digest)
         except InvalidConfigError:
             self._counters.add('pulls_refused')
+            if compute_digest(body) == reply.digest:
+                # It is what was accepted, so no peer has a better one.
+                self._puller.refuse(reply.revision)
--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/plugin.py
@@ -106,6 +106,7 @@
             context.random,
             counters,
         )
+        self._resumed = anyio.Event()
         self._connect()
 
     @classmethod
@@ -132,11 +133,25 @@
             self._puller.note(await self._floors.settle())
             self._spreader.settle()
             group.start_soon(self._catch_up.run)
+            group.start_soon(self._refresh_always)
             group.start_soon(
-                self._poller.run, self._catch_up, self._membership.seeds
+                self._poller.run, self._catch_up, self._membership.meet_seeds
             )
 
+    async def _refresh_always(self) -> None:
+        # After a pause what is in force here may be old; until the node has
+        # caught up with the floor that is found, it serves nothing.
+        while True:
+            await self._resumed.wait()
+            self._resumed = anyio.Event()
+            self._puller.note(await self._floors.settle())
+            self._catch_up.wake()
+
+    def _on_resume(self) -> None:
+        self._resumed.set()
+
     def _connect(self) -> None:
+        self._membership.on_resume(self._on_resume)
         self._link.on_datagram(Notice, self._on_notice)
         self._link.on_request(PullRequest, self._answer_pull)
         self._link.on_request(FloorRequest, self._answer_floor)
--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/puller.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/puller.py
@@ -44,6 +44,7 @@
         self._sources: OrderedDict[Address, _Source] = OrderedDict()
         self._backoff = FullJitter(random, _FIRST_WAIT, _MOST_WAIT)
         self._wanted = 0
+        self._refused = 0
 
     @property
     def wanted(self) -> int:
@@ -63,7 +64,11 @@
 
     def lags(self, revision: int) -> bool:
         """Tell whether something newer than a revision is known."""
-        return self._wanted > revision
+        return self._wanted > max(revision, self._refused)
+
+    def refuse(self, revision: int) -> None:
+        """Want no more what can't be applied here, whoever has it."""
+        self._refused = max(self._refused, revision)
 
     def choose(self, revision: int) -> Address | None:
         """Return a peer that has something newer and may be asked now.
@@ -71,10 +76,11 @@
         It is not returned again before the answer must have come.
         """
         now = self._clock.elapsed()
+        least = max(revision, self._refused)
         able = [
             address
             for address, source in self._sources.items()
-            if source.revision > revision and source.earliest <= now
+            if source.revision > least and source.earliest <= now
         ]
         if not able:
             return None
--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/source.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/source.py
@@ -2,6 +2,7 @@
 
 import datetime as dt
 import logging
+from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Final
 
@@ -20,7 +21,6 @@
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.kernel.ports import ObjectStore
 from bluebellslip._internal.membership.roster import Roster
-from bluebellslip._internal.membership.seeds import Seeds
 from bluebellslip._internal.models.identity import Locality, NodeId
 from bluebellslip._internal.models.rows import HeadRow
 from bluebellslip._internal.utils.backoff import FullJitter, jitter
@@ -29,7 +29,7 @@
 
 _POLL: Final = dt.timedelta(seconds=1)
 _MOST_WAIT: Final = dt.timedelta(seconds=5)
-_RENEW_EVERY: Final = 30  # polls between two renewals of the seed row
+_MEET_EVERY: Final = 30  # polls between two looks at the table's seeds
 
 
 class RelayRank:
@@ -102,15 +102,17 @@
         self._backoff = FullJitter(random, _POLL, _MOST_WAIT)
         self._refused = ''
 
-    async def run(self, catch_up: CatchUp, seeds: Seeds) -> None:
-        """Poll for ever."""
+    async def run(
+        self, catch_up: CatchUp, meet_seeds: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Poll for ever, and now and then look for seeds in the table."""
         polls = 0
         while True:
             if self._rank.is_relay():
                 await self._poll_once()
                 catch_up.wake()
-                if polls % _RENEW_EVERY == 0:
-                    await seeds.renew()
+                if polls % _MEET_EVERY == 0:
+                    await meet_seeds()
                 polls += 1
             await anyio.sleep(jitter(_POLL, self._random).total_seconds())
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/core.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/core.py
@@ -1,6 +1,5 @@
 """Membership without input and output: the state machines, assembled."""
 
-import logging
 from collections.abc import Callable
 from random import Random
 from typing import Final
@@ -13,8 +12,12 @@
     Detector,
     DetectorParts,
 )
+from bluebellslip._internal.membership.expiry import (
+    SupersededStops,
+    Tombstones,
+)
 from bluebellslip._internal.membership.gossip import GossipQueue
-from bluebellslip._internal.membership.intake import Intake, Tombstones
+from bluebellslip._internal.membership.intake import Intake
 from bluebellslip._internal.membership.judge import Judge
 from bluebellslip._internal.membership.memory import AppliedMemory
 from bluebellslip._internal.membership.outbox import Outbox
@@ -29,8 +32,6 @@
 from bluebellslip._internal.models.identity import NodeId
 from bluebellslip._internal.utils.buckets import TokenBucket
 
-logger = logging.getLogger(__name__)
-
 _SYNCS_PER_SECOND: Final = 4.0
 _SYNC_BURST: Final = 8.0
 
@@ -104,6 +105,7 @@
             read_revision,
         )
         self._pauses = PauseWatch(clock, times.pause)
+        self._stops = SupersededStops(facts, self.ledger)
         self._tombstones = Tombstones(facts, self.roster, clock, times)
         self.sync = SyncSide(
             self.ledger,
@@ -123,7 +125,6 @@
         """Do what the time asks for; true after a pause of the node."""
         paused = self._pauses.check()
         if paused:
-            logger.info('resumed after a pause', extra={'node': self.own})
             self.detector.resume()
         self.record.expire()
         self.record.report(
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/detector.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/detector.py
@@ -119,6 +119,7 @@
         elif now - probe.since >= self._times.probe_timeout:
             self._repeat(probe)
         self._judge.bury(now)
+        self._judge.bury_lost(now)
 
     def resume(self) -> None:
         """Begin anew after a pause of the node itself.
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/intake.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/intake.py
@@ -1,33 +1,33 @@
 """What may enter the store of facts from other nodes."""
 
-import datetime as dt
+import logging
 from collections.abc import Iterable
 
 import msgspec
 
-from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.kernel.facts import FactStore
 from bluebellslip._internal.membership.encoding import decode_facts
 from bluebellslip._internal.membership.record import OwnRecord
 from bluebellslip._internal.membership.roster import Roster
-from bluebellslip._internal.membership.times import (
-    MEMBER_LIMIT,
-    MembershipTimes,
-)
+from bluebellslip._internal.membership.times import MEMBER_LIMIT
 from bluebellslip._internal.models.facts import (
     Fact,
     MemberFact,
     MemberStatus,
+    MoveFact,
+    StopFact,
 )
-from bluebellslip._internal.models.identity import NodeId
+
+logger = logging.getLogger(__name__)
 
 
 class Intake:
     """Checks facts and merges them.
 
     Facts on the node itself are refuted or left out. The death of a member
-    that nobody here knows is left out, since nothing is to be buried. At the
+    that nobody here knows is left out, since nothing is to be buried, and so
+    is the stop of a move that a later one has followed. At the
     cap of members, unknown ones are refused and counted.
 
     Parameters
@@ -63,6 +63,8 @@
         return len(news)
 
     def _admit(self, fact: Fact) -> bool:
+        if isinstance(fact, StopFact):
+            return not self._is_superseded(fact)
         if not isinstance(fact, MemberFact):
             return True
         if fact.node == self._record.fact.node:
@@ -72,6 +74,12 @@
             return True
         return self._admit_new(fact)
 
+    def _is_superseded(self, fact: StopFact) -> bool:
+        move = self._facts.find(f'move/{fact.service}')
+        if not isinstance(move, MoveFact) or move.move == fact.move:
+            return False
+        return move.started > fact.set_at
+
     def _admit_new(self, fact: MemberFact) -> bool:
         if fact.status is MemberStatus.DEAD:
             return False
@@ -81,55 +89,12 @@
         return True
 
     def _settle_own(self, fact: MemberFact) -> None:
-        if self._record.refute(fact):
-            self._counters.add('refutations')
-
-
-class Tombstones:
-    """Dead members, forgotten when they were dead long enough.
-
-    Parameters
-    ----------
-    facts
-        The store.
-    roster
-        The other members.
-    clock
-        Time.
-    times
-        Periods of membership.
-    """
-
-    def __init__(
-        self,
-        facts: FactStore,
-        roster: Roster,
-        clock: Clock,
-        times: MembershipTimes,
-    ) -> None:
-        self._facts = facts
-        self._roster = roster
-        self._clock = clock
-        self._period = times.tombstone
-        self._since: dict[NodeId, dt.timedelta] = {}
-        facts.subscribe(MemberFact, self._follow)
-
-    def expire(self) -> tuple[NodeId, ...]:
-        """Forget what is old and return it."""
-        now = self._clock.elapsed()
-        old = tuple(
-            node
-            for node, since in self._since.items()
-            if now - since > self._period
-        )
-        for node in old:
-            self._since.pop(node)
-            self._roster.forget(node)
-            self._facts.forget(f'member/{node}')
-        return old
-
-    def _follow(self, fact: MemberFact) -> None:
-        if fact.status is MemberStatus.DEAD:
-            self._since.setdefault(fact.node, self._clock.elapsed())
-        else:
-            self._since.pop(fact.node, None)
+        if not self._record.refute(fact):
+            return
+        self._counters.add('refutations')
+        if fact.peer != self._record.fact.peer:
+            self._counters.add('name_conflicts')
+            logger.warning(
+                'another address carried the name of this node',
+                extra={'found': str(fact.peer)},
+            )
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/judge.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/judge.py
@@ -88,6 +88,13 @@
             )
             self._facts.merge((dead,))
 
+    def bury_lost(self, now: dt.timedelta) -> None:
+        """Declare the members of regions dead that were silent too long."""
+        for region in self._regions.lost(now):
+            for member in self._roster.in_region(region):
+                dead = msgspec.structs.replace(member, status=MemberStatus.DEAD)
+                self._facts.merge((dead,))
+
     def _is_alone(self, suspicion: Suspicion) -> bool:
         # If nobody of the suspect's region was heard since the suspicion
         # began, the link may be cut, or this node itself.
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/plugin.py
@@ -1,6 +1,7 @@
 """The plug-in that provides ``Membership``."""
 
 import datetime as dt
+import logging
 from collections.abc import Callable
 from typing import Final, Self
 
@@ -28,6 +29,8 @@
 )
 from bluebellslip._internal.models.identity import Address
 
+logger = logging.getLogger(__name__)
+
 _FAREWELL: Final = dt.timedelta(milliseconds=200)
 
 
@@ -126,6 +129,11 @@
         """Call the listener after every pause of the node itself."""
         self._resumed.append(listener)
 
+    async def meet_seeds(self) -> None:
+        """Be found in the table, and meet those there who are unknown."""
+        await self.seeds.renew()
+        await self.synchronizer.meet(await self.seeds.find())
+
     async def run(self, task_status: TaskStatus[None]) -> None:
         """Probe, gossip and exchange facts until cancelled."""
         async with anyio.create_task_group() as group:
@@ -137,6 +145,7 @@
     async def _tick_always(self) -> None:
         while True:
             if self.core.tick():
+                logger.info('resumed after a pause')
                 self.synchronizer.hurry()
                 for listener in self._resumed:
                     listener()
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/synchronizer.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/synchronizer.py
@@ -92,9 +92,13 @@
         while True:
             wait = jitter(self._times.seed_period, self._random)
             await anyio.sleep(wait.total_seconds())
-            for address in self._seeds.configured:
-                if not knows_address(self._core.roster, address):
-                    await self.sync(address)
+            await self.meet(self._seeds.configured)
+
+    async def meet(self, addresses: tuple[Address, ...]) -> None:
+        """Exchange facts with those that are no live members here."""
+        for address in addresses:
+            if not knows_address(self._core.roster, address):
+                await self.sync(address)
 
     async def sync(self, address: Address) -> bool:
         """Exchange facts with a peer until nothing differs."""
--- a/tests/functional/test_peers.py
+++ b/tests/functional/test_peers.py
@@ -17,7 +17,7 @@
 from lib.peers import FakePlatform, RealNode, make_settings, wait_until
 from lib.snapshots import make_record
 
-PORT = 21000
+PORT = 22900
 
 
 def test_nodes_join_and_apply_an_offer() -> None:
