Ask seeds as well for the floor; tighten the tests of push and floor

Cause: with pushes off, or with the floor ignored, the tests stayed green, since probes and luck brought the same. Making the floor's test strict showed a real fault: a node that had met one member only, which was cut off itself, took that member's word. Change: up to four seeds are asked beside up to four members; the push has to come within half a virtual second; a frozen node of the simulation asks nothing.

--- a/bench/peers.py
+++ b/bench/peers.py
@@ -39,6 +39,7 @@
 _CHANGE_PERIOD: Final = 0.7  # seconds
 _READY: Final = dt.timedelta(seconds=60)
 _SETTLE: Final = 4.0  # seconds
+_SETTLE_PER_NODE: Final = 0.8  # seconds until records are told
 _APPLIED: Final = 'configuration applied'
 _MS: Final = 1000
 
@@ -182,7 +183,7 @@
 
 async def measure_quiet(fleet: Fleet) -> Cell:
     """Measure what nodes cost while nothing changes."""
-    await anyio.sleep(_SETTLE)
+    await anyio.sleep(_SETTLE + _SETTLE_PER_NODE * len(fleet.places))
     begun = time.monotonic()
     counts = await fleet.client.count(fleet.mesh.platform)
     sent = await fleet.read_bytes()
--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/floors.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/floors.py
@@ -2,6 +2,7 @@
 
 import datetime as dt
 import logging
+from collections.abc import Sequence
 from random import Random
 from typing import Final
 
@@ -26,7 +27,7 @@
 
 logger = logging.getLogger(__name__)
 
-_PEERS: Final = 3  # peers that are asked
+_PEERS: Final = 4  # members, and as many seeds, that are asked
 _PEER_TIMEOUT: Final = dt.timedelta(seconds=1)
 _FIRST_WAIT: Final = dt.timedelta(milliseconds=200)
 _MOST_WAIT: Final = dt.timedelta(seconds=2)
@@ -81,6 +82,9 @@
         Reader of the table's head.
     roster
         The members.
+    seeds
+        Peers that are asked besides members. A node that has just started
+        may have met only one member, which may itself be cut off.
     link
         Way to the peers.
     random
@@ -93,6 +97,7 @@
         applied: AppliedConfig,
         heads: HeadReader,
         roster: Roster,
+        seeds: Sequence[Address],
         link: PeerLink,
         random: Random,
     ) -> None:
@@ -100,6 +105,7 @@
         self._applied = applied
         self._heads = heads
         self._roster = roster
+        self._seeds = seeds
         self._link = link
         self._random = random
         self._answers: list[int] = []
@@ -127,11 +133,12 @@
         return found
 
     def _choose_peers(self) -> tuple[Address, ...]:
-        members = self._roster.everyone()
-        count = min(_PEERS, len(members))
-        return tuple(
-            member.peer for member in self._random.sample(members, count)
-        )
+        members = [member.peer for member in self._roster.everyone()]
+        return tuple({*self._sample(members), *self._sample(self._seeds)})
+
+    def _sample(self, addresses: Sequence[Address]) -> list[Address]:
+        count = min(_PEERS, len(addresses))
+        return self._random.sample(addresses, count)
 
     async def _ask_table(self) -> None:
         try:
--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/plugin.py
@@ -94,7 +94,13 @@
         )
         heads = HeadReader(context.ports.get(TableService), counters)
         self._floors = FloorFinder(
-            context.node, context.applied, heads, roster, link, context.random
+            context.node,
+            context.applied,
+            heads,
+            roster,
+            membership.seeds.configured,
+            link,
+            context.random,
         )
         self._poller = SourcePoller(
             RelayRank(context.node, context.locality, roster),
--- a/tests/lib/simulation.py
+++ b/tests/lib/simulation.py
@@ -54,6 +54,7 @@
         self.weather = Weather()
         self.links: dict[Address, SimLink] = {}
         self.cut: Callable[[Address, Address], bool] = lambda _one, _two: False
+        self.slow: Callable[[Address, Address], float] = lambda _one, _two: 0
         self.sent: dict[str, int] = {}
         self.bytes = 0
 
@@ -66,8 +67,9 @@
         # A connection sends again what is lost, so it breaks less often.
         return self.random.random() < self.weather.loss / 3
 
-    def delay(self) -> float:
-        return self.weather.delay * self.random.random()
+    def delay(self, one: Address, two: Address) -> float:
+        spread = self.weather.delay * self.random.random()
+        return spread + self.slow(one, two)
 
     def count(self, message: PeerMessage, packet: bytes) -> None:
         name = type(message).__name__
@@ -104,7 +106,7 @@
         for _ in range(copies):
             if network.passes(self._own, to):
                 asyncio.get_running_loop().call_later(
-                    network.delay(), self._deliver, to, packet
+                    network.delay(self._own, to), self._deliver, to, packet
                 )
 
     async def ask(
@@ -123,16 +125,21 @@
 
     async def _exchange(self, to: Address, message: PeerMessage) -> PeerMessage:
         network = self._network
+        await self._wait_thawed()
         packet = self._codec.encode(message)
         network.count(message, packet)
         await self._cross(self._own, to)
         answer = await network.links[to].answer(packet)
         await self._cross(to, self._own)
+        await self._wait_thawed()
         return self._codec.decode(answer)
 
-    async def answer(self, packet: bytes) -> bytes:
+    async def _wait_thawed(self) -> None:
         while self._clock.frozen:
             await anyio.sleep(0.1)
+
+    async def answer(self, packet: bytes) -> bytes:
+        await self._wait_thawed()
         message = self._codec.decode(packet)
         handler = self._request_handlers[type(message)]
         answer = await handler(message)
@@ -142,7 +149,7 @@
 
     async def _cross(self, source: Address, to: Address) -> None:
         network = self._network
-        await anyio.sleep(network.delay())
+        await anyio.sleep(network.delay(source, to))
         if to not in network.links:
             raise TimeoutError('refused')
         if network.cut(source, to) or network.breaks():
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -223,7 +223,14 @@
 
 
 @settings(derandomize=True, deadline=None)
-@given(st.lists(st.tuples(st.integers(0, 60), st.booleans())))
+@given(
+    st.lists(st.tuples(st.integers(0, 200), st.booleans()), max_size=10)
+    | st.lists(
+        st.tuples(st.integers(0, 200), st.booleans()),
+        min_size=25,
+        max_size=60,
+    )
+)
 def test_the_queue_of_facts_is_bounded_and_urgent_facts_go_first(adds) -> None:
     counters = NullCounters()
     queue = GossipQueue(counters, limit=20)
--- a/tests/unit/test_mesh_simulated.py
+++ b/tests/unit/test_mesh_simulated.py
@@ -30,9 +30,23 @@
         await _start(mesh, 12)
         mesh.accept(3)
         mesh.platform.down = True
-        await mesh.until(mesh.converged, 5)
+        await mesh.until(mesh.converged, 0.5)
         mesh.accept(4)
-        await mesh.until(mesh.converged, 5)
+        await mesh.until(mesh.converged, 0.5)
+        mesh.check()
+
+    _run(scenario)
+
+
+def test_probes_bring_what_pushes_did_not() -> None:
+    async def scenario(mesh: SimMesh) -> None:
+        await _start(mesh, 12)
+        mesh.platform.down = True
+        mesh.network.cut = lambda one, two: True
+        mesh.accept(3)
+        await anyio.sleep(0.1)
+        mesh.network.cut = lambda one, two: False
+        await mesh.until(mesh.converged, 15)
         mesh.check()
 
     _run(scenario)
@@ -77,19 +91,26 @@
 
 def test_a_reborn_node_does_not_go_back_while_the_platform_is_down() -> None:
     async def scenario(mesh: SimMesh) -> None:
-        await _start(mesh, 8)
+        await _start(mesh, 4)
         mesh.accept(0)
         await mesh.until(mesh.converged, 10)
-        # Node 1 is cut off and stays at the first revision.
-        lonely = mesh.nodes[1].context.peer_address
-        mesh.network.cut = lambda one, two: lonely in {one, two}
+        stale, reborn = (
+            mesh.nodes[number].context.peer_address for number in (1, 2)
+        )
+        mesh.network.cut = lambda one, two: stale in {one, two}
         mesh.accept(0)
-        await anyio.sleep(5)
+        await anyio.sleep(10)
         mesh.platform.down = True
         mesh.kill(2)
-        mesh.network.cut = lambda one, two: False
+        # The reborn node hears first of the one that was left behind.
+        mesh.network.cut = lambda one, two: (
+            stale in {one, two} and reborn not in {one, two}
+        )
+        mesh.network.slow = lambda one, two: 0 if stale in {one, two} else 0.3
         mesh.start(2)
-        await mesh.until(mesh.converged, 20)
+        await mesh.until(lambda: mesh.nodes[2].revision == 2, 20)
+        mesh.network.cut = lambda one, two: False
+        await mesh.until(mesh.converged, 30)
         mesh.check()
 
     _run(scenario)
