Keep connections warm and replace those that ended while kept

A server may close an idle connection just as a request goes out; work that comes this way is idempotent, so the node beside the server sends it once more on a new connection. Connections idle for 50 s are not used again, which is below the listeners' timeout of 75 s. Records and connections of servers that are gone are dropped.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/egress.py
@@ -119,6 +119,11 @@
         """Evidence about the servers that are called."""
         return self._balancer
 
+    @property
+    def services(self) -> set[ServiceName]:
+        """Services that were called through this node."""
+        return set(self._budgets)
+
     def close(self) -> None:
         """Refuse new calls from now on."""
         self._closed = True
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
@@ -83,6 +83,7 @@
         self._pool = pool
         self._address = address
         self._call = b'%x' % next(_numbers)
+        self._kept = False
         self._connection: OutboundConnection | None = None
         self._sending: asyncio.Task[None] | None = None
 
@@ -93,14 +94,25 @@
             raise RuntimeError('the exchange is not open')
         return self._connection
 
+    @property
+    def stale(self) -> bool:
+        """Whether a kept connection ended before anything came back."""
+        connection = self.connection
+        return self._kept and connection.silent and not connection.reusable
+
     async def open(self, *, fresh: bool = False) -> None:
         """Take a connection; errors as of ``ConnectionPool.acquire``."""
         self._connection = await self._pool.acquire(self._address, fresh=fresh)
+        self._kept = self._connection.idle_since > 0
 
     def __enter__(self) -> Self:
         return self
 
     def __exit__(self, *raised: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Give the connection back, or close it."""
         if self._sending is not None:
             self._sending.cancel()
         if self._connection is not None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/ingress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/ingress.py
@@ -18,11 +18,13 @@
 from bluebellslip._internal.calls.once import OnceRunner
 from bluebellslip._internal.calls.pool import ConnectionPool
 from bluebellslip._internal.calls.request import InboundRequest
+from bluebellslip._internal.calls.response_reader import ResponseHead
 from bluebellslip._internal.calls.tally import Tally
 from bluebellslip._internal.calls.witness import Witness
 from bluebellslip._internal.exceptions import (
     DrainingError,
     NoServerError,
+    ServerFailedError,
 )
 from bluebellslip._internal.kernel.context import Context
 from bluebellslip._internal.kernel.services import Membership
@@ -111,15 +113,35 @@
             await exchange.open()
             request.reply.ran = True
             sight.send()
-            left = call.remaining(self._context.clock.elapsed())
-            head = await exchange.send(
-                request, make_server_headers(call, left), Upload(request)
-            )
+            head = await self._send(call, exchange)
             sight.see(head.status)
             await relay_answer(
                 request, head, exchange.connection, self._make_hints()
             )
 
+    async def _send(self, call: Call, exchange: Exchange) -> ResponseHead:
+        """Send a request, again if its connection had ended before.
+
+        A server may close an idle connection at any moment; only idempotent
+        work comes here, so it may be sent twice.
+        """
+        upload = Upload(call.request)
+        try:
+            return await self._send_once(call, exchange, upload)
+        except ServerFailedError:
+            if not exchange.stale or not upload.replayable:
+                raise
+        exchange.close()
+        await exchange.open(fresh=True)
+        return await self._send_once(call, exchange, upload)
+
+    async def _send_once(
+        self, call: Call, exchange: Exchange, upload: Upload
+    ) -> ResponseHead:
+        left = call.remaining(self._context.clock.elapsed())
+        fields = make_server_headers(call, left)
+        return await exchange.send(call.request, fields, upload)
+
     def _make_hints(self) -> tuple[Header, ...]:
         load = min(1, self._gate.load)
         return ((names.LOAD, b'%d' % round(load * _PERCENT)),)
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/once.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/once.py
@@ -110,6 +110,7 @@
             When it did not run, or may have and left no answer.
         """
         request = call.request
+        request.invite_body()
         body = await request.body.read_all()
         work = _Work(
             key=name_claim_key(call.service, call.key),
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/outbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/outbound.py
@@ -24,12 +24,14 @@
 class OutboundConnection(asyncio.Protocol):
     """A connection to a server.
 
-    ``body`` is that of the newest exchange's answer.
+    ``body`` is that of the newest exchange's answer; ``idle_since`` is loop
+    time in seconds, kept by the pool.
     """
 
     body: ReadBuffer
 
     def __init__(self) -> None:
+        self.idle_since = 0.0
         self._gate = WriteGate()
         self._reader = ResponseReader()
         self._sent = True
@@ -64,6 +66,11 @@
         except ServerFailedError as error:
             self.fail(error)
 
+    @property
+    def silent(self) -> bool:
+        """Whether nothing came back in the newest exchange."""
+        return self._reader.silent
+
     def begin(self, message: bytes, *, headless: bool, whole: bool) -> None:
         """Start an exchange.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/plugin.py
@@ -13,6 +13,7 @@
 from bluebellslip._internal.calls.listener import Listener
 from bluebellslip._internal.calls.once import OnceRunner
 from bluebellslip._internal.calls.pool import ConnectionPool
+from bluebellslip._internal.calls.warmth import Warmth
 from bluebellslip._internal.calls.witness import Witness
 from bluebellslip._internal.claims.keeper import ClaimKeeper
 from bluebellslip._internal.kernel.context import Context
@@ -52,6 +53,7 @@
         self._ingress = IngressHandler(
             context, self._pool, membership, witness, gate, self._once
         )
+        self._warmth = Warmth(context, self._pool, self._egress.balancer)
         self._egress_listener = Listener(
             Address.from_text(listen.egress), self._egress, counters
         )
@@ -104,3 +106,4 @@
             await anyio.sleep(_SWEEP.total_seconds())
             self._ingress_listener.close_idle()
             self._egress_listener.close_idle()
+            await self._warmth.renew(self._egress.services)
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/pool.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/pool.py
@@ -10,6 +10,7 @@
 from bluebellslip._internal.models.identity import Address
 
 MAX_IDLE: Final = 64
+IDLE_LIMIT_S: Final = 50.0  # below the idle timeout of the listeners
 MAX_CONNECTIONS: Final = 256
 CONNECT_TIMEOUT_S: Final = 0.5
 
@@ -41,11 +42,13 @@
             When too many connections to it are open; nothing was sent.
         """
         idle = self._idle[address]
+        horizon = asyncio.get_running_loop().time() - IDLE_LIMIT_S
         while idle and not fresh:
             connection = idle.pop()
-            if connection.reusable:
+            if connection.reusable and connection.idle_since >= horizon:
                 self._open[address] += 1
                 return connection
+            connection.abort()
         if self._open[address] >= MAX_CONNECTIONS:
             raise OverloadedError(
                 'Too many connections to one server are open.',
@@ -58,27 +61,31 @@
         self._open[address] -= 1
         idle = self._idle[address]
         if connection.reusable and len(idle) < MAX_IDLE:
+            connection.idle_since = asyncio.get_running_loop().time()
             idle.append(connection)
         else:
             connection.abort()
 
-    async def warm(self, address: Address, count: int) -> None:
-        """Open connections until the given number is idle."""
-        while len(self._idle[address]) < count:
-            connection = await self._connect(address)
-            self._open[address] -= 1
-            self._idle[address].append(connection)
+    async def warm(self, address: Address) -> None:
+        """See to it that a connection is at hand.
 
-    def keep_only(self, addresses: set[Address]) -> None:
-        """Close idle connections to servers that are gone."""
-        for address in tuple(self._idle):
-            if address not in addresses:
-                self._close_idle(address)
+        Raises
+        ------
+        NoServerError
+            When the server can't be reached.
+        """
+        connection = await self.acquire(address)
+        self.release(address, connection)
+
+    def forget(self, address: Address) -> None:
+        """Close idle connections to a server that is gone."""
+        for connection in self._idle.pop(address, []):
+            connection.abort()
 
     def close(self) -> None:
         """Close all idle connections."""
         for address in tuple(self._idle):
-            self._close_idle(address)
+            self.forget(address)
 
     async def _connect(self, address: Address) -> OutboundConnection:
         loop = asyncio.get_running_loop()
@@ -99,7 +106,3 @@
             raise
         self._counters.add('calls.connections_opened')
         return connection
-
-    def _close_idle(self, address: Address) -> None:
-        for connection in self._idle.pop(address, []):
-            connection.abort()
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
@@ -35,12 +35,14 @@
     """Parser of one connection's answers.
 
     ``usable`` turns false as soon as the connection must not carry another
-    exchange; ``answered`` tells that the newest exchange's answer is whole.
+    exchange; ``answered`` tells that the newest exchange's answer is whole,
+    ``silent`` that nothing of it came in.
     """
 
     def __init__(self) -> None:
         self.usable = True
         self.answered = True
+        self.silent = True
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
         self._head_size = 0
@@ -62,6 +64,7 @@
         self._headless = headless
         self._until_close = False
         self.answered = False
+        self.silent = True
 
     def feed(self, chunk: bytes) -> None:
         """Parse input.
@@ -73,6 +76,7 @@
         """
         if self.answered or not self.usable:
             raise ServerFailedError('The server sent what nothing asked for.')
+        self.silent = False
         try:
             self._parser.feed_data(chunk)
         except (
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/warmth.py
@@ -0,0 +1,63 @@
+"""Connections kept at hand, and records of servers that are gone."""
+
+from collections import defaultdict
+from contextlib import suppress
+from typing import Final
+
+from bluebellslip._internal.calls.choice import Balancer
+from bluebellslip._internal.calls.pool import ConnectionPool
+from bluebellslip._internal.exceptions import BluebellError
+from bluebellslip._internal.kernel.context import Context
+from bluebellslip._internal.kernel.directory import Endpoint
+from bluebellslip._internal.models.identity import NodeId, ServiceName
+
+MAX_WARM: Final = 64  # connections opened in one round
+
+
+class Warmth:
+    """Follows the servers of the services that this node calls.
+
+    Parameters
+    ----------
+    context
+        The node's shared state.
+    pool
+        Connections to other nodes.
+    balancer
+        Evidence about servers.
+    """
+
+    def __init__(
+        self, context: Context, pool: ConnectionPool, balancer: Balancer
+    ) -> None:
+        self._context = context
+        self._pool = pool
+        self._balancer = balancer
+        self._known: dict[ServiceName, dict[NodeId, Endpoint]] = defaultdict(
+            dict
+        )
+        context.directory.subscribe(self._follow)
+
+    async def renew(self, services: set[ServiceName]) -> None:
+        """Open a connection to each near server of the services called."""
+        near = [
+            endpoint
+            for service in services
+            for endpoint in self._context.directory.endpoints(service)
+            if endpoint.locality.region == self._context.locality.region
+        ]
+        for endpoint in near[:MAX_WARM]:
+            with suppress(BluebellError):
+                await self._pool.warm(endpoint.ingress)
+
+    def _follow(self, service: ServiceName) -> None:
+        now = {
+            endpoint.node: endpoint
+            for endpoint in self._context.directory.endpoints(service)
+        }
+        before = self._known[service]
+        self._known[service] = now
+        for node, endpoint in before.items():
+            if node not in now:
+                self._balancer.forget(node)
+                self._pool.forget(endpoint.ingress)
--- a/tests/functional/test_calls_failures.py
+++ b/tests/functional/test_calls_failures.py
@@ -426,3 +426,22 @@
         caller.close()
         assert front.counters.sums['calls.refused'] == 1
         assert (await call_once(front.egress, '/samples')).status == 200
+
+
+@pytest.mark.anyio
+async def test_connection_that_ended_while_kept_is_opened_anew() -> None:
+    async def close_at_the_second(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request: SeenRequest,
+    ) -> None:
+        if writer in served:
+            writer.transport.abort()
+        else:
+            served.add(writer)
+            writer.write(whole(b'hello'))
+
+    served: set[asyncio.StreamWriter] = set()
+    async with mesh(FakeServer(close_at_the_second)) as (front, _):
+        for _ in range(6):
+            assert (await call_once(front.egress, '/samples')).body == b'hello'
