--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
@@ -194,9 +194,7 @@
     async for chunk in upload.chunks():
         connection.send(frame_chunk(chunk) if chunked else chunk)
         await connection.drain()
-    if chunked:
-        connection.send(LAST_CHUNK)
-    connection.end_request()
+    connection.send(LAST_CHUNK if chunked else b'', last=True)
 
 
 async def relay_answer(
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/outbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/outbound.py
@@ -31,7 +31,7 @@
     body: ReadBuffer
 
     def __init__(self) -> None:
-        self.idle_since = 0.0
+        self.idle_since: float = 0
         self._gate = WriteGate()
         self._reader = ResponseReader()
         self._sent = True
@@ -91,13 +91,10 @@
         self._sent = whole
         self._transport.write(message)
 
-    def send(self, chunk: bytes) -> None:
+    def send(self, chunk: bytes, *, last: bool = False) -> None:
         """Send a part of the request's body."""
         self._transport.write(chunk)
-
-    def end_request(self) -> None:
-        """Mark the request as sent in whole."""
-        self._sent = True
+        self._sent = last
 
     async def drain(self) -> None:
         """Return when the server keeps up.
