--- /dev/null
+++ b/bench/claims.py
@@ -0,0 +1,113 @@
+"""Transactions that claims cost, by rate of once-only calls on one node.
+
+Run as ``python -m bench.claims``.
+"""
+
+import asyncio
+import time
+from pathlib import Path
+from typing import Final
+
+import msgspec
+from expression import Ok, Result
+
+from bench.mesh import NodeSpec, make_context, make_document
+from bluebellslip._internal.claims.commit import GroupCommit
+from bluebellslip._internal.claims.ledger import ClaimLedger
+from bluebellslip._internal.claims.rows import Claim, StoredAnswer
+from bluebellslip._internal.kernel.counters import NullCounters
+from bluebellslip._internal.kernel.ports import (
+    Committed,
+    Refused,
+    Row,
+    Transaction,
+)
+from bluebellslip._internal.utils.durations import parse_duration
+
+RESULTS: Final = Path('build/bench/claims.json')
+RATES: Final = (10, 100, 500, 2000)
+SECONDS: Final = 3
+TABLE_DELAY_S: Final = 0.01
+_ANSWER: Final = StoredAnswer(200, (), b'paid')
+_NOWHERE: Final = '127.0.0.9:1'
+
+
+class SlowTable:
+    """A table that takes its time and accepts everything."""
+
+    def __init__(self) -> None:
+        self.transactions = 0
+
+    async def read(self, key: str) -> Row | None:
+        """Find an empty row."""
+        return Row(key, 1, b'')
+
+    async def scan(self, prefix: str, limit: int) -> tuple[Row, ...]:
+        """Find nothing."""
+        return ()
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[Committed, Refused]:
+        """Accept a transaction after the table's delay."""
+        self.transactions += 1
+        await asyncio.sleep(TABLE_DELAY_S)
+        return Ok(Committed((1,) * len(transaction.writes)))
+
+
+async def claim_and_store(
+    ledger: ClaimLedger, number: int, times: list[float]
+) -> None:
+    """Claim one piece of work and keep its answer."""
+    begun = time.perf_counter()
+    claim = await ledger.claim(f'claim/orders/{number}', b'', _TIMEOUT)
+    times.append(time.perf_counter() - begun)
+    if isinstance(claim, Claim):
+        await ledger.store(claim, _ANSWER)
+
+
+async def measure(rate: int) -> dict[str, float]:
+    """Make claims at a rate; return transactions a second and waits."""
+    table = SlowTable()
+    commit = GroupCommit(table, NullCounters())
+    spec = NodeSpec('n1', _NOWHERE, _NOWHERE)
+    context = make_context(spec, make_document('5s', ('orders',)))
+    ledger = ClaimLedger(context, table, commit)
+    worker = asyncio.create_task(commit.run())
+    times: list[float] = []
+    loop = asyncio.get_running_loop()
+    due = loop.time()
+    async with asyncio.TaskGroup() as group:
+        for number in range(rate * SECONDS):
+            due += 1 / rate
+            await asyncio.sleep(max(0, due - loop.time()))
+            group.create_task(claim_and_store(ledger, number, times))
+    worker.cancel()
+    times.sort()
+    return {
+        'calls_a_second': rate,
+        'transactions_a_second': table.transactions / SECONDS,
+        'claim_p99_ms': times[int(len(times) * 0.99)] * 1000,
+    }
+
+
+async def measure_all() -> list[dict[str, float]]:
+    """Measure every rate."""
+    return [await measure(rate) for rate in RATES]
+
+
+_TIMEOUT: Final = parse_duration('5s')
+
+
+def main() -> None:
+    """Measure and report."""
+    found = asyncio.run(measure_all())
+    print(f'claims on one node; a transaction takes {TABLE_DELAY_S} s')
+    for figures in found:
+        print(*(f'{name} {figure:8.1f}' for name, figure in figures.items()))
+    RESULTS.parent.mkdir(parents=True, exist_ok=True)
+    RESULTS.write_bytes(msgspec.json.format(msgspec.json.encode(found)))
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/functional/test_calls_failures.py
+++ b/tests/functional/test_calls_failures.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bluebellslip._internal.kernel.clock import Clock, ManualClock
+from bluebellslip._internal.kernel.ports import Verdict
 from lib.calls import (
     Behaviour,
     Caller,
@@ -314,6 +315,8 @@
             await ended.wait()
         await asyncio.sleep(0)
         assert backs[0].plugin.calls_in_flight == 0
+        verdicts = [one.verdict for one in backs[0].sink.outcomes]
+    assert verdicts == [Verdict.CANCELLED]
 
 
 @pytest.mark.anyio
--- a/tests/lib/tables.py
+++ b/tests/lib/tables.py
@@ -19,8 +19,8 @@
     """Rows in memory.
 
     ``down`` refuses everything, ``lose_answers`` lets that many transactions
-    take effect without an answer, ``lose_requests`` drops that many, and
-    ``delay`` holds each call back by seconds.
+    take effect without an answer, ``lose_requests`` and ``lose_reads`` drop
+    that many, and ``delay`` holds each call back by seconds.
     """
 
     def __init__(self) -> None:
@@ -28,11 +28,15 @@
         self.down = False
         self.lose_answers = 0
         self.lose_requests = 0
+        self.lose_reads = 0
         self.delay: float = 0
         self.transactions = 0
 
     async def read(self, key: str) -> Row | None:
         await self._fault()
+        if self.lose_reads:
+            self.lose_reads -= 1
+            raise PlatformUnknownError('lost')
         return self.rows.get(key)
 
     async def scan(self, prefix: str, limit: int) -> tuple[Row, ...]:
--- /dev/null
+++ b/tests/unit/test_claims.py
@@ -0,0 +1,129 @@
+"""Claims in the table: expiry, release, sweeping, and group commit."""
+
+import contextlib
+import datetime as dt
+from collections.abc import AsyncGenerator
+
+import anyio
+import pytest
+
+from bluebellslip._internal.claims.commit import GroupCommit
+from bluebellslip._internal.claims.ledger import ClaimLedger
+from bluebellslip._internal.claims.rows import (
+    RETENTION,
+    Claim,
+    StoredAnswer,
+    decode_claim,
+)
+from bluebellslip._internal.claims.sweep import ClaimSweeper
+from bluebellslip._internal.exceptions import (
+    OutcomeUnknownError,
+    PlatformDownError,
+)
+from bluebellslip._internal.kernel.clock import ManualClock
+from bluebellslip._internal.kernel.counters import NullCounters
+from lib.calls import MeshNode, free_address
+from lib.tables import FakeTable
+
+KEY = 'claim/orders/k1'
+_TIMEOUT = dt.timedelta(seconds=5)
+_PAID = StoredAnswer(200, (), b'paid')
+
+
+class Setup:
+    """A ledger over a table in memory and a clock that stands still."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.table = FakeTable()
+        self.node = MeshNode('n1', clock=self.clock)
+        self.commit = GroupCommit(self.table, NullCounters())
+        self.ledger = ClaimLedger(self.node.context, self.table, self.commit)
+
+    async def claim(self, key: str = KEY) -> Claim | StoredAnswer:
+        return await self.ledger.claim(key, b'f', _TIMEOUT)
+
+    async def claim_for_sure(self) -> Claim:
+        claim = await self.claim()
+        assert isinstance(claim, Claim)
+        return claim
+
+    @contextlib.asynccontextmanager
+    async def committing(self) -> AsyncGenerator['Setup', None]:
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.commit.run)
+            try:
+                yield self
+            finally:
+                group.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+async def test_claim_of_a_dead_node_is_never_taken_over() -> None:
+    async with Setup().committing() as setup:
+        await setup.claim_for_sure()
+        setup.clock.advance(RETENTION - _TIMEOUT)
+        with pytest.raises(OutcomeUnknownError):
+            await setup.claim()
+
+
+@pytest.mark.anyio
+async def test_key_is_free_after_its_retention() -> None:
+    async with Setup().committing() as setup:
+        await setup.ledger.store(await setup.claim_for_sure(), _PAID)
+        assert await setup.claim() == _PAID
+        setup.clock.advance(RETENTION)
+        claim = await setup.claim_for_sure()
+    assert claim.version == 3
+
+
+@pytest.mark.anyio
+async def test_late_release_frees_no_other_claim() -> None:
+    async with Setup().committing() as setup:
+        first = await setup.claim_for_sure()
+        await setup.ledger.release(first)
+        second = await setup.claim_for_sure()
+        await setup.ledger.release(first)
+        row = decode_claim(setup.table.rows[KEY].body)
+    assert row == second.row
+
+
+@pytest.mark.anyio
+async def test_lost_claim_that_arrived_is_released_later() -> None:
+    async with Setup().committing() as setup:
+        setup.table.lose_answers = 1
+        setup.table.lose_reads = 3
+        with pytest.raises(PlatformDownError):
+            await setup.claim()
+        await setup.ledger.release_orphans()
+        assert isinstance(await setup.claim(), Claim)
+
+
+@pytest.mark.anyio
+async def test_one_transaction_carries_many_claims() -> None:
+    claims: list[Claim | StoredAnswer] = []
+    async with Setup().committing() as setup:
+        setup.table.delay = 0.01
+
+        async def one(number: int) -> None:
+            claims.append(await setup.claim(f'claim/orders/{number}'))
+
+        async with anyio.create_task_group() as group:
+            for number in range(100):
+                group.start_soon(one, number)
+    assert len(claims) == 100
+    assert setup.table.transactions <= 4
+
+
+@pytest.mark.anyio
+async def test_sweep_deletes_what_expired() -> None:
+    async with Setup().committing() as setup:
+        await setup.claim_for_sure()
+        sweeper = ClaimSweeper(setup.node.context, setup.table)
+        setup.clock.advance(RETENTION)
+        await setup.claim('claim/orders/k2')
+        assert await sweeper.sweep() == 0
+        setup.node.host('orders', free_address())
+        setup.node.know(setup.node)
+        assert await sweeper.sweep() == 1
+    assert list(setup.table.rows) == ['claim/orders/k2']
