Check the size of a head once it is whole

Bounds of a request's head are checked when it is whole, and on the raw input while it is not, in place of a check at each header; dot segments are looked for only in paths that may hold one.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/call.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/call.py
@@ -21,6 +21,7 @@
 
 MAX_KEY_BYTES: Final = 128
 MAX_DEPTH: Final = 64
+_LONGEST_MS: Final = 86_400_000  # milliseconds of a day
 _DOT_SEGMENTS: Final = frozenset(('.', '..'))
 
 
@@ -97,9 +98,7 @@
     """
     text = target.decode('latin-1').partition('?')[0]
     path = unquote(text) if '%' in text else text
-    if not path.startswith('/') or not _DOT_SEGMENTS.isdisjoint(
-        path.split('/')
-    ):
+    if not path.startswith('/') or _has_dot_segment(path):
         raise MalformedError(
             'The target must be an absolute path without dot segments.',
             context={'found': text},
@@ -107,6 +106,10 @@
     return path
 
 
+def _has_dot_segment(path: str) -> bool:
+    return '/.' in path and not _DOT_SEGMENTS.isdisjoint(path.split('/'))
+
+
 def _check(call: Call) -> None:
     if call.is_once and not call.key:
         raise KeyMissingError(
@@ -142,8 +145,9 @@
     told = names.read_number(request.fields, names.TIMEOUT_MS)
     if told is None:
         return route.work.timeout
-    limit = int(route.work.timeout / dt.timedelta(milliseconds=1))
-    return dt.timedelta(milliseconds=min(told, limit))
+    if told >= _LONGEST_MS:
+        return route.work.timeout
+    return min(route.work.timeout, dt.timedelta(milliseconds=told))
 
 
 def _read_key(request: InboundRequest) -> str:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
@@ -95,15 +95,15 @@
     def on_url(self, url: bytes) -> None:
         """Take in a part of the target."""
         self._target += url
-        self._grow(len(url))
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Take in a header."""
         self._headers.append((name.lower(), text))
-        self._grow(len(name) + len(text))
+        self._head_size += len(name) + len(text)
 
     def on_headers_complete(self) -> None:
         """Hand the request over."""
+        self._check_head()
         method = self._parser.get_method()
         fields = dict(self._headers)
         request = InboundRequest(
@@ -140,9 +140,9 @@
             self._current = None
         self._between = True
 
-    def _grow(self, size: int) -> None:
-        self._head_size += size
-        if self._head_size > MAX_HEAD_BYTES or len(self._headers) > MAX_HEADERS:
+    def _check_head(self) -> None:
+        size = self._head_size + len(self._target)
+        if size > MAX_HEAD_BYTES or len(self._headers) > MAX_HEADERS:
             raise _make_too_large()
 
     def _check_partial_head(self, size: int) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
@@ -112,7 +112,7 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Take in a header."""
-        self._head_size += len(name) + len(text)
+        self._head_size += len(text)
         if self._head_size > MAX_HEAD_BYTES:
             raise ServerFailedError('The head of the answer is too large.')
         self._headers.append((name.lower(), text))
