--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
@@ -214,9 +214,6 @@
     fields.extend(extra)
     request.reply.start(head.status, fields, head.length)
     body = connection.body
-    if body.complete:
-        request.reply.finish(body.take())
-        return
     while not body.complete:
         chunk = await body.read()
         if chunk:
