--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/requests.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/requests.py
@@ -25,7 +25,7 @@
 from bluebellslip._internal.moves.ledger import StoredMove
 from bluebellslip._internal.moves.servers import find_common_version
 
-LEAST_TIME: Final = dt.timedelta(seconds=40)
+LEAST_TIME: Final = dt.timedelta(seconds=30)
 
 Change = Result[tuple[MoveRow, str], BluebellError]
 NO_CHANGE: Final = ''
--- /dev/null
+++ b/tests/unit/test_first_versions.py
@@ -0,0 +1,96 @@
+"""Servers of a version that nobody asked for get no calls."""
+
+from random import Random
+
+import pytest
+
+from bluebellslip._internal.calls.versions import (
+    choose_side,
+    select_candidates,
+)
+from bluebellslip._internal.kernel.clock import ManualClock
+from bluebellslip._internal.kernel.directory import Endpoint
+from bluebellslip._internal.kernel.facts import FactStore
+from bluebellslip._internal.kernel.moves import MoveBook, VersionSplit
+from bluebellslip._internal.models.facts import Backend, MoveState
+from bluebellslip._internal.models.identity import (
+    Address,
+    Locality,
+    MoveId,
+    NodeId,
+    ServiceName,
+    VersionName,
+)
+from bluebellslip._internal.moves.adoption import adopt_version, is_adoption
+
+_ORDERS = ServiceName('orders')
+
+
+def _make_backend(version: str) -> Backend:
+    address = Address('127.0.0.1', 1)
+    return Backend(_ORDERS, VersionName(version), address, 12, 120)
+
+
+def _make_endpoints(*versions: str) -> list[Endpoint]:
+    return [
+        Endpoint(
+            node=NodeId(f'{version}-{place}'),
+            incarnation=1,
+            ingress=Address('127.0.0.1', place + 2),
+            locality=Locality('r', 'a'),
+            backend=_make_backend(version),
+            suspect=False,
+        )
+        for place, version in enumerate(versions)
+    ]
+
+
+def _chosen(endpoints: list[Endpoint], split: VersionSplit) -> set[str]:
+    wants_new = choose_side(split, None, Random(0))
+    chosen = select_candidates(endpoints, split, wants_new=wants_new)
+    return {endpoint.backend.version for endpoint in chosen}
+
+
+def _adopt(version: str) -> VersionSplit:
+    facts = FactStore()
+    book = MoveBook(facts)
+    row = adopt_version(
+        _make_backend(version), NodeId('n'), ManualClock().now()
+    )
+    fact = row.to_fact(1)
+    assert is_adoption(fact)
+    facts.merge((fact,))
+    split = book.split(_ORDERS)
+    assert split is not None
+    return split
+
+
+def test_a_version_that_starts_beside_the_first_gets_no_calls() -> None:
+    assert _chosen(_make_endpoints('v1', 'v2', 'v2'), _adopt('v1')) == {'v1'}
+
+
+def test_another_version_serves_where_the_first_has_no_server() -> None:
+    assert _chosen(_make_endpoints('v2'), _adopt('v1')) == {'v2'}
+
+
+@pytest.mark.parametrize(
+    ('state', 'served'),
+    [
+        (MoveState.MOVING, {'v1'}),
+        (MoveState.DONE, {'v2'}),
+        (MoveState.WITHDRAWN, {'v1'}),
+    ],
+)
+def test_a_third_version_gets_no_calls(
+    state: MoveState, served: set[str]
+) -> None:
+    split = VersionSplit(
+        move=MoveId('m'),
+        old=VersionName('v1'),
+        new=VersionName('v2'),
+        share=0,
+        state=state,
+        stopped=False,
+    )
+    endpoints = _make_endpoints('v0', 'v1', 'v2', 'v3')
+    assert _chosen(endpoints, split) == served
