--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
@@ -7,6 +7,7 @@
 import httptools
 
 from bluebellslip._internal.calls.headers import (
+    CALL,
     CONTENT_LENGTH,
     TRANSFER_ENCODING,
     Header,
@@ -23,6 +24,7 @@
 MAX_HEAD_BYTES: Final = 32 * 1024
 MAX_HEADERS: Final = 128
 _HEAD: Final = b'HEAD'
+_NOTHING: Final = b'0'
 
 
 class RequestReader:
@@ -103,10 +105,12 @@
     def on_headers_complete(self) -> None:
         """Hand the request over."""
         method = self._parser.get_method()
+        fields = dict(self._headers)
         request = InboundRequest(
             method=method,
             target=self._target,
             headers=self._headers,
+            fields=fields,
             body=ReadBuffer(self._transport),
             reply=Reply(
                 self._transport,
@@ -115,11 +119,12 @@
                 headless=method == _HEAD,
                 keep_alive=self._parser.should_keep_alive(),
                 modern=self._parser.get_http_version() == '1.1',
+                call=fields.get(CALL),
             ),
         )
         self._current = request
         self._raw_size = 0
-        if not _has_body(request.headers):
+        if not _has_body(fields):
             request.body.finish()
         self._on_request(request)
 
@@ -157,11 +162,10 @@
     )
 
 
-def _has_body(headers: list[Header]) -> bool:
-    return any(
-        name == TRANSFER_ENCODING or (name == CONTENT_LENGTH and text != b'0')
-        for name, text in headers
-    )
+def _has_body(fields: dict[bytes, bytes]) -> bool:
+    if TRANSFER_ENCODING in fields:
+        return True
+    return fields.get(CONTENT_LENGTH, _NOTHING) != _NOTHING
 
 
 def _find_cause(error: BaseException) -> BluebellError:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/versions.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/versions.py
@@ -31,7 +31,7 @@
     split: VersionSplit | None,
     *,
     wants_new: bool,
-) -> list[Endpoint]:
+) -> Sequence[Endpoint]:
     """Return the endpoints of the version that a call goes to.
 
     Where that version has no server, those of the move's other version
@@ -39,7 +39,7 @@
     further version serve only where neither of the two has one.
     """
     if split is None:
-        return list(endpoints)
+        return endpoints
     by_version: dict[VersionName, list[Endpoint]] = defaultdict(list)
     for endpoint in endpoints:
         by_version[endpoint.backend.version].append(endpoint)
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/main.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/main.py
@@ -1,5 +1,6 @@
 """The node's entry point: settings, logs, metrics, and the node itself."""
 
+import errno
 import logging
 from collections.abc import Sequence
 from pathlib import Path
@@ -8,7 +9,11 @@
 
 import anyio
 
-from bluebellslip._internal.exceptions import BluebellError, ErrorKind
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    ErrorKind,
+    ListenError,
+)
 from bluebellslip._internal.kernel.clock import SystemClock
 from bluebellslip._internal.kernel.context import Context
 from bluebellslip._internal.kernel.node import Node
@@ -18,11 +23,13 @@
 from bluebellslip._internal.nodes.loading import load_plugins
 from bluebellslip._internal.nodes.settings import load_settings
 from bluebellslip._internal.telemetry.counters import TelemetryCounters
+from bluebellslip._internal.telemetry.gauges import register_gauges
 from bluebellslip._internal.telemetry.logs import configure_logs, describe_node
 
 logger = logging.getLogger(__name__)
 
 _USAGE_EXIT: Final = 2
+_ADDRESS_ERRORS: Final = frozenset((errno.EADDRINUSE, errno.EADDRNOTAVAIL))
 
 
 def run_node(arguments: Sequence[str]) -> int:
@@ -38,7 +45,7 @@
     describe_node(handler, context)
     load_plugins()
     try:
-        anyio.run(Node.from_context(context).run)
+        anyio.run(_run_plugins, context)
     except BluebellError as refusal:
         return _report(refusal)
     except BaseExceptionGroup as group:
@@ -46,6 +53,11 @@
     return 0
 
 
+async def _run_plugins(context: Context) -> None:
+    # Servers of libraries belong to the loop that they are built in.
+    await Node.from_context(context).run()
+
+
 def build_context(settings: NodeSettings) -> Context:
     """Build the shared state of a node process."""
     counters = TelemetryCounters.from_attributes(
@@ -58,6 +70,7 @@
         settings, SystemClock(), SystemRandom(), counters
     )
     context.ports.provide(MetricsReader, counters)
+    register_gauges(context)
     return context
 
 
@@ -73,11 +86,18 @@
 def _find_expected(
     group: BaseExceptionGroup[BaseException],
 ) -> BluebellError | None:
+    """Return the first error of the closed list; taken addresses are one."""
     for member in group.exceptions:
         if isinstance(member, BluebellError):
             return member
         if isinstance(member, BaseExceptionGroup):
             return _find_expected(member)
+        if isinstance(member, OSError) and member.errno in _ADDRESS_ERRORS:
+            return ListenError(
+                'The node can not listen at an address of its settings.',
+                context={'found': str(member)},
+                hint='Change it under listen in the settings, or free it.',
+            )
     return None
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/peers/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/peers/plugin.py
@@ -61,7 +61,13 @@
         return link
 
     async def run(self, task_status: TaskStatus[None]) -> None:
-        """Listen until cancelled."""
+        """Listen until cancelled.
+
+        Raises
+        ------
+        ListenError
+            When the address is taken or is none of the instance's.
+        """
         await self._open()
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._close)
@@ -97,8 +103,11 @@
         except OSError as error:
             raise ListenError(
                 'The node can not listen for its peers.',
-                context={'address': str(self._listen), 'found': str(error)},
-                hint='Change listen.peer in the settings, or free the address.',
+                context={
+                    'address': str(self._listen),
+                    'found': error.strerror or str(error),
+                },
+                hint='Choose a free address as listen.peer.',
             ) from error
 
     async def _close(self) -> None:
