Say of failed calls when, through which node and how long

A run of the demo failed 21 calls by the caller's own timeout of 10 s, the next none; the demo could not tell a stalled node from a stalled generator. It now gives the first failures and the generator's own lag.

--- a/packages/bluebellslip-lab/src/bluebellslip_lab/caller.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/caller.py
@@ -67,6 +67,11 @@
             max_connections=100, keepalive_expiry=_EXPIRY_SECONDS
         )
 
+    @property
+    def via(self) -> str:
+        """URL of the node."""
+        return self._base
+
     async def call(
         self, kind: CallClass, name: str, twin: str = 'a'
     ) -> list[Attempt]:
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/demo_count.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/demo_count.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Mapping
+from typing import Final
 
 import msgspec
 
@@ -12,6 +13,8 @@
 from bluebellslip_lab.mesh import Mesh, Place
 from bluebellslip_lab.verdict import Summary
 
+_MS_PER_SECOND: Final = 1000
+
 
 def count_calls(load: LoadGenerator, summary: Summary) -> None:
     """Enter what the callers saw."""
@@ -19,6 +22,7 @@
     summary.calls = sum(each.calls for each in reports.values())
     summary.failed_calls = sum(each.failed for each in reports.values())
     summary.failed_by_bad_version = load.failed_versions[BAD]
+    summary.generator_lag_ms = round(load.lag * _MS_PER_SECOND, 1)
     summary.uploads = reports['photos'].calls
     summary.refused_not_run = sum(
         record.told is Told.NOT_DONE for record in load.records
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/demo_run.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/demo_run.py
@@ -144,6 +144,8 @@
             self._bench.say(f'{name}: {report}')
         for reason, times in self._load.errors.most_common(_REASONS_SHOWN):
             self._bench.say(f'failed {times} times: {reason}')
+        for failure in self._load.failures[:_REASONS_SHOWN]:
+            self._bench.say(f'{failure}')
         count_calls(self._load, self._summary)
         count_runs(self._bench.mesh, self._load, self._summary)
         applied = self._bench.watcher.applied
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/load.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/load.py
@@ -23,6 +23,7 @@
 _US_PER_MS: Final = 1000
 _MAX_IN_FLIGHT: Final = 2000
 _POLL_SECONDS: Final = 0.1
+_FAILURES_KEPT: Final = 100
 
 
 class ClassReport(msgspec.Struct, frozen=True):
@@ -36,6 +37,21 @@
     max_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """A call that failed.
+
+    ``at`` is in seconds after the load began, ``seconds`` how long the call
+    took, ``via`` the node that it was sent through.
+    """
+
+    kind: str
+    at: float
+    seconds: float
+    via: str
+    error: str
+
+
 @dataclasses.dataclass(slots=True)
 class Tally:
     """What became of the calls of one class."""
@@ -89,6 +105,19 @@
         self._errors: Counter[str] = Counter()
         self._tallies: dict[str, Tally] = defaultdict(Tally)
         self._failed_versions: Counter[str] = Counter()
+        self._failures: list[Failure] = []
+        self._start = float(0)
+        self._lag = float(0)
+
+    @property
+    def failures(self) -> tuple[Failure, ...]:
+        """The first failed calls."""
+        return tuple(self._failures)
+
+    @property
+    def lag(self) -> float:
+        """Seconds by which the generator itself was late, at most."""
+        return self._lag
 
     @property
     def records(self) -> tuple[CallRecord, ...]:
@@ -118,13 +147,14 @@
         self, kinds: Iterable[CallClass], is_over: Callable[[], bool]
     ) -> None:
         """Send until told that it is over, then wait for all answers."""
-        start = anyio.current_time()
+        self._start = anyio.current_time()
         async with anyio.create_task_group() as group:
             for arrival in self._merge(kinds):
-                due = start + arrival.at
+                due = self._start + arrival.at
                 await self._wait(due, is_over)
                 if is_over():
                     break
+                self._lag = max(self._lag, anyio.current_time() - due)
                 self._launch(group, arrival, due)
 
     async def _wait(self, due: float, is_over: Callable[[], bool]) -> None:
@@ -163,8 +193,22 @@
         elapsed = anyio.current_time() - due
         tally.calls += 1
         tally.latency.record_value(max(int(elapsed * _US_PER_SECOND), 1))
-        last = attempts[-1]
-        if last.told is not Told.DONE:
+        if attempts[-1].told is not Told.DONE:
             tally.failed += 1
-            self._errors[f'{kind.name}: {last.error}'] += 1
-            self._failed_versions[last.version] += 1
+            self._note_failure(kind, attempts[-1], due, caller)
+
+    def _note_failure(
+        self, kind: CallClass, last: Attempt, due: float, caller: Caller
+    ) -> None:
+        self._errors[f'{kind.name}: {last.error}'] += 1
+        self._failed_versions[last.version] += 1
+        if len(self._failures) < _FAILURES_KEPT:
+            self._failures.append(
+                Failure(
+                    kind=kind.name,
+                    at=round(due - self._start, 3),
+                    seconds=round(anyio.current_time() - due, 3),
+                    via=caller.via,
+                    error=last.error,
+                )
+            )
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/verdict.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/verdict.py
@@ -29,6 +29,7 @@
     double_runs: int = 0
     false_refusals: int = 0
     uploads: int = 0
+    generator_lag_ms: float = 0
     good_moves_done: int = 0
     good_move_s: float = 0
     bad_moves_withdrawn: int = 0
