--- /dev/null
+++ b/bench/acceptance.py
@@ -0,0 +1,162 @@
+"""What a change of the configuration costs its node and the platform.
+
+``python -m bench.acceptance`` prints a table and writes its rows as JSON.
+The platform is in memory, so times are the node's own processor time.
+"""
+
+import json
+import statistics
+import time
+from pathlib import Path
+from random import Random
+
+import anyio
+import msgspec
+
+from bluebellslip._internal.acceptance.acceptor import TableAcceptor
+from bluebellslip._internal.acceptance.audit import TableAuditTrail
+from bluebellslip._internal.kernel.clock import SystemClock
+from bluebellslip._internal.kernel.counters import NullCounters
+from bluebellslip._internal.kernel.services import ChangeRequest
+from bluebellslip._internal.models.config import (
+    ClassSpec,
+    ConfigDocument,
+    Preference,
+    RouteSpec,
+    ServiceSpec,
+    TargetSpec,
+)
+from bluebellslip._internal.models.snapshot import Snapshot
+from bluebellslip._internal.utils.digests import decode_snapshot
+from bluebellslip_lab.memory_platform import MemoryPlatform
+
+_OUTPUT = Path('build/bench/acceptance.json')
+_SIZES = (10, 90, 270, 540)
+_ROUTES_PER_SERVICE = 4
+_REPEATS = 20
+
+
+class _Applying:
+    """Builds the snapshot of every accepted change, as a node would."""
+
+    def __init__(self) -> None:
+        self.body_bytes = 0
+        self.newest = make_document(1)
+
+    def offer(self, body: bytes, digest: str) -> Snapshot:
+        """Check and build a body."""
+        self.body_bytes = len(body)
+        snapshot = decode_snapshot(body, digest)
+        self.newest = snapshot.record.document
+        return snapshot
+
+
+def make_document(services: int) -> ConfigDocument:
+    """Return a document of some services with four routes each."""
+    return ConfigDocument(
+        mesh='bench',
+        preference=Preference.SAFETY,
+        classes=(
+            ClassSpec(
+                name='reads',
+                target=TargetSpec(latency='250ms'),
+                timeout='2s',
+            ),
+        ),
+        services=tuple(
+            ServiceSpec(name=f'service-{number}', team=f'team-{number % 30}')
+            for number in range(services)
+        ),
+        routes=tuple(
+            RouteSpec(
+                name=f'route-{number}-{place}',
+                service=f'service-{number}',
+                path=f'/part-{place}',
+                work='reads',
+            )
+            for number in range(services)
+            for place in range(_ROUTES_PER_SERVICE)
+        ),
+    )
+
+
+class Subject:
+    """An acceptor over a platform in memory, and its accepted documents."""
+
+    def __init__(self, services: int) -> None:
+        counters = NullCounters()
+        self.platform = MemoryPlatform()
+        self.applying = _Applying()
+        self.documents = [make_document(services)]
+        self._acceptor = TableAcceptor(
+            self.platform,
+            self.platform,
+            TableAuditTrail(self.platform, Random(0), counters),
+            self.applying,
+            SystemClock(),
+            Random(0),
+            counters,
+        )
+
+    async def change(self, age: int) -> float:
+        """Change one service in an ``age`` revisions old document.
+
+        Returns
+        -------
+        float
+            Seconds of the submission.
+        """
+        revision = len(self.documents)
+        document = self.documents[revision - 1 - age]
+        place = revision % len(document.services)
+        services = list(document.services)
+        services[place] = msgspec.structs.replace(
+            services[place], team=f'changed-{revision}'
+        )
+        request = ChangeRequest(
+            change=f'change-{revision}',
+            who='bench',
+            document=msgspec.structs.replace(
+                document, services=tuple(services)
+            ),
+            base=revision - 1 - age,
+        )
+        start = time.perf_counter()
+        outcome = await self._acceptor.submit(request)
+        elapsed = time.perf_counter() - start
+        if outcome.is_error():
+            raise outcome.error
+        self.documents.append(self.applying.newest)
+        return elapsed
+
+
+async def measure(services: int) -> dict[str, float]:
+    """Return milliseconds and requests of a change, alone and merged."""
+    subject = Subject(services)
+    await subject.change(0)
+    row: dict[str, float] = {
+        'services': services,
+        'body_bytes': subject.applying.body_bytes,
+    }
+    for name, age in (('alone', 0), ('merged', 1)):
+        counts = msgspec.structs.replace(subject.platform.counts)
+        times = [await subject.change(age) for _ in range(_REPEATS)]
+        after = subject.platform.counts
+        row[f'{name}_ms'] = round(statistics.median(times) * 1000, 3)
+        row[f'{name}_reads'] = (after.reads - counts.reads) / _REPEATS
+        row[f'{name}_writes'] = (after.writes - counts.writes) / _REPEATS
+    return row
+
+
+def main() -> None:
+    """Measure all sizes."""
+    rows = [anyio.run(measure, services) for services in _SIZES]
+    print(*rows[0], sep='\t')
+    for row in rows:
+        print(*row.values(), sep='\t')
+    _OUTPUT.parent.mkdir(parents=True, exist_ok=True)
+    _OUTPUT.write_text(json.dumps(rows, indent=2), encoding='utf-8')
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/demo.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/demo.py
@@ -42,10 +42,14 @@
         client = AdminClient(OPERATOR_TOKEN)
         cli = OperatorCli(mesh.admin(PLACES[0]), OPERATOR_TOKEN)
         bench = Workbench(mesh, client, cli, Watcher(client), say)
-        with anyio.fail_after(_TIME_LIMIT_SECONDS):
-            summary = await DemoRun(bench).run()
+        demo = DemoRun(bench)
+        try:
+            with anyio.fail_after(_TIME_LIMIT_SECONDS):
+                await demo.run()
+        except TimeoutError as error:
+            say(f'Given up: {error}')
         await client.aclose()
-        return summary
+        return demo.summary
 
 
 def report(summary: Summary) -> int:
--- /dev/null
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/process_use.py
@@ -0,0 +1,43 @@
+"""Processor time and memory of processes, from the kernel's files."""
+
+import os
+from pathlib import Path
+from typing import Final
+
+import msgspec
+
+_PROC: Final = Path('/proc')
+_USER_FIELD: Final = 11  # of the fields after the name in /proc/PID/stat
+_SYSTEM_FIELD: Final = 12
+_KIB: Final = 1024
+_MIB: Final = 1 << 20
+_TICKS: Final = os.sysconf('SC_CLK_TCK')
+
+
+class ProcessUse(msgspec.Struct, frozen=True):
+    """What a process used: seconds of processor, MiB of private memory."""
+
+    cpu_s: float
+    private_mib: float
+
+
+def read_use(pid: int) -> ProcessUse:
+    """Return what a process has used so far.
+
+    Raises
+    ------
+    OSError
+        When there is no such process.
+    """
+    stat = (_PROC / str(pid) / 'stat').read_text()
+    fields = stat.rpartition(')')[2].split()
+    ticks = int(fields[_USER_FIELD]) + int(fields[_SYSTEM_FIELD])
+    rollup = (_PROC / str(pid) / 'smaps_rollup').read_text()
+    private = sum(
+        int(line.split()[1])
+        for line in rollup.splitlines()
+        if line.startswith(('Private_Clean', 'Private_Dirty'))
+    )
+    return ProcessUse(
+        cpu_s=ticks / _TICKS, private_mib=round(private * _KIB / _MIB, 1)
+    )
--- /dev/null
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/scenario.py
@@ -0,0 +1,141 @@
+"""Scenarios of experiments, as files in JSON with comments."""
+
+from pathlib import Path
+from typing import Annotated, Self
+
+import msgspec
+
+from bluebellslip._internal.models.config import Name
+from bluebellslip._internal.utils.jsonc import load_document
+from bluebellslip_lab.behaviour import Behaviour
+from bluebellslip_lab.faults import Faults
+from bluebellslip_lab.mesh import Place
+from bluebellslip_lab.traffic import CallClass
+
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
+_Servers = Annotated[int, msgspec.Meta(ge=1, le=20)]
+
+
+class _Part(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of a scenario's parts: unknown keys are errors."""
+
+
+class Group(_Part, frozen=True):
+    """Backend servers of one version, each with a node beside it.
+
+    They stand in the failure domains by turns, and start ``at`` seconds
+    after the load began; the first ones start before it.
+    """
+
+    service: Name
+    version: Name
+    servers: _Servers
+    failure_domains: tuple[Name, ...] = ('a', 'b', 'c')
+    slots: Annotated[int, msgspec.Meta(ge=1)] = 12
+    behaviour: Behaviour = Behaviour()
+    at: _Seconds = 0
+
+
+class Event(_Part, frozen=True, tag_field='do'):
+    """Something that happens ``at`` seconds after the load began."""
+
+    at: _Seconds
+
+
+class PlatformFaults(Event, frozen=True, tag='faults'):
+    """The platform's faults are these from now on."""
+
+    faults: Faults
+
+
+class Signal(Event, frozen=True):
+    """Something is done to the processes of these names.
+
+    ``node-SERVICE-VERSION-N`` and ``server-SERVICE-VERSION-N`` name them;
+    N counts all servers of the scenario from 0.
+    """
+
+    processes: tuple[str, ...]
+
+
+class Kill(Signal, frozen=True, tag='kill'):
+    """The processes end without warning."""
+
+
+class Freeze(Signal, frozen=True, tag='freeze'):
+    """The processes stop running until they are thawed."""
+
+
+class Thaw(Signal, frozen=True, tag='thaw'):
+    """The processes run on."""
+
+
+class Stop(Signal, frozen=True, tag='stop'):
+    """The processes are asked to stop gracefully."""
+
+
+class Start(Signal, frozen=True, tag='start'):
+    """Processes that ended are started again."""
+
+
+class Move(Event, frozen=True, tag='move'):
+    """An operator asks for a version by a time."""
+
+    service: Name
+    version: Name
+    within_s: _Seconds
+
+
+class Change(Event, frozen=True, tag='change'):
+    """An operator changes the configuration: a service more."""
+
+    service: Name
+
+
+SomeEvent = PlatformFaults | Kill | Freeze | Thaw | Stop | Start | Move | Change
+
+
+class Scenario(_Part, frozen=True):
+    """One experiment.
+
+    ``config`` is the file of the mesh's configuration, relative to the
+    directory that the experiment is run in.
+    """
+
+    name: Name
+    config: str
+    seconds: _Seconds
+    groups: tuple[Group, ...]
+    traffic: tuple[CallClass, ...]
+    events: tuple[SomeEvent, ...] = ()
+    seed: int = 1
+    region: Name = 'lab'
+
+    @classmethod
+    def from_file(cls, path: Path) -> Self:
+        """Read and check a file; errors name the place in it."""
+        return load_document(path, cls)
+
+    def list_places(self) -> dict[Group, tuple[Place, ...]]:
+        """Return the places of every group, numbered throughout."""
+        places: dict[Group, tuple[Place, ...]] = {}
+        first = 0
+        for group in self.groups:
+            numbers = range(first, first + group.servers)
+            places[group] = tuple(
+                self._place(group, number, number - first) for number in numbers
+            )
+            first += group.servers
+        return places
+
+    def _place(self, group: Group, index: int, turn: int) -> Place:
+        domains = group.failure_domains
+        return Place(
+            index=index,
+            service=group.service,
+            version=group.version,
+            failure_domain=domains[turn % len(domains)],
+            region=self.region,
+            slots=group.slots,
+            behaviour=group.behaviour,
+        )
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/workbench.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/workbench.py
@@ -38,13 +38,14 @@
     watcher: Watcher
     say: Callable[[str], None]
 
-    async def tell(self, *arguments: str) -> None:
-        """Run an operator's command and print what it printed."""
+    async def tell(self, *arguments: str) -> int:
+        """Run an operator's command, print what it printed, return its exit."""
         outcome = await self.cli.run(*arguments)
         self.say(f'$ {outcome.command}')
         self.say(outcome.output)
         if outcome.status:
             self.say(f'exit status {outcome.status}')
+        return outcome.status
 
     async def start_platform(self) -> None:
         """Start the platform's stand-in and wait until it answers."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/acceptance/acceptor.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/acceptance/acceptor.py
@@ -7,7 +7,7 @@
 import anyio
 from expression import Error, Ok, Result
 
-from bluebellslip._internal.acceptance.documents import load_base, load_record
+from bluebellslip._internal.acceptance.documents import load_pair
 from bluebellslip._internal.acceptance.ledger import (
     APPLY,
     build_transaction,
@@ -156,8 +156,7 @@
         base_revision = submission.base or 0
         if base_revision == head.row.revision:
             return ours
-        base = await load_base(self._objects, head.row, base_revision)
-        theirs = await load_record(self._objects, head.row.digest)
+        base, theirs = await load_pair(self._objects, head.row, base_revision)
         merged = merge_documents(base.document, theirs.document, ours)
         if merged.is_error():
             overlap = ', '.join(sorted(merged.error))
--- a/packages/bluebellslip/src/bluebellslip/_internal/acceptance/documents.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/acceptance/documents.py
@@ -37,15 +37,17 @@
         ) from error
 
 
-async def load_base(
+async def load_pair(
     objects: ObjectStore, head: HeadRow, revision: int
-) -> SnapshotRecord:
-    """Return an earlier revision by walking back from the head.
+) -> tuple[SnapshotRecord, SnapshotRecord]:
+    """Return an earlier revision and the newest one.
+
+    The earlier one is found by walking back from the newest.
 
     Raises
     ------
     ConflictError
-        When the revision lies ahead of the head or too far behind it.
+        When the revision lies ahead of the newest or too far behind it.
     PlatformGarbledError
         When an object on the way is absent or corrupt.
     """
@@ -57,7 +59,8 @@
             context={'base': str(revision), 'revision': str(head.revision)},
             hint='Read the newest configuration and make the change again.',
         )
-    record = await load_record(objects, head.digest)
+    newest = await load_record(objects, head.digest)
+    record = newest
     while record.revision > revision:
         record = await load_record(objects, record.previous)
-    return record
+    return record, newest
--- a/tests/unit/test_acceptor.py
+++ b/tests/unit/test_acceptor.py
@@ -156,6 +156,14 @@
     assert not bench.store.heads
 
 
+@pytest.mark.parametrize('base', [0, 7])
+async def test_a_base_that_never_was_is_a_conflict(base: int) -> None:
+    bench = _Bench()
+    if not base:
+        await bench.accept(ask('one'))
+    assert await bench.refuse(ask('two', base=base)) is ErrorKind.CONFLICT
+
+
 async def test_names_of_changes_are_checked() -> None:
     bench = _Bench()
     assert await bench.refuse(ask('a/b')) is ErrorKind.MALFORMED
