--- /dev/null
+++ b/bench/connections.py
@@ -0,0 +1,114 @@
+"""What an open connection between nodes holds, on each side.
+
+Run as ``python -m bench.connections``. A server in a process of its own
+takes connections from one client, each with a few exchanges.
+"""
+
+import datetime as dt
+import subprocess
+import sys
+import time
+from typing import Final
+
+import anyio
+
+from bench.peer_usage import read_usage
+from bench.results import fit_slope, print_rows, write_results
+from bluebellslip._internal.kernel.counters import NullCounters
+from bluebellslip._internal.models.identity import Address
+from bluebellslip._internal.models.messages import PeerMessage, peer_messages
+from bluebellslip._internal.peers.codec import PeerCodec
+from bluebellslip._internal.peers.exchanges import (
+    ExchangeClient,
+    ExchangeCodec,
+    ExchangeServer,
+)
+
+_KEY: Final = 'a key of sixteen bytes'
+_HOST: Final = '127.0.0.1'
+_PORT: Final = 21990
+_COUNTS: Final = (1, 8, 16, 32, 64)
+_EXCHANGES: Final = 10
+_TIMEOUT: Final = dt.timedelta(seconds=5)
+_KB_PER_MB: Final = 1024
+
+
+@peer_messages.register('bench')
+class Probe(PeerMessage, frozen=True, tag='bench', array_like=True):
+    """A message of the measurement alone."""
+
+    payload: bytes
+
+
+async def serve() -> None:
+    """Answer every exchange with its own request."""
+    server = ExchangeServer(make_codec(), NullCounters())
+    server.enter(Probe, echo)
+    await server.open(Address(_HOST, _PORT))
+    await anyio.sleep_forever()
+
+
+async def echo(probe: Probe) -> PeerMessage:
+    """Return the request."""
+    return probe
+
+
+def make_codec() -> ExchangeCodec:
+    """Return the codec of both sides."""
+    return ExchangeCodec(PeerCodec(_KEY, (Probe,)), NullCounters())
+
+
+async def measure(pid: int) -> None:
+    """Open ever more connections and print what both sides hold."""
+    codec = make_codec()
+    clients: list[ExchangeClient] = []
+    rows = []
+    for count in _COUNTS:
+        while len(clients) < count:
+            clients.append(ExchangeClient(codec, NullCounters()))
+        begun = time.perf_counter()
+        for client in clients:
+            await exchange(client)
+        spent = time.perf_counter() - begun
+        rows.append({
+            'connections': count,
+            'server_kb': read_usage(pid).private_mb * _KB_PER_MB,
+            'client_kb': read_usage('self').private_mb * _KB_PER_MB,
+            'exchange_ms': spent / count / _EXCHANGES * 1e3,
+        })
+    for ending in clients:
+        ending.close()
+    print_rows(rows)
+    slopes = {
+        f'{key}_per_connection': fit_slope([
+            (row['connections'], row[key]) for row in rows
+        ])[0]
+        for key in ('server_kb', 'client_kb')
+    }
+    print(slopes)
+    write_results('connections', rows, **slopes)
+
+
+async def exchange(client: ExchangeClient) -> None:
+    """Run a few exchanges over one connection."""
+    for _ in range(_EXCHANGES):
+        await client.ask(Address(_HOST, _PORT), Probe(b'x' * 64), _TIMEOUT)
+
+
+def main() -> None:
+    """Measure against a server in a process of its own."""
+    command = [sys.executable, '-m', 'bench.connections', 'serve']
+    server = subprocess.Popen(command)
+    try:
+        time.sleep(2)
+        anyio.run(measure, server.pid)
+    finally:
+        server.terminate()
+        server.wait()
+
+
+if __name__ == '__main__':
+    if sys.argv[1:] == ['serve']:
+        anyio.run(serve)
+    else:
+        main()
--- a/bench/peer_usage.py
+++ b/bench/peer_usage.py
@@ -20,8 +20,8 @@
     private_mb: float
 
 
-def read_usage(pid: int) -> Usage:
-    """Return the usage of a process."""
+def read_usage(pid: int | str) -> Usage:
+    """Return the usage of a process, given by its number or self."""
     directory = Path('/proc') / str(pid)
     fields = (directory / 'stat').read_text().rpartition(')')[2].split()
     ticks = int(fields[_USER_FIELD]) + int(fields[_SYSTEM_FIELD])
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/facts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/facts.py
@@ -7,9 +7,11 @@
 
 import datetime as dt
 import enum
+import sys
 from typing import ClassVar, Final
 
 import msgspec
+from msgspec.structs import force_setattr
 
 from bluebellslip._internal.models.identity import (
     Address,
@@ -71,6 +73,11 @@
     slots: int
     connections: int
 
+    def __post_init__(self) -> None:
+        """Keep one copy of the names that a service's servers share."""
+        force_setattr(self, 'service', sys.intern(self.service))
+        force_setattr(self, 'version', sys.intern(self.version))
+
 
 class MemberFact(Fact, frozen=True, tag='member', array_like=True):
     """A node, and the backend server beside it.
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/identity.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/identity.py
@@ -1,8 +1,10 @@
 """Names and places of the parts of a mesh."""
 
+import sys
 from typing import NewType, Self
 
 import msgspec
+from msgspec.structs import force_setattr
 
 from bluebellslip._internal.exceptions import MalformedError
 
@@ -21,6 +23,10 @@
     host: str
     port: int
 
+    def __post_init__(self) -> None:
+        """Keep one copy of a host's name for all addresses of an instance."""
+        force_setattr(self, 'host', sys.intern(self.host))
+
     @classmethod
     def from_text(cls, text: str) -> Self:
         """Parse ``host:port``.
@@ -48,3 +54,9 @@
 
     region: str
     failure_domain: str
+
+    def __post_init__(self) -> None:
+        """Keep one copy of the names that many members share."""
+        force_setattr(self, 'region', sys.intern(self.region))
+        domain = sys.intern(self.failure_domain)
+        force_setattr(self, 'failure_domain', domain)
