--- a/bench/connections.py
+++ b/bench/connections.py
@@ -4,6 +4,7 @@
 takes connections from one client, each with a few exchanges.
 """
 
+import contextlib
 import datetime as dt
 import subprocess
 import sys
@@ -31,6 +32,7 @@
 _EXCHANGES: Final = 10
 _TIMEOUT: Final = dt.timedelta(seconds=5)
 _KB_PER_MB: Final = 1024
+_START_SECONDS: Final = 2
 
 
 @peer_messages.register('bench')
@@ -98,13 +100,11 @@
 def main() -> None:
     """Measure against a server in a process of its own."""
     command = [sys.executable, '-m', 'bench.connections', 'serve']
-    server = subprocess.Popen(command)
-    try:
-        time.sleep(2)
+    with contextlib.ExitStack() as stack:
+        server = stack.enter_context(subprocess.Popen(command))
+        stack.callback(server.terminate)
+        time.sleep(_START_SECONDS)
         anyio.run(measure, server.pid)
-    finally:
-        server.terminate()
-        server.wait()
 
 
 if __name__ == '__main__':
