Find the mesh before asking for the floor

Cause: a node that starts asked for the revision that it must not go below while it knew no member yet, so one seed that was itself left behind decided. The test that should have shown it was green by luck, since the node left behind learnt the newer revision as a relay. Change: the floor is asked once the mesh was found, or looked for everywhere once; the test takes the platform away at once and lets the reborn node hear first of the one that was left behind; the one of a cut failure domain leaves only the members themselves to find each other.

--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/plugin.py
@@ -136,6 +136,8 @@
         """Settle the floor, then follow peers and platform."""
         async with anyio.create_task_group() as group:
             task_status.started()
+            # Members that are known by then are asked as well.
+            await self._membership.synchronizer.wait_attempted()
             self._puller.note(await self._floors.settle())
             self._spreader.settle()
             group.start_soon(self._catch_up.run)
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/synchronizer.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/synchronizer.py
@@ -67,6 +67,11 @@
         self._random = random
         self._counters = counters
         self._wanted = anyio.Event()
+        self._attempted = anyio.Event()
+
+    async def wait_attempted(self) -> None:
+        """Return when the mesh was found, or looked for everywhere once."""
+        await self._attempted.wait()
 
     def hurry(self) -> None:
         """Begin the next exchange now."""
@@ -77,6 +82,7 @@
         while True:
             if not self._core.roster.live_count:
                 await self._join()
+            self._attempted.set()
             await self._sync_member()
             with anyio.move_on_after(
                 jitter(self._times.sync_period, self._random).total_seconds()
@@ -113,6 +119,7 @@
         while not self._core.roster.live_count:
             if not await self._sync_first(self._seeds.configured):
                 await self._sync_first(await self._seeds.find())
+            self._attempted.set()
             await anyio.sleep(backoff.next_wait().total_seconds())
         logger.info('joined', extra={'node': self._core.own})
 
--- a/tests/lib/simulation.py
+++ b/tests/lib/simulation.py
@@ -245,10 +245,17 @@
         self.head = 0
         self.digest = ''
 
-    def add(self, number: int, *, region: str = 'east', domain: str = 'a'):
-        """Add a node; the first three are seeds of all."""
+    def add(
+        self,
+        number: int,
+        *,
+        region: str = 'east',
+        domain: str = 'a',
+        seeds: tuple[int, ...] = (0, 1, 2),
+    ):
+        """Add a node; the first three are seeds of all, if not told else."""
         settings = make_settings(
-            number, 7000, tuple(f'127.0.0.{seed}:7000' for seed in (1, 2, 3))
+            number, 7000, tuple(f'127.0.0.{seed + 1}:7000' for seed in seeds)
         )
         self.settings[number] = msgspec.structs.replace(
             settings, region=region, failure_domain=domain
--- a/tests/unit/test_mesh_simulated.py
+++ b/tests/unit/test_mesh_simulated.py
@@ -13,12 +13,15 @@
 _DOMAINS = ('a', 'b', 'c')
 
 
-async def _start(mesh: SimMesh, count: int, regions=('east',)) -> None:
+async def _start(
+    mesh: SimMesh, count: int, regions=('east',), seeds=(0, 1, 2)
+) -> None:
     for number in range(count):
         mesh.add(
             number,
             region=regions[number % len(regions)],
             domain=_DOMAINS[number % 3],
+            seeds=seeds,
         )
     await mesh.until(mesh.joined, 30)
 
@@ -101,15 +104,16 @@
         )
         mesh.network.cut = lambda one, two: stale in {one, two}
         mesh.accept(0)
-        await anyio.sleep(10)
         mesh.platform.down = True
+        await anyio.sleep(10)
+        assert mesh.nodes[1].revision == 1
         mesh.kill(2)
         # The reborn node hears first of the one that was left behind.
         mesh.network.cut = lambda one, two: (
             stale in {one, two} and reborn not in {one, two}
         )
         mesh.network.slow = lambda one, two: 0 if stale in {one, two} else 0.3
-        mesh.start(2)
+        mesh.add(2, domain='c', seeds=(1,))
         await mesh.until(lambda: mesh.nodes[2].revision == 2, 20)
         mesh.network.cut = lambda one, two: False
         await mesh.until(mesh.converged, 30)
@@ -168,7 +172,11 @@
 
 def test_a_cut_failure_domain_comes_back() -> None:
     async def scenario(mesh: SimMesh) -> None:
-        await _start(mesh, 12)
+        # Without seeds in the settings and with the table down from then on,
+        # only the members themselves can find each other again.
+        await _start(mesh, 12, seeds=())
+        mesh.accept(0)
+        mesh.platform.down = True
         apart = {
             node.context.peer_address
             for node in mesh.nodes.values()
@@ -176,12 +184,17 @@
         }
         mesh.network.cut = lambda one, two: (one in apart) != (two in apart)
         await mesh.until(
-            lambda: mesh.nodes[0].status_of('node-2') is MemberStatus.DEAD, 60
+            lambda: all(
+                mesh.nodes[one].status_of(f'node-{two}') is MemberStatus.DEAD
+                for one, two in ((0, 2), (2, 0), (1, 5), (5, 1))
+            ),
+            90,
         )
         mesh.accept(0)
-        await mesh.until(mesh.converged, 20)
+        await anyio.sleep(10)
         mesh.network.cut = lambda one, two: False
         await mesh.until(mesh.joined, 60)
+        await mesh.until(mesh.converged, 10)
         mesh.check()
 
     _run(scenario)
