--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/outbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/outbound.py
@@ -24,12 +24,14 @@
 class OutboundConnection(asyncio.Protocol):
     """A connection to a server.
 
-    ``body`` is that of the newest exchange's answer.
+    ``body`` is that of the newest exchange's answer; ``idle_since`` is loop
+    time in seconds, kept by the pool.
     """
 
     body: ReadBuffer
 
     def __init__(self) -> None:
+        self.idle_since: float = 0
         self._gate = WriteGate()
         self._reader = ResponseReader()
         self._sent = True
@@ -64,6 +66,11 @@
         except ServerFailedError as error:
             self.fail(error)
 
+    @property
+    def silent(self) -> bool:
+        """Whether nothing came back in the newest exchange."""
+        return self._reader.silent
+
     def begin(self, message: bytes, *, headless: bool, whole: bool) -> None:
         """Start an exchange.
 
@@ -84,13 +91,10 @@
         self._sent = whole
         self._transport.write(message)
 
-    def send(self, chunk: bytes) -> None:
+    def send(self, chunk: bytes, *, last: bool = False) -> None:
         """Send a part of the request's body."""
         self._transport.write(chunk)
-
-    def end_request(self) -> None:
-        """Mark the request as sent in whole."""
-        self._sent = True
+        self._sent = last
 
     async def drain(self) -> None:
         """Return when the server keeps up.
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/main.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/main.py
@@ -23,6 +23,7 @@
 from bluebellslip._internal.nodes.loading import load_plugins
 from bluebellslip._internal.nodes.settings import load_settings
 from bluebellslip._internal.telemetry.counters import TelemetryCounters
+from bluebellslip._internal.telemetry.gauges import register_gauges
 from bluebellslip._internal.telemetry.logs import configure_logs, describe_node
 
 logger = logging.getLogger(__name__)
@@ -44,7 +45,7 @@
     describe_node(handler, context)
     load_plugins()
     try:
-        anyio.run(Node.from_context(context).run)
+        anyio.run(_run_plugins, context)
     except BluebellError as refusal:
         return _report(refusal)
     except BaseExceptionGroup as group:
@@ -52,6 +53,11 @@
     return 0
 
 
+async def _run_plugins(context: Context) -> None:
+    # Servers of libraries belong to the loop that they are built in.
+    await Node.from_context(context).run()
+
+
 def build_context(settings: NodeSettings) -> Context:
     """Build the shared state of a node process."""
     counters = TelemetryCounters.from_attributes(
@@ -64,6 +70,7 @@
         settings, SystemClock(), SystemRandom(), counters
     )
     context.ports.provide(MetricsReader, counters)
+    register_gauges(context)
     return context
 
 
--- a/tests/functional/test_peers.py
+++ b/tests/functional/test_peers.py
@@ -1,6 +1,7 @@
 """Nodes on real sockets find each other and bring configurations in force."""
 
 import contextlib
+from random import SystemRandom
 
 import anyio
 
@@ -14,18 +15,20 @@
     compute_digest,
     encode_record,
 )
+from bluebellslip_lab.free_ports import find_free_range
 from lib.peers import FakePlatform, RealNode, make_settings, wait_until
 from lib.snapshots import make_record
 
-PORT = 22900
+PORTS = 30
 
 
 def test_nodes_join_and_apply_an_offer() -> None:
     platform = FakePlatform()
-    seed = f'127.0.0.1:{PORT}'
+    port = find_free_range(PORTS, SystemRandom())
+    seed = f'127.0.0.1:{port}'
     # As in the node process, plug-ins are built before the loop runs.
     nodes = [
-        RealNode(make_settings(number, PORT, (seed,)), platform)
+        RealNode(make_settings(number, port, (seed,)), platform)
         for number in range(3)
     ]
     anyio.run(_offer_and_announce, nodes)
