--- a/tests/unit/test_mesh_simulated.py
+++ b/tests/unit/test_mesh_simulated.py
@@ -202,17 +202,19 @@
 
 def test_a_corrupt_object_is_fetched_from_a_peer() -> None:
     async def scenario(mesh: SimMesh) -> None:
-        await _start(mesh, 9)
-        mesh.network.weather = Weather(loss=0.3)
+        await _start(mesh, 6)
         mesh.accept(0)
+        await mesh.until(mesh.converged, 5)
         # Well formed, but not what the digest was taken of.
         mesh.platform.bodies[mesh.digest] = encode_record(
             make_record(mesh.head, 'another')
         )
+        # The only relay of its domain, and slow to hear of its peers.
+        mesh.add(6, domain='z')
+        late = mesh.nodes[6].context.peer_address
+        mesh.network.slow = lambda one, two: 0.4 if late in {one, two} else 0
         await mesh.until(mesh.converged, 20)
-        mesh.check()
-        mesh.add(9)
-        await mesh.until(mesh.converged, 20)
+        assert mesh.nodes[6].counters.sums['objects_refused'] == 1
         mesh.check()
 
     _run(scenario)
