Keep four connections to peers open instead of sixteen; report sizes

Cause: with random peers a connection is seldom used again, while each costs both ends memory. Change: a cap of four, and gauges of members, cut regions and waiting facts.

--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/core.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/core.py
@@ -72,12 +72,14 @@
         self.memory = AppliedMemory(facts)
         self.roster = Roster(facts, first.node, first.locality)
         self.regions = RegionWatch(times)
-        queue = GossipQueue(counters)
+        self.queue = GossipQueue(counters)
         self._facts = facts
         self._clock = clock
         self._random = random
         self._read_revision = read_revision
-        self._broadcaster = Broadcaster(facts, queue, clock, random, counters)
+        self._broadcaster = Broadcaster(
+            facts, self.queue, clock, random, counters
+        )
         self.record = OwnRecord(first, facts, clock, times)
         self.intake = Intake(facts, self.roster, self.record, counters)
         self.detector = Detector(
@@ -85,7 +87,7 @@
                 self.roster,
                 self.record,
                 self.intake,
-                queue,
+                self.queue,
                 self.memory,
                 self.regions,
             ),
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/plugin.py
@@ -20,6 +20,7 @@
 from bluebellslip._internal.membership.wiring import (
     connect_core,
     flush_core,
+    watch_core,
 )
 from bluebellslip._internal.models.facts import (
     Backend,
@@ -77,6 +78,7 @@
         self.seeds = seeds
         self._news = anyio.Event()
         connect_core(self.core, link)
+        watch_core(self.core, context.counters)
         self._resumed: list[Callable[[], None]] = []
         context.facts.subscribe(Fact, self._wake)
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/wiring.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/wiring.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.kernel.ports import PeerLink
 from bluebellslip._internal.membership.core import MembershipCore
 from bluebellslip._internal.membership.messages import (
@@ -25,6 +26,14 @@
     core.outbox.send_all(link)
 
 
+def watch_core(core: MembershipCore, counters: Counters) -> None:
+    """Report sizes of what the state machines keep."""
+    counters.gauge('members_live', lambda: core.roster.live_count)
+    counters.gauge('members_known', lambda: len(core.roster))
+    counters.gauge('regions_cut', lambda: len(core.cut_regions()))
+    counters.gauge('facts_waiting', lambda: len(core.queue))
+
+
 def connect_core(core: MembershipCore, link: PeerLink) -> None:
     """Hand the link's messages to the state machines."""
     detector = core.detector
--- a/packages/bluebellslip/src/bluebellslip/_internal/peers/exchanges.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/peers/exchanges.py
@@ -18,7 +18,7 @@
 from bluebellslip._internal.peers.codec import PeerCodec
 
 _METHOD: Final = '/bluebellslip.Peer/Exchange'
-_MAX_CHANNELS: Final = 16
+_MAX_CHANNELS: Final = 4
 
 _Answerer = Callable[[Any], Awaitable[PeerMessage]]
 
