Send every reply to its last byte before a node stops

Work counted as done once its reply was handed to the transport, and the end of draining closed connections at once: what a full socket had not taken yet was cut off. Draining now waits for it; the test for it fails with that off.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -53,6 +53,8 @@
         The listener's state, which this connection enters itself into.
     """
 
+    transport: asyncio.Transport
+
     def __init__(
         self, handler: Handler, counters: Counters, state: ListenerState
     ) -> None:
@@ -72,11 +74,11 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to follow a connection."""
-        self._transport: asyncio.Transport = transport  # type: ignore[assignment]
-        self._transport.set_write_buffer_limits(high=_WRITE_HIGH_BYTES)
+        self.transport = transport  # type: ignore[assignment]
+        self.transport.set_write_buffer_limits(high=_WRITE_HIGH_BYTES)
         self._loop = asyncio.get_running_loop()
         self._reader = RequestReader(
-            self._transport, self._gate, self._state, self._take
+            self.transport, self._gate, self._state, self._take
         )
         self._last_read = self._loop.time()
         self._state.connections.add(self)
@@ -108,17 +110,13 @@
         except BluebellError as error:
             self._refuse_input(error)
 
-    def close(self) -> None:
-        """Close a connection at once; its request is cancelled."""
-        self._transport.abort()
-
     def _take(self, request: InboundRequest) -> None:
         if self._task is None:
             self._begin(request)
             return
         self._waiting.append(request)
         self._paused = True
-        self._transport.pause_reading()
+        self.transport.pause_reading()
 
     def _begin(self, request: InboundRequest) -> None:
         self._task = self._loop.create_task(self._serve(request))
@@ -128,12 +126,12 @@
         await self._answer(request)
         self._task = None
         if not request.reusable:
-            self._transport.close()
+            self.transport.close()
         elif self._waiting:
             self._begin(self._waiting.popleft())
         elif self._paused:
             self._paused = False
-            self._transport.resume_reading()
+            self.transport.resume_reading()
 
     async def _answer(self, request: InboundRequest) -> None:
         try:
@@ -152,7 +150,7 @@
 
     def _give_up(self, request: InboundRequest, error: BluebellError) -> None:
         self._counters.add('calls.refused', kind=error.kind.value)
-        if not self._transport.is_closing():
+        if not self.transport.is_closing():
             request.reply.refuse(error)
 
     def _refuse_input(self, error: BluebellError) -> None:
@@ -161,10 +159,10 @@
             return
         self._counters.add('calls.refused', kind=error.kind.value)
         if self._task is None:
-            Reply(self._transport, self._gate, self._state).refuse(error)
-            self._transport.close()
+            Reply(self.transport, self._gate, self._state).refuse(error)
+            self.transport.close()
         else:
-            self._transport.abort()
+            self.transport.abort()
 
 
 def _make_expired() -> DeadlineExceededError:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
@@ -38,6 +38,14 @@
         self._state = ListenerState()
         self._server: asyncio.Server | None = None
 
+    @property
+    def unsent(self) -> int:
+        """Bytes of replies that no socket has taken yet."""
+        return sum(
+            connection.transport.get_write_buffer_size()
+            for connection in self._state.connections
+        )
+
     async def open(self) -> None:
         """Begin to listen.
 
@@ -69,7 +77,7 @@
         if self._server is not None:
             self._server.close()
         for connection in tuple(self._state.connections):
-            connection.close()
+            connection.transport.abort()
 
     def close_idle(self) -> None:
         """Close connections that wait for nothing, or for too long."""
@@ -77,7 +85,7 @@
         for connection in tuple(self._state.connections):
             since = connection.quiet_since
             if since is not None and since < horizon:
-                connection.close()
+                connection.transport.abort()
 
     def _make_connection(self) -> InboundConnection:
         return InboundConnection(self._handler, self._counters, self._state)
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/plugin.py
@@ -66,6 +66,20 @@
         """Calls that this node takes part in."""
         return self._ingress.in_flight.count + self._egress.in_flight.count
 
+    @property
+    def bytes_unsent(self) -> int:
+        """Bytes of replies that no socket has taken yet."""
+        return self._ingress_listener.unsent + self._egress_listener.unsent
+
+    @property
+    def _ingress_pending(self) -> int:
+        running = self._ingress.in_flight.count + self._once.pending
+        return running + self._ingress_listener.unsent
+
+    @property
+    def _egress_pending(self) -> int:
+        return self._egress.in_flight.count + self._egress_listener.unsent
+
     @classmethod
     def from_context(cls, context: Context) -> Self:
         """Build the plug-in from the node's shared state."""
@@ -93,12 +107,10 @@
 
     async def drain(self) -> None:
         """Wait for calls of others, then for those of the own server."""
-        while self._ingress.in_flight.count:
-            await anyio.sleep(_DRAIN_POLL.total_seconds())
-        while self._once.pending:
+        while self._ingress_pending:
             await anyio.sleep(_DRAIN_POLL.total_seconds())
         self._egress.close()
-        while self._egress.in_flight.count:
+        while self._egress_pending:
             await anyio.sleep(_DRAIN_POLL.total_seconds())
 
     async def _sweep(self) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/kernel/node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/node.py
@@ -1,6 +1,7 @@
 """The node: plug-ins in their order, and a graceful stop."""
 
 import datetime as dt
+import gc
 import logging
 import signal
 
@@ -66,6 +67,10 @@
     async def _start(self, group: TaskGroup) -> None:
         for part in self._parts:
             await group.start(part.run)
+        # A full collection of what the start left takes tens of
+        # milliseconds, in which no call is served.
+        gc.collect()
+        gc.freeze()
         logger.info('started', extra={'node': self._context.node})
 
     async def _drain(self) -> None:
--- a/tests/functional/test_calls_failures.py
+++ b/tests/functional/test_calls_failures.py
@@ -448,3 +448,42 @@
     async with mesh(FakeServer(close_at_the_second)) as (front, _):
         for _ in range(6):
             assert (await call_once(front.egress, '/samples')).body == b'hello'
+
+
+@pytest.mark.anyio
+async def test_drain_waits_until_replies_are_sent() -> None:
+    async def fill(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request: SeenRequest,
+    ) -> None:
+        nonlocal sent
+        writer.write(b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n')
+        while not back.plugin.bytes_unsent:
+            writer.write(b'2000\r\n%b\r\n' % (b'x' * 0x2000))
+            sent += 0x2000
+            await asyncio.sleep(0.001)
+        writer.write(b'0\r\n\r\n')
+
+    sent = 0
+    server = FakeServer(fill)
+    back = MeshNode('back')
+    back.host('storefront', server.address)
+    async with server.serving():
+        async with back.running():
+            caller = await Caller.open(back.ingress)
+            caller.writer.transport.pause_reading()
+            caller.writer.write(_GET)
+            while not (server.seen and back.plugin.bytes_unsent):
+                await asyncio.sleep(0.005)
+            while back.plugin.calls_in_flight:
+                await asyncio.sleep(0.005)
+            back.plugin.leave()
+            draining = asyncio.create_task(back.plugin.drain())
+            await asyncio.wait([draining], timeout=0.1)
+            caller.writer.transport.resume_reading()
+            receiving = asyncio.create_task(caller.receive())
+            await draining
+        got = await receiving
+    caller.close()
+    assert len(got.body) == sent
