--- a/packages/bluebellslip-lab/src/bluebellslip_lab/caller.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/caller.py
@@ -6,9 +6,9 @@
 from typing import Final
 
 import anyio
-import httpcore
 import msgspec
 
+from bluebellslip._internal.models.identity import Address
 from bluebellslip_lab.backend_app import (
     KEY_HEADER,
     NONCE_HEADER,
@@ -16,6 +16,13 @@
     Echo,
 )
 from bluebellslip_lab.history import CallRecord, Told
+from bluebellslip_lab.http_client import (
+    Answer,
+    AnswerCutError,
+    ConnectFailedError,
+    Headers,
+    HttpClient,
+)
 from bluebellslip_lab.traffic import CallClass
 
 _NOT_RUN_HEADER: Final = b'bluebell-not-run'
@@ -24,13 +31,7 @@
 _ERROR_HEADER: Final = b'bluebell-error'
 _MAX_WAIT: Final = dt.timedelta(seconds=1)
 _MS: Final = dt.timedelta(milliseconds=1)
-_EXPIRY_SECONDS: Final = 3
-_FAILURES: Final = (
-    httpcore.NetworkError,
-    httpcore.ProtocolError,
-    httpcore.TimeoutException,
-    TimeoutError,
-)
+_FAILURES: Final = (ConnectFailedError, AnswerCutError, TimeoutError)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,15 +63,14 @@
     """
 
     def __init__(self, egress: str) -> None:
-        self._base = f'http://{egress}'
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=100, keepalive_expiry=_EXPIRY_SECONDS
-        )
+        address = Address.from_text(egress)
+        self._via = egress
+        self._client = HttpClient(address.host, address.port)
 
     @property
     def via(self) -> str:
-        """URL of the node."""
-        return self._base
+        """Address of the node."""
+        return self._via
 
     async def call(
         self, kind: CallClass, name: str, twin: str = 'a'
@@ -92,32 +92,29 @@
 
     async def aclose(self) -> None:
         """Close the connections."""
-        await self._pool.aclose()
+        await self._client.aclose()
 
     async def _send(
         self, kind: CallClass, name: str, nonce: str, body: bytes
     ) -> Attempt:
         key = name if kind.once else ''
-        headers = [
+        headers: Headers = (
             (b'host', kind.service.encode()),
             (NONCE_HEADER, nonce.encode()),
             (_TIMEOUT_HEADER, str(kind.timeout_ms).encode()),
-        ]
+        )
         if key:
-            headers.append((KEY_HEADER, key.encode()))
+            headers = (*headers, (KEY_HEADER, key.encode()))
         try:
             with anyio.fail_after((2 * kind.timeout_ms * _MS).total_seconds()):
-                response = await self._pool.request(
-                    kind.method,
-                    f'{self._base}{kind.path}',
-                    headers=headers,
-                    content=body,
+                answer = await self._client.request(
+                    kind.method, kind.path, headers, body
                 )
         except _FAILURES as error:
             told = _name_failure(error)
             record = CallRecord(nonce, told, key=key)
             return Attempt(record, '', repr(error), _MAX_WAIT)
-        return read_answer(response, nonce, key, body)
+        return read_answer(answer, nonce, key, body)
 
 
 def build_body(kind: CallClass, name: str) -> bytes:
@@ -129,23 +126,21 @@
     return (pattern * times)[: kind.body_bytes]
 
 
-def read_answer(
-    response: httpcore.Response, nonce: str, key: str, body: bytes
-) -> Attempt:
+def read_answer(answer: Answer, nonce: str, key: str, body: bytes) -> Attempt:
     """Tell what an answer means to its caller."""
-    headers = {name.lower(): value for name, value in response.headers}
+    headers = answer.headers
     own = True
     if headers.get(_NOT_RUN_HEADER) == b'1':
         told = Told.NOT_DONE
-    elif response.status == 200:
+    elif answer.status == 200:
         told = Told.DONE
-        own = is_own(response.content, nonce, body)
+        own = is_own(answer.body, nonce, body)
     else:
         told = Told.UNKNOWN
     wait = headers.get(_RETRY_HEADER, b'0')
     error = headers.get(_ERROR_HEADER, b'').decode()
     if told is Told.UNKNOWN and not error:
-        error = f'status {response.status}'
+        error = f'status {answer.status}'
     return Attempt(
         CallRecord(nonce, told, own=own, key=key),
         headers.get(VERSION_HEADER, b'').decode(),
@@ -170,5 +165,5 @@
 
 
 def _name_failure(error: Exception) -> Told:
-    refused = isinstance(error, httpcore.ConnectError)
+    refused = isinstance(error, ConnectFailedError)
     return Told.NOT_DONE if refused else Told.UNKNOWN
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/demo_count.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/demo_count.py
@@ -7,13 +7,14 @@
 import msgspec
 
 from bluebellslip_lab.backend_app import Run
-from bluebellslip_lab.demo_plan import ALL_PLACES, BAD, MOVED
+from bluebellslip_lab.demo_plan import ALL_PLACES, BAD_MOVE
 from bluebellslip_lab.history import RunRecord, Told, check_calls
 from bluebellslip_lab.load import LoadGenerator
 from bluebellslip_lab.mesh import Mesh, Place
 from bluebellslip_lab.verdict import Summary
 
 _MS_PER_SECOND: Final = 1000
+_BAD: Final = (BAD_MOVE.service, BAD_MOVE.version)
 
 
 def count_calls(load: LoadGenerator, summary: Summary) -> None:
@@ -21,7 +22,7 @@
     reports = load.report()
     summary.calls = sum(each.calls for each in reports.values())
     summary.failed_calls = sum(each.failed for each in reports.values())
-    summary.failed_by_bad_version = load.failed_versions[BAD]
+    summary.failed_by_bad_version = load.failed_versions[_BAD]
     summary.generator_lag_ms = round(load.lag * _MS_PER_SECOND, 1)
     summary.uploads = reports['photos'].calls
     summary.refused_not_run = sum(
@@ -45,9 +46,11 @@
     summary.wrong_answers = (
         found["answer not the caller's own"] + found['answered call never ran']
     )
-    summary.bad_version_calls = _count(runs, MOVED, BAD)
+    summary.bad_version_calls = _count(runs, *_BAD)
     summary.moved_service_calls = sum(
-        len(noted) for place, noted in runs.items() if place.service == MOVED
+        len(noted)
+        for place, noted in runs.items()
+        if place.service == BAD_MOVE.service
     )
 
 
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/demo_run.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/demo_run.py
@@ -9,11 +9,12 @@
 from bluebellslip_lab.caller import Caller
 from bluebellslip_lab.demo_count import count_calls, count_runs
 from bluebellslip_lab.demo_declare import change, declare
-from bluebellslip_lab.demo_moves import move_bad, move_good, start_versions
+from bluebellslip_lab.demo_moves import move, start_versions
 from bluebellslip_lab.demo_plan import (
     ALL_PLACES,
+    BAD_MOVE,
     CALLERS,
-    GOOD_DEADLINE,
+    GOOD_MOVE,
     KILLED,
     PLACES,
     TRAFFIC,
@@ -79,15 +80,15 @@
             group.start_soon(self._load.run, TRAFFIC, self._is_over)
             group.start_soon(self._measure_control)
             await start_versions(self._bench)
-            good = await move_good(self._bench)
-            in_time = good.seconds <= GOOD_DEADLINE.total_seconds()
+            good = await move(self._bench, GOOD_MOVE)
+            in_time = good.seconds <= GOOD_MOVE.within.total_seconds()
             self._summary.good_moves_done = int(
                 good.state == 'done' and in_time
             )
             self._summary.good_move_s = good.seconds
             async with anyio.create_task_group() as at_once:
                 at_once.start_soon(self._kill_and_return)
-                bad = await move_bad(self._bench)
+                bad = await move(self._bench, BAD_MOVE)
             self._summary.bad_moves_withdrawn = int(bad.state == 'withdrawn')
             self._summary.bad_move_s = bad.seconds
             await anyio.sleep(_WARM_UP.total_seconds())
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/load.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/load.py
@@ -104,7 +104,7 @@
         self._attempts: list[Attempt] = []
         self._errors: Counter[str] = Counter()
         self._tallies: dict[str, Tally] = defaultdict(Tally)
-        self._failed_versions: Counter[str] = Counter()
+        self._failed_versions: Counter[tuple[str, str]] = Counter()
         self._failures: list[Failure] = []
         self._start = float(0)
         self._lag = float(0)
@@ -130,8 +130,8 @@
         return self._errors
 
     @property
-    def failed_versions(self) -> Counter[str]:
-        """Failed calls by the version that answered them."""
+    def failed_versions(self) -> Counter[tuple[str, str]]:
+        """Failed calls by the service and version that answered them."""
         return self._failed_versions
 
     @property
@@ -201,7 +201,7 @@
         self, kind: CallClass, last: Attempt, due: float, caller: Caller
     ) -> None:
         self._errors[f'{kind.name}: {last.error}'] += 1
-        self._failed_versions[last.version] += 1
+        self._failed_versions[kind.service, last.version] += 1
         if len(self._failures) < _FAILURES_KEPT:
             self._failures.append(
                 Failure(
