--- a/bench/peer_kernel.py
+++ b/bench/peer_kernel.py
@@ -5,6 +5,7 @@
 several repetitions.
 """
 
+import datetime as dt
 import functools
 import gc
 import itertools
@@ -48,6 +49,7 @@
 _GOSSIPS: Final = 20
 _FACTS: Final = 5  # facts that fit a datagram
 _US: Final = 1e6
+_MS: Final = 1e3
 
 
 def build_member(number: int, incarnation: int = 1) -> MemberFact:
@@ -116,6 +118,7 @@
         'ping_us': _time_pings(view, codec),
         'gossip_us': _time_gossip(view, codec),
         'sync_us': _time_sync(view),
+        'join_ms': _time_join(view),
     }
 
 
@@ -142,7 +145,14 @@
         f'{key}_per_member': fit_slope([
             (float(row['members'] or 0), float(row[key] or 0)) for row in rows
         ])[0]
-        for key in ('held_kb', 'tick_us', 'ping_us', 'gossip_us', 'sync_us')
+        for key in (
+            'held_kb',
+            'tick_us',
+            'ping_us',
+            'gossip_us',
+            'sync_us',
+            'join_ms',
+        )
     }
     print(slopes)
     print(wire)
@@ -213,6 +223,23 @@
     assert view.core.sync.continue_with(summary) is None
 
 
+def _time_join(view: View) -> float:
+    """Exchange everything with a node that knows nothing, on both sides."""
+    return _take_least(functools.partial(_join, view)) * _MS
+
+
+def _join(view: View) -> None:
+    joiner = View(0)
+    view.clock.advance(dt.timedelta(seconds=10))
+    while True:
+        summary = view.core.sync.answer(joiner.core.sync.request())
+        exchange = joiner.core.sync.continue_with(summary)
+        if exchange is None or not exchange.wanted:
+            return
+        answer = view.core.sync.answer_exchange(exchange)
+        joiner.core.intake.receive(answer.facts)
+
+
 def _take_least(action: Callable[[], None]) -> float:
     best = float('inf')
     for _ in range(_REPETITIONS):
--- a/tests/functional/test_peers.py
+++ b/tests/functional/test_peers.py
@@ -1,10 +1,14 @@
 """Nodes on real sockets find each other and bring configurations in force."""
 
 import contextlib
+import datetime as dt
 from random import SystemRandom
 
 import anyio
+import msgspec
+import pytest
 
+from bluebellslip._internal.membership.messages import Ping
 from bluebellslip._internal.models.facts import Backend
 from bluebellslip._internal.models.identity import (
     Address,
@@ -60,3 +64,27 @@
                 for node in nodes
             )
         )
+
+
+def test_another_key_is_refused_and_counted() -> None:
+    port = find_free_range(PORTS, SystemRandom())
+    own = RealNode(make_settings(0, port), FakePlatform())
+    foreign = msgspec.structs.replace(
+        make_settings(1, port), peer_key='another key of 16 bytes'
+    )
+    anyio.run(_send_with_another_key, own, RealNode(foreign, FakePlatform()))
+
+
+async def _send_with_another_key(own: RealNode, stranger: RealNode) -> None:
+    to = own.context.peer_address
+    ping = Ping(1, stranger.context.node, own.context.node, 7)
+    async with own.running(), stranger.running():
+        stranger.peers.send(to, ping)
+        request = stranger.membership.core.sync.request()
+        with pytest.raises(TimeoutError):
+            await stranger.peers.ask(to, request, dt.timedelta(seconds=5))
+        await wait_until(
+            lambda: own.counters.sums.get('peer_datagrams_refused', 0)
+        )
+        assert own.counters.sums['peer_exchanges_refused']
+        assert not own.membership.core.roster.live_count
