--- /dev/null
+++ b/bench/evidence.py
@@ -0,0 +1,98 @@
+"""What the evidence on a move costs the nodes beside a service's servers.
+
+Run as ``python -m bench.evidence``. Three windows of a server's calls on two
+routes are encoded as a datagram, as a node sends them every second, and taken
+in again by a peer.
+"""
+
+import datetime as dt
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+import msgspec
+
+from bench.results import Cell, print_rows, write_results
+from bluebellslip._internal.kernel.clock import ManualClock
+from bluebellslip._internal.kernel.ports import Outcome, Verdict
+from bluebellslip._internal.models.identity import (
+    RouteName,
+    ServiceName,
+    VersionName,
+)
+from bluebellslip._internal.moves.messages import EvidenceMessage
+from bluebellslip._internal.moves.tallies import RouteCounts
+from bluebellslip._internal.moves.windows import (
+    REPEATED_WINDOWS,
+    WINDOW,
+    GroupWindows,
+    OutcomeRecorder,
+)
+
+_RATES: Final = (10, 50, 107, 200)  # calls a second at one server
+_ROUTES: Final = 2
+_REPETITIONS: Final = 200
+_SERVICE: Final = ServiceName('lodgement')
+_VERSION: Final = VersionName('v2')
+_MEDIAN_S: Final = 0.02
+_SPREAD: Final = 0.5
+
+
+def record_windows(rate: int) -> tuple[tuple[RouteCounts, ...], float]:
+    """Record whole windows; return their counts and seconds a call."""
+    clock = ManualClock()
+    source = Random(rate)
+    recorder = OutcomeRecorder(clock)
+    outcomes = [_make_outcome(source, index) for index in range(rate)]
+    begun = time.perf_counter()
+    for _ in range(REPEATED_WINDOWS + 1):
+        for outcome in outcomes:
+            recorder.record(outcome)
+        clock.advance(WINDOW)
+    spent = time.perf_counter() - begun
+    return recorder.collect(), spent / rate / (REPEATED_WINDOWS + 1)
+
+
+def measure_rate(rate: int) -> Cell:
+    """Measure one rate of calls: bytes and times of one message."""
+    counts, record_s = record_windows(rate)
+    message = EvidenceMessage('node-1', 1, _SERVICE, _VERSION, counts)
+    encode_s = _time(lambda: msgspec.msgpack.encode(message))
+    take_s = _time(lambda: GroupWindows().take(('n', 1), _VERSION, counts))
+    return {
+        'calls_s': rate,
+        'message_bytes': len(msgspec.msgpack.encode(message)),
+        'record_us': record_s * 1e6,
+        'encode_us': encode_s * 1e6,
+        'take_us': take_s * 1e6,
+    }
+
+
+def main() -> None:
+    """Measure every rate, print the table and write the results."""
+    rows = [measure_rate(rate) for rate in _RATES]
+    print_rows(rows)
+    write_results('evidence', rows, routes=_ROUTES)
+
+
+def _make_outcome(source: Random, index: int) -> Outcome:
+    latency = _MEDIAN_S * source.lognormvariate(0, _SPREAD)
+    return Outcome(
+        service=_SERVICE,
+        version=_VERSION,
+        route=RouteName(f'route-{index % _ROUTES}'),
+        verdict=Verdict.SUCCEEDED,
+        latency=dt.timedelta(seconds=latency),
+    )
+
+
+def _time(action: Callable[[], object]) -> float:
+    begun = time.perf_counter()
+    for _ in range(_REPETITIONS):
+        action()
+    return (time.perf_counter() - begun) / _REPETITIONS
+
+
+if __name__ == '__main__':
+    main()
