Stake wealth on late onsets, and settle strata before they begin

Ruled out: restarting the test at every step of the share (badness comes at other times too); cutting the share on doubt, which hides badness that shows under load only.

--- a/bench/moves_policy.py
+++ b/bench/moves_policy.py
@@ -37,7 +37,8 @@
 from bluebellslip._internal.moves.windows import Window
 
 JUDGES: Final = 2  # nodes that gather evidence in a run with faults
-LOST: Final = 0.2  # windows and facts that do not arrive
+LOST: Final = 0.2  # facts that do not arrive at once
+LOST_WINDOWS: Final = 0.01  # after repeats, at the same loss
 
 _Span = tuple[float, float]
 
@@ -164,10 +165,11 @@
         return _share_of_new(split)
 
     def _hand_over(self, node: RunNode, old: Window, new: Window) -> None:
+        lost = LOST_WINDOWS if self._faults.lost else 0
         kept = {
             version: window
             for version, window in ((OLD, old), (NEW, new))
-            if not self._happens(self._faults.lost)
+            if not self._happens(lost)
         }
         node.exchange.windows.append(kept)
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/assessment.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/assessment.py
@@ -3,14 +3,14 @@
 import dataclasses
 import enum
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from itertools import starmap
 from operator import itemgetter
 from typing import Final
 
 from bluebellslip._internal.kernel.services import RouteEvidence
 from bluebellslip._internal.models.identity import RouteName
-from bluebellslip._internal.moves.sequential import OddsTest, average_logs
+from bluebellslip._internal.moves.sequential import OddsTest, Wealth
 from bluebellslip._internal.moves.strata import OpenStratum
 from bluebellslip._internal.moves.tallies import (
     Tally,
@@ -76,9 +76,16 @@
 
 
 class RouteAssessment:
-    """Evidence on one route."""
+    """Evidence on one route.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    pooled
+        Evidence on all routes, by sign, which grows with that on this one.
+    """
+
+    def __init__(self, pooled: Sequence[Wealth]) -> None:
+        self._pooled = pooled
         self.old = Tally()
         self.new = Tally()
         self.tests = tuple(map(OddsTest, _TOLERANCES, _TILTS))
@@ -99,19 +106,19 @@
     def close(self) -> None:
         """Judge the open stratum as it stands and begin another."""
         old, new = self._open.old, self._open.new
-        self._open = OpenStratum()
+        self._open = self._open.follow_up()
         if old.calls and new.calls:
-            self.tests[0].observe(
-                old.calls, new.calls, old.failures, new.failures
-            )
+            counts = (old.calls, new.calls, old.failures, new.failures)
+            self._observe(0, counts)
             self._observe_latency(old.buckets, new.buckets)
         if old.refused or new.refused:
-            self.tests[1].observe(
-                old.calls + old.refused,
-                new.calls + new.refused,
-                old.refused,
-                new.refused,
-            )
+            asked = (old.calls + old.refused, new.calls + new.refused)
+            self._observe(1, (*asked, old.refused, new.refused))
+
+    def _observe(self, index: int, counts: tuple[int, int, int, int]) -> None:
+        growths = self.tests[index].observe(*counts)
+        if growths:
+            self._pooled[index].multiply(growths)
 
     def _observe_latency(
         self, old: Mapping[int, int], new: Mapping[int, int]
@@ -124,9 +131,8 @@
         sizes = (sum(old.values()), sum(new.values()))
         for index, fraction in enumerate(_QUANTILES, _FIRST_SLOW):
             limit = find_quantile(pooled, fraction)
-            self.tests[index].observe(
-                *sizes, count_beyond(old, limit), count_beyond(new, limit)
-            )
+            beyond = (count_beyond(old, limit), count_beyond(new, limit))
+            self._observe(index, (*sizes, *beyond))
 
 
 class Assessment:
@@ -134,6 +140,7 @@
 
     def __init__(self) -> None:
         self._routes: dict[RouteName, RouteAssessment] = {}
+        self._pooled = tuple(Wealth(len(tilts)) for tilts in _TILTS)
         self._strongest: Finding | None = None
 
     @property
@@ -182,14 +189,14 @@
     def _find_route(self, name: RouteName) -> RouteAssessment:
         route = self._routes.get(name)
         if route is None:
-            route = RouteAssessment()
+            route = RouteAssessment(self._pooled)
             self._routes[name] = route
         return route
 
     def _find_strongest(self) -> Finding:
         part = math.log((1 - _ALL_ROUTES_WEIGHT) / len(self._routes))
         scores = [
-            (test.log_evidence + weight + part, name, sign)
+            (test.wealth.log_evidence + weight + part, name, sign)
             for name, route in self._routes.items()
             for test, weight, sign in zip(
                 route.tests, _LOG_WEIGHTS, SIGNS, strict=True
@@ -197,17 +204,15 @@
         ]
         part = math.log(_ALL_ROUTES_WEIGHT)
         scores.extend(
-            (self._pool(index) + weight + part, ALL_ROUTES, SIGNS[index])
-            for index, weight in enumerate(_LOG_WEIGHTS)
+            (wealth.log_evidence + weight + part, ALL_ROUTES, sign)
+            for wealth, weight, sign in zip(
+                self._pooled, _LOG_WEIGHTS, SIGNS, strict=True
+            )
         )
         greatest, route, sign = max(scores, key=itemgetter(0))
         total = sum(math.exp(score[0] - greatest) for score in scores)
         return Finding(route, sign, greatest + math.log(total))
 
-    def _pool(self, index: int) -> float:
-        by_route = [route.tests[index].logs for route in self._routes.values()]
-        return average_logs([sum(logs) for logs in zip(*by_route, strict=True)])
-
 
 def describe_route(name: RouteName, route: RouteAssessment) -> RouteEvidence:
     """Return a route's evidence for operators."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/plan.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/plan.py
@@ -61,7 +61,8 @@
 RULES: Final[Mapping[Preference, Rules]] = MappingProxyType({
     Preference.SAFETY: Rules(
         stages=(
-            Stage(450, 0, 0),
+            Stage(150, 0, 0),
+            Stage(450, 0.04, 0.04),
             Stage(1000, 0.3, 0.5),
             Stage(2500, 0.36, 0.54),
             Stage(4000, 0.42, 0.58),
@@ -69,15 +70,16 @@
             Stage(8500, 0.7, 0.76),
         ),
         finish=0.86,
-        alpha=0.02,
+        alpha=0.03,
         clear=1,
-        doubt=3,
-        enough_calls=25,
+        doubt=5,
+        enough_calls=10,
         waits=True,
     ),
     Preference.DEADLINE: Rules(
         stages=(
-            Stage(450, 0, 0),
+            Stage(150, 0, 0),
+            Stage(450, 0.04, 0.04),
             Stage(1000, 0.3, 0.48),
             Stage(2500, 0.36, 0.52),
             Stage(4000, 0.4, 0.56),
@@ -85,7 +87,7 @@
             Stage(8500, 0.65, 0.71),
         ),
         finish=0.8,
-        alpha=0.005,
+        alpha=0.008,
         clear=1.5,
         doubt=4,
         enough_calls=0,
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/sequential.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/sequential.py
@@ -16,6 +16,8 @@
 lies in convex order below both binomials of the same mean, over the marked
 calls and over the new version's calls.
 
+The wealth is spread over the times at which badness may begin, too.
+
 What both versions share in a stretch of time, such as an overload, drops out,
 since the totals are given.
 """
@@ -26,6 +28,9 @@
 
 _TINY: Final = 1e-12
 _EXCESS_PART: Final = 32
+_FIRST_STAKE: Final = 0.5
+_LOG_STAKE: Final = math.log(1 / 256)  # of the reserve, in every stratum
+_LOG_KEPT: Final = math.log1p(-1 / 256)
 _LARGE_CELL: Final = 5  # expected calls in each cell of a large stratum
 
 
@@ -72,43 +77,76 @@
         )
 
 
+class Wealth:
+    """A test supermartingale over several alternatives and several onsets.
+
+    Half of the wealth is staked at the start. Of the rest, a part is staked
+    before every stratum, so that badness that begins late need not make up
+    for what was lost while the version was good.
+
+    Parameters
+    ----------
+    alternatives
+        How many alternatives are betted on in equal parts.
+    """
+
+    __slots__ = ('_reserve', '_staked', 'log_evidence')
+
+    def __init__(self, alternatives: int) -> None:
+        self._staked = [math.log(_FIRST_STAKE) for _ in range(alternatives)]
+        self._reserve = math.log(1 - _FIRST_STAKE)
+        self.log_evidence: float = 0
+
+    def multiply(self, growths: Sequence[float]) -> None:
+        """Take in the logarithms of one stratum's likelihood ratios."""
+        stake = self._reserve + _LOG_STAKE
+        self._reserve += _LOG_KEPT
+        self._staked = [
+            _add_logs(staked, stake) + growth
+            for staked, growth in zip(self._staked, growths, strict=True)
+        ]
+        self.log_evidence = _add_logs(average_logs(self._staked), self._reserve)
+
+
 class OddsTest:
-    """Test supermartingales against a set of alternatives, as logarithms.
+    """Evidence that a mark is more frequent under the new version.
 
     Parameters
     ----------
     tolerance
         Greatest odds ratio that is no badness.
     tilts
-        Odds ratios beyond the tolerance that are betted on in equal parts,
-        relative to it.
-
-    Notes
-    -----
-    ``logs`` holds the logarithms by alternative, ``log_evidence`` that of
-    their average.
+        Odds ratios beyond the tolerance that are betted on, relative to it.
     """
 
-    __slots__ = ('_tilts', '_tolerance', 'log_evidence', 'logs')
+    __slots__ = ('_tilts', '_tolerance', 'wealth')
 
     def __init__(self, tolerance: float, tilts: Sequence[float]) -> None:
         self._tolerance = tolerance
         self._tilts = tuple(math.log(tilt) for tilt in tilts)
-        self.logs: list[float] = [0 for _ in tilts]
-        self.log_evidence: float = 0
+        self.wealth = Wealth(len(tilts))
 
     def observe(
         self, old: int, new: int, old_marked: int, new_marked: int
-    ) -> None:
-        """Take in one stratum's counts of calls and of marked calls."""
+    ) -> list[float]:
+        """Take in one stratum's counts of calls and of marked calls.
+
+        Returns
+        -------
+        list of float
+            The logarithms of the likelihood ratios by alternative; empty if
+            the stratum tells nothing.
+        """
         marked = old_marked + new_marked
         if not marked or not old or not new or marked == old + new:
-            return
+            return []
         totals = Totals(old, new, marked)
-        for index, tilt in enumerate(self._tilts):
-            growth = totals.bound_growth(self._tolerance, tilt)
-            self.logs[index] += tilt * new_marked - growth
-        self.log_evidence = average_logs(self.logs)
+        growths = [
+            tilt * new_marked - totals.bound_growth(self._tolerance, tilt)
+            for tilt in self._tilts
+        ]
+        self.wealth.multiply(growths)
+        return growths
 
 
 def average_logs(logs: Sequence[float]) -> float:
@@ -116,3 +154,8 @@
     greatest = max(logs)
     total = sum(math.exp(log - greatest) for log in logs)
     return greatest + math.log(total / len(logs))
+
+
+def _add_logs(first: float, second: float) -> float:
+    greater, lesser = max(first, second), min(first, second)
+    return greater + math.log1p(math.exp(lesser - greater))
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/strata.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/strata.py
@@ -1,35 +1,41 @@
 """Strata: calls of both versions from one stretch of time."""
 
+import math
 from typing import Final
 
 from bluebellslip._internal.moves.tallies import Tally
 
-ENOUGH_PAIRS: Final = 3.0
+ENOUGH_WEIGHT: Final = 3.0  # harmonic mean of both versions' calls, halved
 MOST_WINDOWS: Final = 600
+FIRST_WINDOWS: Final = 4
+MOST_GROWTH: Final = 4
 
 
 class OpenStratum:
     """A stratum of one route that still gathers calls.
 
-    It is complete once it carries some weight, so that routes with few calls
-    are compared over longer stretches than busy ones.
+    Its length in windows is settled when it begins. An end that depended on
+    the calls within it would favour the version that is waited for whenever
+    an overload begins.
+
+    Parameters
+    ----------
+    length
+        Windows that the stratum lasts.
     """
 
-    __slots__ = ('_windows', 'new', 'old')
+    __slots__ = ('_length', '_windows', 'new', 'old')
 
-    def __init__(self) -> None:
+    def __init__(self, length: int = FIRST_WINDOWS) -> None:
         self.old = Tally()
         self.new = Tally()
+        self._length = length
         self._windows = 0
 
     @property
     def is_complete(self) -> bool:
         """Whether the stratum is ready to be judged."""
-        if self._windows >= MOST_WINDOWS:
-            return True
-        old = self.old.calls + self.old.refused
-        new = self.new.calls + self.new.refused
-        return old * new >= ENOUGH_PAIRS * (old + new)
+        return self._windows >= self._length
 
     def add(self, old: Tally | None, new: Tally | None) -> None:
         """Take in one window."""
@@ -38,3 +44,14 @@
             self.old.add(old)
         if new is not None:
             self.new.add(new)
+
+    def follow_up(self) -> 'OpenStratum':
+        """Return the next stratum, long enough to carry some weight."""
+        old = self.old.calls + self.old.refused
+        new = self.new.calls + self.new.refused
+        weight = old * new / max(old + new, 1)
+        growth = MOST_GROWTH
+        if weight > 0:
+            growth = min(MOST_GROWTH, ENOUGH_WEIGHT / weight)
+        length = math.ceil(max(self._windows, 1) * growth)
+        return OpenStratum(min(length, MOST_WINDOWS))
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/watch.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/watch.py
@@ -33,11 +33,12 @@
     def __init__(
         self,
         move: MoveFact | MoveRow,
+        assessment: Assessment | None = None,
         change: ChangeDetector | None = None,
     ) -> None:
         self.move = move.move
         self._returns = move.returns
-        self.assessment = Assessment()
+        self.assessment = assessment or Assessment()
         self._control = move.old
         self._suspect = move.new
         if move.returns is not None:
@@ -45,7 +46,7 @@
             self._suspect = move.old
         self._change = change or ChangeDetector()
         self._share = move.share
-        self._calls_before = 0
+        self._calls_before = self.assessment.new_calls
         self._busy_slots: float = 0
 
     @classmethod
@@ -59,7 +60,8 @@
         }:
             return cls(move)
         earlier.change.reset()
-        return cls(move, earlier.change)
+        earlier.assessment.close_strata()
+        return cls(move, earlier.assessment, earlier.change)
 
     @property
     def returns(self) -> MoveId | None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/windows.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/windows.py
@@ -23,7 +23,7 @@
 REPEATED_WINDOWS: Final = 3  # closed windows that a message carries
 KEPT_WINDOWS: Final = 8
 WARM_UP_CALLS: Final = 20
-WARM_UP: Final = dt.timedelta(minutes=5)
+WARM_UP: Final = dt.timedelta(minutes=15)
 
 _EPOCH: Final = dt.datetime(1970, 1, 1, tzinfo=dt.UTC)
 _FAILED: Final = frozenset((Verdict.FAILED, Verdict.CANCELLED))
