--- a/packages/bluebellslip-lab/src/bluebellslip_lab/demo_moves.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/demo_moves.py
@@ -57,5 +57,5 @@
         bench.mesh.admin(PLACES[0]), MOVED, version, deadline + _SLACK
     )
     seconds = anyio.current_time() - start
-    await bench.tell('status', MOVED)
+    await bench.tell('status')
     return MoveEnd(str(status.get('state', '')).lower(), round(seconds, 1))
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/call.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/call.py
@@ -21,6 +21,7 @@
 
 MAX_KEY_BYTES: Final = 128
 MAX_DEPTH: Final = 64
+_LONGEST_MS: Final = 86_400_000  # milliseconds of a day
 _DOT_SEGMENTS: Final = frozenset(('.', '..'))
 
 
@@ -28,13 +29,14 @@
 class Call:
     """What the nodes on both sides need to know of a request.
 
-    ``deadline`` is on the node's monotonic clock. ``key`` is the idempotency
-    key; once-only work always has one.
+    ``begun`` and ``deadline`` are on the node's monotonic clock. ``key`` is
+    the idempotency key; once-only work always has one.
     """
 
     request: InboundRequest
     service: ServiceName
     route: Route
+    begun: dt.timedelta
     deadline: dt.timedelta
     depth: int
     key: str
@@ -60,7 +62,9 @@
     snapshot = context.applied.current
     if snapshot is None:
         raise NotReadyError('The node holds no configuration yet.')
-    service = _find_service(snapshot, names.read_host(request.headers))
+    service = _find_service(
+        snapshot, names.read_host(request.headers, request.fields)
+    )
     path = read_path(request.target)
     route = snapshot.match(service, request.method.decode('latin-1'), path)
     if route is None:
@@ -69,12 +73,14 @@
             context={'service': service, 'path': path},
             hint='Declare a route for it, or correct the path.',
         )
+    begun = context.clock.elapsed()
     call = Call(
         request=request,
         service=service,
         route=route,
-        deadline=context.clock.elapsed() + _read_timeout(request, route),
-        depth=names.read_number(request.headers, names.DEPTH) or 0,
+        begun=begun,
+        deadline=begun + _read_timeout(request, route),
+        depth=names.read_number(request.fields, names.DEPTH) or 0,
         key=_read_key(request),
     )
     _check(call)
@@ -92,9 +98,7 @@
     """
     text = target.decode('latin-1').partition('?')[0]
     path = unquote(text) if '%' in text else text
-    if not path.startswith('/') or not _DOT_SEGMENTS.isdisjoint(
-        path.split('/')
-    ):
+    if not path.startswith('/') or _has_dot_segment(path):
         raise MalformedError(
             'The target must be an absolute path without dot segments.',
             context={'found': text},
@@ -102,6 +106,10 @@
     return path
 
 
+def _has_dot_segment(path: str) -> bool:
+    return '/.' in path and not _DOT_SEGMENTS.isdisjoint(path.split('/'))
+
+
 def _check(call: Call) -> None:
     if call.is_once and not call.key:
         raise KeyMissingError(
@@ -116,7 +124,7 @@
             hint='Look for services that call each other in a circle.',
         )
     limit = call.route.work.max_body_bytes
-    length = names.read_number(call.request.headers, names.CONTENT_LENGTH)
+    length = names.read_number(call.request.fields, names.CONTENT_LENGTH)
     if length is not None and length > limit:
         raise TooLargeError(
             'The body is larger than its class of work allows.',
@@ -134,15 +142,18 @@
 
 
 def _read_timeout(request: InboundRequest, route: Route) -> dt.timedelta:
-    told = names.read_number(request.headers, names.TIMEOUT_MS)
+    told = names.read_number(request.fields, names.TIMEOUT_MS)
     if told is None:
         return route.work.timeout
-    limit = int(route.work.timeout / dt.timedelta(milliseconds=1))
-    return dt.timedelta(milliseconds=min(told, limit))
+    if told >= _LONGEST_MS:
+        return route.work.timeout
+    return min(route.work.timeout, dt.timedelta(milliseconds=told))
 
 
 def _read_key(request: InboundRequest) -> str:
-    text = names.find_header(request.headers, names.IDEMPOTENCY_KEY) or b''
+    text = request.fields.get(names.IDEMPOTENCY_KEY)
+    if text is None:
+        return ''
     key = text.decode('latin-1')
     if len(key) > MAX_KEY_BYTES or not (key.isascii() and key.isprintable()):
         raise MalformedError(
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/plugin.py
@@ -13,6 +13,7 @@
 from bluebellslip._internal.calls.listener import Listener
 from bluebellslip._internal.calls.once import OnceRunner
 from bluebellslip._internal.calls.pool import ConnectionPool
+from bluebellslip._internal.calls.warmth import Warmth
 from bluebellslip._internal.calls.witness import Witness
 from bluebellslip._internal.claims.keeper import ClaimKeeper
 from bluebellslip._internal.kernel.context import Context
@@ -52,6 +53,7 @@
         self._ingress = IngressHandler(
             context, self._pool, membership, witness, gate, self._once
         )
+        self._warmth = Warmth(context, self._pool, self._egress.balancer)
         self._egress_listener = Listener(
             Address.from_text(listen.egress), self._egress, counters
         )
@@ -59,6 +61,25 @@
             Address.from_text(listen.ingress), self._ingress, counters
         )
 
+    @property
+    def calls_in_flight(self) -> int:
+        """Calls that this node takes part in."""
+        return self._ingress.in_flight.count + self._egress.in_flight.count
+
+    @property
+    def bytes_unsent(self) -> int:
+        """Bytes of replies that no socket has taken yet."""
+        return self._ingress_listener.unsent + self._egress_listener.unsent
+
+    @property
+    def _ingress_pending(self) -> int:
+        running = self._ingress.in_flight.count + self._once.pending
+        return running + self._ingress_listener.unsent
+
+    @property
+    def _egress_pending(self) -> int:
+        return self._egress.in_flight.count + self._egress_listener.unsent
+
     @classmethod
     def from_context(cls, context: Context) -> Self:
         """Build the plug-in from the node's shared state."""
@@ -86,12 +107,10 @@
 
     async def drain(self) -> None:
         """Wait for calls of others, then for those of the own server."""
-        while self._ingress.in_flight.count:
-            await anyio.sleep(_DRAIN_POLL.total_seconds())
-        while self._once.pending:
+        while self._ingress_pending:
             await anyio.sleep(_DRAIN_POLL.total_seconds())
         self._egress.close()
-        while self._egress.in_flight.count:
+        while self._egress_pending:
             await anyio.sleep(_DRAIN_POLL.total_seconds())
 
     async def _sweep(self) -> None:
@@ -99,3 +118,4 @@
             await anyio.sleep(_SWEEP.total_seconds())
             self._ingress_listener.close_idle()
             self._egress_listener.close_idle()
+            await self._warmth.renew(self._egress.services)
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
@@ -7,6 +7,7 @@
 import httptools
 
 from bluebellslip._internal.calls.headers import (
+    CALL,
     CONTENT_LENGTH,
     TRANSFER_ENCODING,
     Header,
@@ -23,6 +24,7 @@
 MAX_HEAD_BYTES: Final = 32 * 1024
 MAX_HEADERS: Final = 128
 _HEAD: Final = b'HEAD'
+_NOTHING: Final = b'0'
 
 
 class RequestReader:
@@ -93,20 +95,22 @@
     def on_url(self, url: bytes) -> None:
         """Take in a part of the target."""
         self._target += url
-        self._grow(len(url))
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Take in a header."""
         self._headers.append((name.lower(), text))
-        self._grow(len(name) + len(text))
+        self._head_size += len(name) + len(text)
 
     def on_headers_complete(self) -> None:
         """Hand the request over."""
+        self._check_head()
         method = self._parser.get_method()
+        fields = dict(self._headers)
         request = InboundRequest(
             method=method,
             target=self._target,
             headers=self._headers,
+            fields=fields,
             body=ReadBuffer(self._transport),
             reply=Reply(
                 self._transport,
@@ -115,11 +119,12 @@
                 headless=method == _HEAD,
                 keep_alive=self._parser.should_keep_alive(),
                 modern=self._parser.get_http_version() == '1.1',
+                call=fields.get(CALL),
             ),
         )
         self._current = request
         self._raw_size = 0
-        if not _has_body(request.headers):
+        if not _has_body(fields):
             request.body.finish()
         self._on_request(request)
 
@@ -135,9 +140,9 @@
             self._current = None
         self._between = True
 
-    def _grow(self, size: int) -> None:
-        self._head_size += size
-        if self._head_size > MAX_HEAD_BYTES or len(self._headers) > MAX_HEADERS:
+    def _check_head(self) -> None:
+        size = self._head_size + len(self._target)
+        if size > MAX_HEAD_BYTES or len(self._headers) > MAX_HEADERS:
             raise _make_too_large()
 
     def _check_partial_head(self, size: int) -> None:
@@ -157,11 +162,10 @@
     )
 
 
-def _has_body(headers: list[Header]) -> bool:
-    return any(
-        name == TRANSFER_ENCODING or (name == CONTENT_LENGTH and text != b'0')
-        for name, text in headers
-    )
+def _has_body(fields: dict[bytes, bytes]) -> bool:
+    if TRANSFER_ENCODING in fields:
+        return True
+    return fields.get(CONTENT_LENGTH, _NOTHING) != _NOTHING
 
 
 def _find_cause(error: BaseException) -> BluebellError:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
@@ -20,13 +20,14 @@
 
 @dataclasses.dataclass(slots=True)
 class ResponseHead:
-    """Status and headers of an answer.
+    """Status and headers of an answer; ``fields`` are those by name.
 
     ``length`` is none where the answer's end is marked otherwise.
     """
 
     status: int
     headers: list[Header]
+    fields: dict[bytes, bytes]
     length: int | None
 
 
@@ -34,12 +35,14 @@
     """Parser of one connection's answers.
 
     ``usable`` turns false as soon as the connection must not carry another
-    exchange; ``answered`` tells that the newest exchange's answer is whole.
+    exchange; ``answered`` tells that the newest exchange's answer is whole,
+    ``silent`` that nothing of it came in.
     """
 
     def __init__(self) -> None:
         self.usable = True
         self.answered = True
+        self.silent = True
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
         self._head_size = 0
@@ -61,6 +64,7 @@
         self._headless = headless
         self._until_close = False
         self.answered = False
+        self.silent = True
 
     def feed(self, chunk: bytes) -> None:
         """Parse input.
@@ -72,6 +76,7 @@
         """
         if self.answered or not self.usable:
             raise ServerFailedError('The server sent what nothing asked for.')
+        self.silent = False
         try:
             self._parser.feed_data(chunk)
         except (
@@ -107,7 +112,7 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Take in a header."""
-        self._head_size += len(name) + len(text)
+        self._head_size += len(text)
         if self._head_size > MAX_HEAD_BYTES:
             raise ServerFailedError('The head of the answer is too large.')
         self._headers.append((name.lower(), text))
@@ -117,9 +122,10 @@
         status = self._parser.get_status_code()
         if status < _INFORMATIONAL_END or self.answered:
             return
-        self._until_close = _ends_at_close(self._headers)
+        head = _make_head(status, self._headers)
+        self._until_close = _ends_at_close(head)
         if self._answer is not None and not self._answer.done():
-            self._answer.set_result(_make_head(status, self._headers))
+            self._answer.set_result(head)
         if self._headless:
             self.usable = False
             self._finish()
@@ -144,14 +150,12 @@
 
 
 def _make_head(status: int, headers: list[Header]) -> ResponseHead:
-    length = None
-    for name, text in headers:
-        if name == CONTENT_LENGTH and text.isdigit():
-            length = int(text)
-    return ResponseHead(status, headers, length)
+    fields = dict(headers)
+    length = fields.get(CONTENT_LENGTH)
+    if length is None or not length.isdigit():
+        return ResponseHead(status, headers, fields, None)
+    return ResponseHead(status, headers, fields, int(length))
 
 
-def _ends_at_close(headers: list[Header]) -> bool:
-    return not any(
-        name in {CONTENT_LENGTH, TRANSFER_ENCODING} for name, _ in headers
-    )
+def _ends_at_close(head: ResponseHead) -> bool:
+    return head.length is None and TRANSFER_ENCODING not in head.fields
--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/plugin.py
@@ -85,18 +85,22 @@
             counters,
         )
         self._catch_up = CatchUp(
-            context.node,
+            context,
             self._holder,
             self._spreader,
             self._puller,
             roster,
-            context.random,
             link,
-            counters,
         )
         heads = HeadReader(context.ports.get(TableService), counters)
         self._floors = FloorFinder(
-            context.node, context.applied, heads, roster, link, context.random
+            context.node,
+            context.applied,
+            heads,
+            roster,
+            membership.seeds.configured,
+            link,
+            context.random,
         )
         self._poller = SourcePoller(
             RelayRank(context.node, context.locality, roster),
@@ -108,6 +112,7 @@
             context.random,
             counters,
         )
+        self._resumed = anyio.Event()
         self._connect()
 
     @classmethod
@@ -131,14 +136,30 @@
         """Settle the floor, then follow peers and platform."""
         async with anyio.create_task_group() as group:
             task_status.started()
+            # Members that are known by then are asked as well.
+            await self._membership.synchronizer.wait_attempted()
             self._puller.note(await self._floors.settle())
             self._spreader.settle()
             group.start_soon(self._catch_up.run)
+            group.start_soon(self._refresh_always)
             group.start_soon(
-                self._poller.run, self._catch_up, self._membership.seeds
+                self._poller.run, self._catch_up, self._membership.meet_seeds
             )
 
+    async def _refresh_always(self) -> None:
+        # After a pause what is in force here may be old; until the node has
+        # caught up with the floor that is found, it serves nothing.
+        while True:
+            await self._resumed.wait()
+            self._resumed = anyio.Event()
+            self._puller.note(await self._floors.settle())
+            self._catch_up.wake()
+
+    def _on_resume(self) -> None:
+        self._resumed.set()
+
     def _connect(self) -> None:
+        self._membership.on_resume(self._on_resume)
         self._link.on_datagram(Notice, self._on_notice)
         self._link.on_request(PullRequest, self._answer_pull)
         self._link.on_request(FloorRequest, self._answer_floor)
--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/spreader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/spreader.py
@@ -19,7 +19,7 @@
 
 logger = logging.getLogger(__name__)
 
-_FANOUT: Final = 4  # members that hear of a new revision from each node
+_FANOUT: Final = 8  # members that hear of a new revision from each node
 _DELTA_BYTES: Final = 1200  # longest delta that goes by datagram
 
 
@@ -64,6 +64,7 @@
         self._counters = counters
         self._settled = False
         self._told = 0
+        self._refused = ''
 
     @property
     def settled(self) -> bool:
@@ -126,5 +127,7 @@
             return self._holder.take_body(body, digest)
         except InvalidConfigError as error:
             self._counters.add('configs_refused')
-            logger.warning('configuration refused: %s', error)
+            if digest != self._refused:
+                self._refused = digest
+                logger.warning('configuration refused: %s', error)
             raise
