--- a/tests/unit/test_capacity.py
+++ b/tests/unit/test_capacity.py
@@ -3,7 +3,6 @@
 from pathlib import Path
 
 import pytest
-
 from bench.capacity import PAGE, render_table, replace_table
 
 _ROOT = Path(__file__).parent.parent.parent
