Bound the bodies and calls that a node holds

Once-only work is read whole before it is claimed; without a bound, callers could make a node hold any number of bodies of a class's greatest size. A node now holds 16 MiB of them and sends 1,024 calls at once. A node that dies with its claim under way is tested beside one that dies after.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/egress.py
@@ -33,6 +33,7 @@
     DrainingError,
     ErrorKind,
     NoServerError,
+    OverloadedError,
 )
 from bluebellslip._internal.kernel.context import Context
 from bluebellslip._internal.kernel.directory import Endpoint
@@ -43,6 +44,7 @@
 )
 
 MAX_ATTEMPTS: Final = 3
+MAX_IN_FLIGHT: Final = 1024
 _SERVER_ERROR: Final = 500
 _PERCENT: Final = 100
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
@@ -132,6 +134,8 @@
         """Answer a request; errors raised become answers."""
         if self._closed:
             raise DrainingError('The node is leaving.')
+        if self.in_flight.count >= MAX_IN_FLIGHT:
+            raise OverloadedError('Too many calls leave by this node.')
         call = open_call(self._context, request)
         request.expire_after(call.remaining(call.begun).total_seconds())
         with self.in_flight:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/once.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/once.py
@@ -19,6 +19,7 @@
 from bluebellslip._internal.calls.exchange import Exchange
 from bluebellslip._internal.calls.gate import Gate, Holding
 from bluebellslip._internal.calls.pool import ConnectionPool
+from bluebellslip._internal.calls.tally import Tally
 from bluebellslip._internal.calls.witness import Sight, Witness
 from bluebellslip._internal.claims.ledger import ClaimLedger
 from bluebellslip._internal.claims.rows import (
@@ -42,6 +43,7 @@
 
 MAX_ANSWER_BYTES: Final = 8 << 20
 MAX_RUNNING: Final = 256
+MAX_HELD_BYTES: Final = 16 << 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,6 +96,7 @@
         self._gate = gate
         self._ledger = ledger
         self._running: dict[str, _Running] = {}
+        self._held = Tally()
         self._tasks: set[asyncio.Task[object]] = set()
 
     @property
@@ -110,8 +113,7 @@
             When it did not run, or may have and left no answer.
         """
         request = call.request
-        request.invite_body()
-        body = await request.body.read_all()
+        body = await self._read_body(call)
         work = _Work(
             key=name_claim_key(call.service, call.key),
             call=call,
@@ -125,6 +127,16 @@
         fields = names.pass_response_headers(answer.headers)
         request.reply.respond(answer.status, fields, answer.body)
 
+    async def _read_body(self, call: Call) -> bytes:
+        length = names.read_number(call.request.fields, names.CONTENT_LENGTH)
+        if length is None:
+            length = call.route.work.max_body_bytes
+        if self._held.count + length > MAX_HELD_BYTES:
+            raise OverloadedError('The node holds too many bodies.')
+        with self._held.holding(length):
+            call.request.invite_body()
+            return await call.request.body.read_all()
+
     def _begin(self, work: _Work) -> 'asyncio.Task[StoredAnswer]':
         running = self._running.get(work.key)
         if running is None:
@@ -142,21 +154,27 @@
             work.call
         ):
             raise OverloadedError('The server has no slot for this call.')
-        task = self._spawn(self._claim_and_run(work))
+        task = self._spawn(self._hold_and_run(work))
         self._running[work.key] = _Running(work.fingerprint, task)
         task.add_done_callback(lambda done: self._forget(work.key, done))
         return task
 
-    async def _claim_and_run(self, work: _Work) -> StoredAnswer:
+    async def _hold_and_run(self, work: _Work) -> StoredAnswer:
         if self._ledger is None:
             raise PlatformDownError('The node has no table for claims.')
-        claimed = await self._ledger.claim(
+        with self._held.holding(len(work.body)):
+            return await self._claim_and_run(self._ledger, work)
+
+    async def _claim_and_run(
+        self, ledger: ClaimLedger, work: _Work
+    ) -> StoredAnswer:
+        claimed = await ledger.claim(
             work.key, work.fingerprint, work.call.route.work.timeout
         )
         if isinstance(claimed, StoredAnswer):
             self._context.counters.add('claims.replayed')
             return claimed
-        return await self._run_claimed(self._ledger, claimed, work)
+        return await self._run_claimed(ledger, claimed, work)
 
     async def _run_claimed(
         self, ledger: ClaimLedger, claim: Claim, work: _Work
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/tally.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/tally.py
@@ -1,8 +1,8 @@
-"""A count of what is going on."""
+"""Counts of what is going on."""
 
 
 class Tally:
-    """Counts the contexts that are open."""
+    """Counts the contexts that are open, or what each of them stands for."""
 
     __slots__ = ('count',)
 
@@ -14,3 +14,23 @@
 
     def __exit__(self, *raised: object) -> None:
         self.count -= 1
+
+    def holding(self, amount: int) -> '_Holding':
+        """Return a context that stands for an amount."""
+        return _Holding(self, amount)
+
+
+class _Holding:
+    """An amount in a tally, while the context is open."""
+
+    __slots__ = ('_amount', '_tally')
+
+    def __init__(self, tally: Tally, amount: int) -> None:
+        self._tally = tally
+        self._amount = amount
+
+    def __enter__(self) -> None:
+        self._tally.count += self._amount
+
+    def __exit__(self, *raised: object) -> None:
+        self._tally.count -= self._amount
--- a/tests/functional/test_calls_claims.py
+++ b/tests/functional/test_calls_claims.py
@@ -200,7 +200,8 @@
 
 
 @pytest.mark.anyio
-async def test_node_that_dies_while_running_leaves_no_second_run() -> None:
+@pytest.mark.parametrize('claim_only', [True, False])
+async def test_node_that_dies_leaves_no_second_run(claim_only: bool) -> None:
     async def hang(
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -209,6 +210,7 @@
         await asyncio.sleep(30)
 
     server, table = FakeServer(hang), FakeTable()
+    table.hang = claim_only
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(server.serving())
         front = MeshNode('front', table=table)
@@ -221,12 +223,38 @@
         await stack.enter_async_context(other.running())
         async with dying.running():
             call = asyncio.create_task(pay(front))
-            while not server.seen:
+            while not (server.seen or (claim_only and table.rows)):
                 await asyncio.sleep(0.01)
         first = await call
+        table.hang = False
         front.know(other)
         second = await pay(front)
     assert first.headers['bluebell-error'] == 'server-failed'
     assert 'bluebell-not-run' not in first.headers
     assert second.headers['bluebell-error'] == 'outcome-unknown'
-    assert len(server.seen) == 1
+    assert len(server.seen) == int(not claim_only)
+
+
+@pytest.mark.anyio
+async def test_bodies_held_are_bounded() -> None:
+    server, table = FakeServer(answering(b'paid')), FakeTable()
+    callers = []
+    async with mesh(server, table) as front:
+        for number in range(20):
+            caller = await Caller.open(front.egress)
+            caller.writer.write(
+                b'POST /deposits HTTP/1.1\r\nhost: orders\r\n'
+                b'content-length: 1000000\r\nidempotency-key: b%d\r\n\r\n'
+                % number
+            )
+            callers.append(caller)
+        refused = [await caller.receive() for caller in callers[16:]]
+        for caller in callers[:16]:
+            caller.writer.write(b'x' * 1_000_000)
+        paid = [await caller.receive() for caller in callers[:16]]
+        for caller in callers:
+            caller.close()
+    kinds = {got.headers['bluebell-error'] for got in refused}
+    assert kinds == {'overloaded'}
+    assert {got.status for got in paid} <= {200, 503}
+    assert {got.body for got in paid if got.status == 200} == {b'paid'}
--- a/tests/lib/tables.py
+++ b/tests/lib/tables.py
@@ -20,7 +20,8 @@
 
     ``down`` refuses everything, ``lose_answers`` lets that many transactions
     take effect without an answer, ``lose_requests`` and ``lose_reads`` drop
-    that many, and ``delay`` holds each call back by seconds.
+    that many, ``hang`` keeps answers back for good, and ``delay`` holds each
+    call back by seconds.
     """
 
     def __init__(self) -> None:
@@ -29,6 +30,7 @@
         self.lose_answers = 0
         self.lose_requests = 0
         self.lose_reads = 0
+        self.hang = False
         self.delay: float = 0
         self.transactions = 0
 
@@ -53,6 +55,8 @@
             self.lose_requests -= 1
             raise PlatformUnknownError('lost')
         answer = self._apply(transaction)
+        if self.hang:
+            await anyio.sleep_forever()
         if self.lose_answers:
             self.lose_answers -= 1
             raise PlatformUnknownError('lost')
