--- a/packages/bluebellslip/src/bluebellslip/_internal/admin/server.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/server.py
@@ -85,6 +85,11 @@
         """Where the server listens, once it runs."""
         return self._address
 
+    @property
+    def busy(self) -> bool:
+        """Whether a call is in flight."""
+        return bool(self._server.server_state.tasks)
+
     @classmethod
     def from_context(cls, context: Context) -> Self:
         """Build the plug-in from the node's shared state."""
--- a/tests/functional/test_admin_server.py
+++ b/tests/functional/test_admin_server.py
@@ -119,6 +119,39 @@
     assert signal.getsignal(signal.SIGINT) is signal.default_int_handler
 
 
+async def _wait_closed(address: Address) -> None:
+    while True:
+        try:
+            stream = await anyio.connect_tcp(address.host, address.port)
+        except OSError:
+            return
+        await stream.aclose()
+
+
+async def test_stop_waits_for_the_call_in_flight(server: AdminPlugin) -> None:
+    address = server.address
+    async with await anyio.connect_tcp(address.host, address.port) as stream:
+        await stream.send(
+            _request('PUT', '/v1/config', 'content-length: 2', body=b'{')
+        )
+        while not server.busy:
+            await anyio.sleep(0)
+        drained = anyio.Event()
+        server._server.config.timeout_graceful_shutdown = None
+
+        async def drain() -> None:
+            await server.drain()
+            drained.set()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(drain)
+            await _wait_closed(address)
+            await anyio.sleep(0.3)  # the library looks every 0.1 s
+            assert not drained.is_set()
+            await stream.send(b'}')
+            assert (await stream.receive()).startswith(b'HTTP/1.1 422')
+
+
 async def test_address_that_is_taken_is_one_clear_error() -> None:
     with socket.create_server(('127.0.0.1', 0)) as taken:
         port = taken.getsockname()[1]
--- /dev/null
+++ b/tests/unit/test_tokens.py
@@ -0,0 +1,53 @@
+"""Tokens can be replaced one by one, and scopes do not leak."""
+
+import pytest
+
+from bluebellslip._internal.admin.tokens import Keyring, Scope
+from bluebellslip._internal.exceptions import (
+    ForbiddenError,
+    UnauthenticatedError,
+)
+from lib.operators import make_token
+
+_KEYRING = Keyring.from_settings([
+    make_token('ana', 'old-token', 'read', 'move'),
+    make_token('ana', 'new-token', 'read', 'move'),
+    make_token('printers', 'print-token', 'apply:print', 'move:print'),
+])
+
+
+@pytest.mark.parametrize('token', ['old-token', 'new-token'])
+def test_holder_may_have_several_tokens(token: str) -> None:
+    assert _KEYRING.identify(f'Bearer {token}').name == 'ana'
+    assert _KEYRING.identify(f'bearer  {token} ').name == 'ana'
+
+
+@pytest.mark.parametrize(
+    'header',
+    [
+        '',
+        'Bearer',
+        'Bearer ',
+        'old-token',
+        'Basic old-token',
+        'Bearer OLD-TOKEN',
+    ],
+)
+def test_anything_else_is_nobody(header: str) -> None:
+    with pytest.raises(UnauthenticatedError):
+        _KEYRING.identify(header)
+
+
+def test_scope_of_one_team_does_not_reach_another() -> None:
+    holder = _KEYRING.identify('Bearer print-token')
+    holder.require_team(Scope.MOVE, 'print')
+    assert not holder.may_all(Scope.MOVE)
+    with pytest.raises(ForbiddenError):
+        holder.require_team(Scope.MOVE, 'shop')
+    with pytest.raises(ForbiddenError):
+        holder.require(Scope.READ)
+
+
+def test_empty_keyring_knows_nobody() -> None:
+    with pytest.raises(UnauthenticatedError):
+        Keyring(()).identify('Bearer old-token')
