Give up clients of the admin address that do not read

Cause: a client that never reads an answer held one of 64 connections for good. Change: a call has 30 s from its head to its last byte, then it is given up and counted. Seen red: before the change the test does not end (the sender waits for ever).

--- a/packages/bluebellslip/src/bluebellslip/_internal/admin/app.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/app.py
@@ -5,6 +5,7 @@
 from typing import Final
 from urllib.parse import parse_qsl
 
+import anyio
 import msgspec
 from expression import Result
 
@@ -36,6 +37,7 @@
 
 logger = logging.getLogger(__name__)
 
+CALL_TIMEOUT_SECONDS: Final = 30.0
 _OK: Final = 200
 _NOBODY: Final = Holder(name='unauthenticated', scopes=frozenset())
 _MAX_FIELDS: Final = 16
@@ -58,9 +60,18 @@
     async def __call__(
         self, scope: AsgiScope, receive: Receive, send: Send
     ) -> None:
-        """Serve one request."""
+        """Serve one request, or give up a client that does not read."""
         if scope['type'] != 'http':
             return
+        deadline = anyio.move_on_after(CALL_TIMEOUT_SECONDS)
+        with deadline:
+            await self._answer(scope, receive, send)
+        if deadline.cancelled_caught:
+            self._context.counters.add('admin_calls_given_up')
+
+    async def _answer(
+        self, scope: AsgiScope, receive: Receive, send: Send
+    ) -> None:
         answered = await self._serve(scope, receive)
         match answered:
             case Result(tag='ok', ok=body):
--- a/tests/functional/test_admin_app.py
+++ b/tests/functional/test_admin_app.py
@@ -267,6 +267,17 @@
     assert counters.sums['admin_audit_lost'] == 1
 
 
+async def test_client_that_does_not_read_is_given_up(
+    mesh: _Mesh, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    app = 'bluebellslip._internal.admin.app'
+    monkeypatch.setattr(f'{app}.CALL_TIMEOUT_SECONDS', 0.01)
+    await mesh.admin.call('GET', '/v1/nodes', reads=False)
+    counters = mesh.context.counters
+    assert isinstance(counters, NullCounters)
+    assert counters.sums['admin_calls_given_up'] == 1
+
+
 async def test_health_needs_no_token(mesh: _Mesh) -> None:
     answer = await mesh.admin.call('GET', '/v1/health', token=None)
     assert answer.body == {'ready': True, 'revision': 1, 'draining': False}
--- a/tests/lib/operators.py
+++ b/tests/lib/operators.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Any
 
+import anyio
 import msgspec
 from expression import Error, Ok, Result
 
@@ -175,6 +176,7 @@
         target: str,
         token: str | None = OPERATOR,
         body: bytes | dict[str, Any] = b'',
+        reads: bool = True,
     ) -> Answer:
         path, _, query = target.partition('?')
         headers = []
@@ -190,6 +192,8 @@
 
         async def send(message: Any) -> None:
             sent.append(message)
+            if not reads:
+                await anyio.sleep_forever()
 
         scope = {
             'type': 'http',
@@ -199,6 +203,8 @@
             'headers': headers,
         }
         await self._app(scope, receive, send)
+        if not reads:
+            return Answer(0, {}, None)
         return Answer(
             status=sent[0]['status'],
             headers={
