--- /dev/null
+++ b/tests/unit/test_lab_caller.py
@@ -0,0 +1,62 @@
+"""A caller tells its own whole answer from others."""
+
+import hashlib
+
+import msgspec
+import pytest
+
+from bluebellslip_lab.backend_app import Echo
+from bluebellslip_lab.caller import is_own, read_answer
+from bluebellslip_lab.history import Told
+from bluebellslip_lab.http_client import Answer
+
+_BODY = b'photo'
+_LENGTH = len(_BODY)
+
+
+def _echo(nonce: str = 'call-1/a0', received: int = _LENGTH) -> bytes:
+    return msgspec.json.encode(
+        Echo(
+            nonce=nonce,
+            service='orders',
+            version='v1',
+            path='/',
+            sha256=hashlib.sha256(_BODY).hexdigest(),
+            received=received,
+        )
+    )
+
+
+def test_the_answer_to_an_earlier_attempt_is_the_callers_own() -> None:
+    assert is_own(_echo(), 'call-1/a0', _BODY)
+    assert is_own(_echo(), 'call-1/b3', _BODY)
+
+
+@pytest.mark.parametrize(
+    ('content', 'body'),
+    [
+        (_echo(nonce='call-2/a0'), _BODY),
+        (_echo(received=4), _BODY),
+        (_echo(), b'other'),
+        (_echo()[:-1], _BODY),
+        (b'', _BODY),
+    ],
+)
+def test_foreign_and_short_answers_are_not(content: bytes, body: bytes) -> None:
+    assert not is_own(content, 'call-1/a0', body)
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'told'),
+    [
+        (200, {}, Told.DONE),
+        (503, {b'bluebell-not-run': b'1', b'retry-after': b'1'}, Told.NOT_DONE),
+        (503, {}, Told.UNKNOWN),
+        (500, {}, Told.UNKNOWN),
+    ],
+)
+def test_what_a_caller_is_told(
+    status: int, headers: dict[bytes, bytes], told: Told
+) -> None:
+    answer = Answer(status, headers, _echo())
+    assert read_answer(answer, 'call-1/a0', '', _BODY).told is told
--- /dev/null
+++ b/tests/unit/test_lab_history.py
@@ -0,0 +1,118 @@
+"""The checkers of histories find what must not be."""
+
+import pytest
+
+from bluebellslip_lab.history import (
+    AppliedRecord,
+    CallRecord,
+    ChangeRecord,
+    CommitRecord,
+    RunRecord,
+    Told,
+    check_applied,
+    check_calls,
+    check_changes,
+)
+
+_COMMITS = (
+    CommitRecord(1, 'a', 'da', ''),
+    CommitRecord(2, 'b', 'db', 'da'),
+)
+_GOOD = (
+    ChangeRecord('a', Told.DONE, 0, 1, 1),
+    ChangeRecord('b', Told.DONE, 2, 3, 2),
+    ChangeRecord('c', Told.NOT_DONE, 0, 3),
+    ChangeRecord('d', Told.UNKNOWN, 0, 3),
+)
+
+
+def test_a_good_history_passes() -> None:
+    assert not check_changes(_GOOD, _COMMITS)
+
+
+@pytest.mark.parametrize(
+    ('records', 'commits', 'rule'),
+    [
+        (_GOOD, _COMMITS[:1], 'accepted change lost'),
+        (
+            (ChangeRecord('a', Told.NOT_DONE, 0, 1),),
+            _COMMITS,
+            'refused change in force',
+        ),
+        (
+            (),
+            (*_COMMITS, CommitRecord(3, 'a', 'dc', 'db')),
+            'change accepted twice',
+        ),
+        ((), _COMMITS[1:], 'revisions are not linear'),
+        (
+            (),
+            (_COMMITS[0], CommitRecord(2, 'b', 'db', 'other')),
+            'revisions are not linear',
+        ),
+        (
+            (
+                ChangeRecord('b', Told.DONE, 0, 1, 2),
+                ChangeRecord('a', Told.DONE, 2, 3, 1),
+            ),
+            _COMMITS,
+            'changes out of order',
+        ),
+    ],
+)
+def test_what_is_wrong_with_changes_is_found(
+    records: tuple[ChangeRecord, ...],
+    commits: tuple[CommitRecord, ...],
+    rule: str,
+) -> None:
+    assert rule in {each.rule for each in check_changes(records, commits)}
+
+
+@pytest.mark.parametrize(
+    ('calls', 'runs', 'rule'),
+    [
+        (
+            (),
+            (RunRecord('k/a0', 's', 'k'), RunRecord('k/b0', 't', 'k')),
+            'key ran twice',
+        ),
+        (
+            (CallRecord('c/a0', Told.NOT_DONE),),
+            (RunRecord('c/a0', 's'),),
+            'refused call ran',
+        ),
+        (
+            (CallRecord('c/a0', Told.DONE, own=False),),
+            (RunRecord('c/a0', 's'),),
+            "answer not the caller's own",
+        ),
+        (
+            (CallRecord('c/a0', Told.DONE, key='k'),),
+            (),
+            'answered call never ran',
+        ),
+    ],
+)
+def test_what_is_wrong_with_calls_is_found(
+    calls: tuple[CallRecord, ...], runs: tuple[RunRecord, ...], rule: str
+) -> None:
+    assert [each.rule for each in check_calls(calls, runs)] == [rule]
+
+
+def test_a_stored_answer_and_a_retry_pass() -> None:
+    calls = (
+        CallRecord('k/a0', Told.NOT_DONE, key='k'),
+        CallRecord('k/a1', Told.DONE, key='k'),
+        CallRecord('k/b0', Told.DONE, key='k'),
+    )
+    assert not check_calls(calls, (RunRecord('k/a1', 's', 'k'),))
+
+
+def test_a_revision_that_goes_back_is_found_over_restarts() -> None:
+    records = [
+        AppliedRecord('n', 0, 1, 2),
+        AppliedRecord('n', 1, 3, 1),
+        AppliedRecord('m', 0, 2, 1),
+    ]
+    assert len(check_applied(records)) == 1
+    assert not check_applied(records[::2])
