Close connections to peers that were not used for a while

Cause: a seed that every node of a mesh has asked kept a connection for each of them until the askers' caps pushed them out. Change: those not used for 4 s are closed at the next exchange with anybody; those in use are never closed for the cap. Seen red without the closing.

--- a/packages/bluebellslip/src/bluebellslip/_internal/peers/exchanges.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/peers/exchanges.py
@@ -1,5 +1,6 @@
 """Exchanges between nodes: unary calls of one service over grpclib."""
 
+import dataclasses
 import datetime as dt
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
@@ -12,6 +13,7 @@
 from grpclib.server import Server, Stream
 
 from bluebellslip._internal.exceptions import BluebellError, PeerGarbledError
+from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.models.identity import Address
 from bluebellslip._internal.models.messages import PeerMessage
@@ -19,6 +21,7 @@
 
 _METHOD: Final = '/bluebellslip.Peer/Exchange'
 _MAX_CHANNELS: Final = 4
+_IDLE: Final = dt.timedelta(seconds=4)
 
 _Answerer = Callable[[Any], Awaitable[PeerMessage]]
 
@@ -119,27 +122,53 @@
     __mapping__ = _map_methods  # the name that grpclib looks for
 
 
+@dataclasses.dataclass(slots=True)
+class _Line:
+    channel: Channel
+    used: dt.timedelta
+    in_flight: int = 0
+
+
 class ExchangeClient:
-    """Connections to peers, the least recently used closed beyond a cap.
+    """Connections to peers.
+
+    Those beyond a cap and those not used for a while are closed at the next
+    exchange with anybody, so that a seed that a whole mesh has asked does not
+    keep a connection for every node.
 
     Parameters
     ----------
     codec
         Encoding of the messages.
+    clock
+        Time.
     counters
         Where failures are counted.
     """
 
-    def __init__(self, codec: ExchangeCodec, counters: Counters) -> None:
+    def __init__(
+        self, codec: ExchangeCodec, clock: Clock, counters: Counters
+    ) -> None:
         self._codec = codec
+        self._clock = clock
         self._counters = counters
-        self._channels: OrderedDict[Address, Channel] = OrderedDict()
+        self._lines: OrderedDict[Address, _Line] = OrderedDict()
+
+    @property
+    def connected(self) -> tuple[Address, ...]:
+        """Peers to which a connection is kept."""
+        return tuple(self._lines)
 
     async def ask(
         self, to: Address, message: PeerMessage, timeout: dt.timedelta
     ) -> PeerMessage:
         """Send and wait for the answer; see ``PeerLink.ask``."""
-        method = self._find_method(to)
+        self._close_idle()
+        line = self._find_line(to)
+        method: UnaryUnaryMethod[PeerMessage, PeerMessage] = UnaryUnaryMethod(
+            line.channel, _METHOD, PeerMessage, PeerMessage
+        )
+        line.in_flight += 1
         try:
             return await method(message, timeout=timeout.total_seconds())
         except (GRPCError, StreamTerminatedError, OSError) as error:
@@ -150,24 +179,37 @@
             self._discard(to)
             self._counters.add('peer_exchanges_refused')
             raise
+        finally:
+            line.in_flight -= 1
 
     def close(self) -> None:
         """Close every connection."""
-        for address in tuple(self._channels):
+        for address in tuple(self._lines):
             self._discard(address)
 
-    def _find_method(
-        self, to: Address
-    ) -> 'UnaryUnaryMethod[PeerMessage, PeerMessage]':
-        channel = self._channels.pop(to, None)
-        if channel is None:
+    def _find_line(self, to: Address) -> _Line:
+        now = self._clock.elapsed()
+        line = self._lines.pop(to, None)
+        if line is None:
             channel = Channel(to.host, to.port, codec=self._codec)
-        self._channels[to] = channel
-        while len(self._channels) > _MAX_CHANNELS:
-            self._discard(next(iter(self._channels)))
-        return UnaryUnaryMethod(channel, _METHOD, PeerMessage, PeerMessage)
+            line = _Line(channel, now)
+        line.used = now
+        self._lines[to] = line
+        return line
+
+    def _close_idle(self) -> None:
+        now = self._clock.elapsed()
+        spare = len(self._lines) - _MAX_CHANNELS
+        idle = [
+            address
+            for place, (address, line) in enumerate(self._lines.items())
+            if not line.in_flight
+            and (place <= spare or now - line.used > _IDLE)
+        ]
+        for address in idle:
+            self._discard(address)
 
     def _discard(self, address: Address) -> None:
-        channel = self._channels.pop(address, None)
-        if channel is not None:
-            channel.close()
+        line = self._lines.pop(address, None)
+        if line is not None:
+            line.channel.close()
--- a/packages/bluebellslip/src/bluebellslip/_internal/peers/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/peers/plugin.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskStatus
 
 from bluebellslip._internal.exceptions import ListenError
+from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.kernel.context import Context
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.kernel.plugin import Plugin, Stage, plugins
@@ -34,6 +35,8 @@
         Where datagrams and connections are taken.
     codec
         Encoding of the messages.
+    clock
+        Time.
     counters
         Where traffic is counted.
     """
@@ -41,13 +44,17 @@
     stage = Stage.PEERS
 
     def __init__(
-        self, listen: Address, codec: PeerCodec, counters: Counters
+        self,
+        listen: Address,
+        codec: PeerCodec,
+        clock: Clock,
+        counters: Counters,
     ) -> None:
         self._listen = listen
         exchange_codec = ExchangeCodec(codec, counters)
         self._datagrams = DatagramEndpoint(codec, counters)
         self._server = ExchangeServer(exchange_codec, counters)
-        self._client = ExchangeClient(exchange_codec, counters)
+        self._client = ExchangeClient(exchange_codec, clock, counters)
 
     @classmethod
     def from_context(cls, context: Context) -> Self:
@@ -55,6 +62,7 @@
         link = cls(
             context.peer_address,
             PeerCodec.from_registry(context.settings.peer_key),
+            context.clock,
             context.counters,
         )
         context.ports.provide(PeerLink, link)
--- a/tests/functional/test_peers.py
+++ b/tests/functional/test_peers.py
@@ -8,6 +8,8 @@
 import msgspec
 import pytest
 
+from bluebellslip._internal.kernel.clock import ManualClock
+from bluebellslip._internal.kernel.counters import NullCounters
 from bluebellslip._internal.membership.messages import Ping
 from bluebellslip._internal.models.facts import Backend
 from bluebellslip._internal.models.identity import (
@@ -15,6 +17,11 @@
     ServiceName,
     VersionName,
 )
+from bluebellslip._internal.peers.codec import PeerCodec
+from bluebellslip._internal.peers.exchanges import (
+    ExchangeClient,
+    ExchangeCodec,
+)
 from bluebellslip._internal.utils.digests import (
     compute_digest,
     encode_record,
@@ -88,3 +95,28 @@
         )
         assert own.counters.sums['peer_exchanges_refused']
         assert not own.membership.core.roster.live_count
+
+
+def test_connections_not_used_for_a_while_are_closed() -> None:
+    port = find_free_range(PORTS, SystemRandom())
+    nodes = [
+        RealNode(make_settings(number, port), FakePlatform())
+        for number in range(2)
+    ]
+    anyio.run(_ask_one_after_the_other, nodes)
+
+
+async def _ask_one_after_the_other(nodes: list[RealNode]) -> None:
+    clock, counters = ManualClock(), NullCounters()
+    codec = PeerCodec.from_registry(nodes[0].context.settings.peer_key)
+    client = ExchangeClient(ExchangeCodec(codec, counters), clock, counters)
+    request = nodes[0].membership.core.sync.request()
+    first, second = (node.context.peer_address for node in nodes)
+    async with nodes[0].running(), nodes[1].running():
+        await client.ask(first, request, dt.timedelta(seconds=5))
+        await client.ask(second, request, dt.timedelta(seconds=5))
+        assert client.connected == (first, second)
+        clock.advance(dt.timedelta(seconds=5))
+        await client.ask(second, request, dt.timedelta(seconds=5))
+        assert client.connected == (second,)
+        client.close()
