Give those who are refused a few members to ask instead

Cause: a herd that joins by a few seeds would wait for these seeds' admission of four large answers a second each, though every member could answer. Change: a refusal carries 16 of the wanted facts, and the one refused asks another member after about half a second. Seen red without the facts.

--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/core.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/core.py
@@ -114,6 +114,7 @@
             self.intake,
             self.memory,
             TokenBucket(clock, _SYNCS_PER_SECOND, _SYNC_BURST),
+            random,
             first.node,
             read_revision,
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/messages.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/messages.py
@@ -98,7 +98,7 @@
 
 @peer_messages.register('syncfacts')
 class SyncFacts(PeerMessage, frozen=True, tag='syncfacts', array_like=True):
-    """The wanted facts, or when to come back for them."""
+    """The wanted facts, or a few of them and when to come back."""
 
     facts: tuple[msgspec.Raw, ...]
     retry_after: dt.timedelta | None = None
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/sync.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/sync.py
@@ -1,6 +1,7 @@
 """Anti-entropy: finding out which facts two nodes hold differently."""
 
 import dataclasses
+from collections.abc import Sequence
 from typing import Final
 
 import xxhash
@@ -106,7 +107,7 @@
             ),
         )
 
-    def select(self, keys: tuple[str, ...]) -> tuple[Fact, ...]:
+    def select(self, keys: Sequence[str]) -> tuple[Fact, ...]:
         """Return the facts of some keys."""
         found = (self._facts.find(key) for key in keys[:SYNC_FACTS])
         return tuple(fact for fact in found if fact is not None)
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/synchronizer.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/synchronizer.py
@@ -28,6 +28,7 @@
 
 _TIMEOUT: Final = dt.timedelta(seconds=2)
 _ROUNDS: Final = 8  # exchanges in a row with one peer
+_BEHIND_WAIT: Final = dt.timedelta(milliseconds=500)
 _FIRST_WAIT: Final = dt.timedelta(milliseconds=200)
 _MOST_WAIT: Final = dt.timedelta(seconds=5)
 
@@ -66,6 +67,7 @@
         self._times = times
         self._random = random
         self._counters = counters
+        self._behind = False
         self._wanted = anyio.Event()
         self._attempted = anyio.Event()
 
@@ -84,9 +86,9 @@
                 await self._join()
             self._attempted.set()
             await self._sync_member()
-            with anyio.move_on_after(
-                jitter(self._times.sync_period, self._random).total_seconds()
-            ):
+            period = _BEHIND_WAIT if self._behind else self._times.sync_period
+            wait = jitter(period, self._random)
+            with anyio.move_on_after(wait.total_seconds()):
                 await self._wanted.wait()
             self._wanted = anyio.Event()
 
@@ -153,8 +155,6 @@
         answer = await self._link.ask(address, exchange, _TIMEOUT)
         if not isinstance(answer, SyncFacts):
             raise PeerGarbledError('An exchange had an unexpected answer.')
-        if answer.retry_after is not None:
-            wait = answer.retry_after * (1 + self._random.random())
-            await anyio.sleep(wait.total_seconds())
-            return True
-        return self._core.intake.receive(answer.facts) > 0
+        news = self._core.intake.receive(answer.facts)
+        self._behind = answer.retry_after is not None
+        return news > 0 and not self._behind
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/syncing.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/syncing.py
@@ -1,8 +1,11 @@
 """One node's side of anti-entropy exchanges."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from random import Random
 from typing import Final
 
+import msgspec
+
 from bluebellslip._internal.membership.encoding import encode_fact
 from bluebellslip._internal.membership.intake import Intake
 from bluebellslip._internal.membership.memory import AppliedMemory
@@ -17,13 +20,15 @@
 from bluebellslip._internal.utils.buckets import TokenBucket
 
 _LARGE: Final = 64  # wanted facts
+_FEW: Final = 16  # facts for those who are refused
 
 
 class SyncSide:
     """Begins, continues and answers exchanges.
 
     Large answers are admitted by a token bucket, so that a herd that comes
-    back does not take a node's time; those refused are told when to return.
+    back does not take a node's time. Those refused get a few of the facts, so
+    that they know other members to ask, and are told when to return.
 
     Parameters
     ----------
@@ -35,6 +40,8 @@
         Revisions in force at others.
     admission
         Bound on large answers.
+    random
+        Source of randomness.
     own
         The node itself.
     read_revision
@@ -47,6 +54,7 @@
         intake: Intake,
         memory: AppliedMemory,
         admission: TokenBucket,
+        random: Random,
         own: NodeId,
         read_revision: Callable[[], int],
     ) -> None:
@@ -54,6 +62,7 @@
         self._intake = intake
         self._memory = memory
         self._admission = admission
+        self._random = random
         self._own = own
         self._read_revision = read_revision
 
@@ -83,10 +92,9 @@
         """Take in a peer's facts and return those that it wants."""
         self._intake.receive(request.facts)
         if len(request.wanted) > _LARGE and not self._admission.take():
-            return SyncFacts((), self._admission.wait())
-        return SyncFacts(
-            tuple(
-                encode_fact(fact)
-                for fact in self._ledger.select(request.wanted)
-            )
-        )
+            few = self._random.sample(request.wanted, _FEW)
+            return SyncFacts(self._encode(few), self._admission.wait())
+        return SyncFacts(self._encode(request.wanted))
+
+    def _encode(self, keys: Sequence[str]) -> tuple[msgspec.Raw, ...]:
+        return tuple(encode_fact(fact) for fact in self._ledger.select(keys))
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -295,6 +295,8 @@
     answers = [view.core.sync.answer_exchange(exchange) for _ in range(12)]
     refused = [answer for answer in answers if answer.retry_after]
     assert len(refused) == 4
+    # Those refused know other members to ask.
+    assert {len(answer.facts) for answer in refused} == {16}
     view.clock.advance(refused[-1].retry_after)
     assert view.core.sync.answer_exchange(exchange).facts
 
