--- a/packages/bluebellslip-lab/src/bluebellslip_lab/demo_moves.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/demo_moves.py
@@ -7,14 +7,10 @@
 import anyio
 
 from bluebellslip_lab.demo_plan import (
-    BAD,
-    BAD_DEADLINE,
-    BAD_PLACES,
-    GOOD,
-    GOOD_DEADLINE,
-    GOOD_PLACES,
-    MOVED,
+    BAD_MOVE,
+    GOOD_MOVE,
     PLACES,
+    PlannedMove,
 )
 from bluebellslip_lab.workbench import Workbench
 
@@ -30,31 +26,27 @@
     seconds: float
 
 
-async def move_good(bench: Workbench) -> MoveEnd:
-    """Move the service to a good version."""
-    bench.say(f'Starting two servers of {MOVED} {GOOD}; they are good.')
-    await bench.start_places(GOOD_PLACES)
-    return await _move(bench, GOOD, GOOD_DEADLINE)
-
-
-async def move_bad(bench: Workbench) -> MoveEnd:
-    """Move the service to a bad version; nobody takes it back by hand."""
+async def start_versions(bench: Workbench) -> None:
+    """Start servers of both new versions; they get no calls unasked."""
     bench.say(
-        f'Starting two servers of {MOVED} {BAD}; half of its deposits fail.'
+        f'Starting two servers of {GOOD_MOVE.service} {GOOD_MOVE.version}, '
+        f'which are good, and two of {BAD_MOVE.service} {BAD_MOVE.version}, '
+        'which fail half of their calls.'
     )
-    await bench.start_places(BAD_PLACES)
-    return await _move(bench, BAD, BAD_DEADLINE)
+    await bench.start_places((*GOOD_MOVE.places, *BAD_MOVE.places))
+    await anyio.sleep(_ANNOUNCED.total_seconds())
 
 
-async def _move(
-    bench: Workbench, version: str, deadline: dt.timedelta
-) -> MoveEnd:
-    await anyio.sleep(_ANNOUNCED.total_seconds())
+async def move(bench: Workbench, plan: PlannedMove) -> MoveEnd:
+    """Ask for a move and wait for its end; nobody acts in between."""
     start = anyio.current_time()
-    by = f'{int(deadline.total_seconds())}s'
-    await bench.tell('move', MOVED, '--to', version, '--by', by)
+    by = f'{int(plan.within.total_seconds())}s'
+    await bench.tell('move', plan.service, '--to', plan.version, '--by', by)
     status = await bench.watcher.wait_move(
-        bench.mesh.admin(PLACES[0]), MOVED, version, deadline + _SLACK
+        bench.mesh.admin(PLACES[0]),
+        plan.service,
+        plan.version,
+        plan.within + _SLACK,
     )
     seconds = anyio.current_time() - start
     await bench.tell('status')
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/demo_run.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/demo_run.py
@@ -9,11 +9,12 @@
 from bluebellslip_lab.caller import Caller
 from bluebellslip_lab.demo_count import count_calls, count_runs
 from bluebellslip_lab.demo_declare import change, declare
-from bluebellslip_lab.demo_moves import move_bad, move_good
+from bluebellslip_lab.demo_moves import move, start_versions
 from bluebellslip_lab.demo_plan import (
     ALL_PLACES,
+    BAD_MOVE,
     CALLERS,
-    GOOD_DEADLINE,
+    GOOD_MOVE,
     KILLED,
     PLACES,
     TRAFFIC,
@@ -47,8 +48,13 @@
         self._callers = [Caller(bench.mesh.egress(place)) for place in CALLERS]
         self._load = LoadGenerator(self._callers, Random(1))
 
-    async def run(self) -> Summary:
-        """Do every step and return the figures."""
+    @property
+    def summary(self) -> Summary:
+        """The figures so far."""
+        return self._summary
+
+    async def run(self) -> None:
+        """Do every step."""
         start = anyio.current_time()
         bench, summary = self._bench, self._summary
         bench.say('Starting the platform, six nodes and six backend servers.')
@@ -64,7 +70,6 @@
         await self._stop()
         self._count()
         summary.seconds = round(anyio.current_time() - start, 1)
-        return summary
 
     def _is_over(self) -> bool:
         return self._over
@@ -74,15 +79,16 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._load.run, TRAFFIC, self._is_over)
             group.start_soon(self._measure_control)
-            good = await move_good(self._bench)
-            in_time = good.seconds <= GOOD_DEADLINE.total_seconds()
+            await start_versions(self._bench)
+            good = await move(self._bench, GOOD_MOVE)
+            in_time = good.seconds <= GOOD_MOVE.within.total_seconds()
             self._summary.good_moves_done = int(
                 good.state == 'done' and in_time
             )
             self._summary.good_move_s = good.seconds
             async with anyio.create_task_group() as at_once:
                 at_once.start_soon(self._kill_and_return)
-                bad = await move_bad(self._bench)
+                bad = await move(self._bench, BAD_MOVE)
             self._summary.bad_moves_withdrawn = int(bad.state == 'withdrawn')
             self._summary.bad_move_s = bad.seconds
             await anyio.sleep(_WARM_UP.total_seconds())
