--- a/bench/connections.py
+++ b/bench/connections.py
@@ -15,6 +15,7 @@
 
 from bench.peer_usage import read_usage
 from bench.results import fit_slope, print_rows, write_results
+from bluebellslip._internal.kernel.clock import SystemClock
 from bluebellslip._internal.kernel.counters import NullCounters
 from bluebellslip._internal.models.identity import Address
 from bluebellslip._internal.models.messages import PeerMessage, peer_messages
@@ -63,11 +64,12 @@
 async def measure(pid: int) -> None:
     """Open ever more connections and print what both sides hold."""
     codec = make_codec()
+    clock = SystemClock()
     clients: list[ExchangeClient] = []
     rows = []
     for count in _COUNTS:
         while len(clients) < count:
-            clients.append(ExchangeClient(codec, NullCounters()))
+            clients.append(ExchangeClient(codec, clock, NullCounters()))
         begun = time.perf_counter()
         for client in clients:
             await exchange(client)
