Let the withdrawal race the steward before it is done

Cause: the test began at 550 s, when the move had been done since 516 s, so it stayed green with the compare-and-set off.

Change: it begins at 514 s and checks that the move is still going on. Seen red with the condition of the transactions left out, as is the test of the frozen steward. Also seen red with the mechanism off: stop latch (4 tests), takeover by lease (1), counting a window once (2), waiting for calls (1). With the alarm after done off, its tests wait without end and were stopped.

--- a/tests/functional/test_moves.py
+++ b/tests/functional/test_moves.py
@@ -87,7 +87,8 @@
 async def test_withdrawal_racing_done_never_says_both() -> None:
     mesh = MoveMesh()
     await mesh.nodes[0].service.request(mesh.make_request())
-    await mesh.run(550)
+    await mesh.run(514)
+    assert mesh.stored.state is MoveState.MOVING
     answers = []
 
     async def cross() -> None:
