Name all counters in one style, and keep one error for a time that ran out

Counters followed three styles (configs_applied, calls.refused, bluebell.move.steps); all now read as the first. DeadlineError stood beside DeadlineExceededError with the same kind; the former is gone.

--- a/packages/bluebellslip/src/bluebellslip/_internal/acceptance/acceptor.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/acceptance/acceptor.py
@@ -215,7 +215,7 @@
         try:
             self._distribution.offer(body, digest)
         except InvalidConfigError:
-            self._counters.add('changes.corrupt_bodies')
+            self._counters.add('changes_corrupt_bodies')
 
     async def _audit_refusal(
         self, request: ChangeRequest, error: BluebellError
--- a/packages/bluebellslip/src/bluebellslip/_internal/acceptance/audit.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/acceptance/audit.py
@@ -47,7 +47,7 @@
     random_source
         Makes keys unique.
     counters
-        Receives ``audit.rows`` by outcome.
+        Receives ``audit_rows`` by outcome.
     """
 
     def __init__(
@@ -65,9 +65,9 @@
         try:
             await self._insert(transaction)
         except BluebellError:
-            self._counters.add('audit.rows', outcome='lost')
+            self._counters.add('audit_rows', outcome='lost')
             return False
-        self._counters.add('audit.rows', outcome='kept')
+        self._counters.add('audit_rows', outcome='kept')
         return True
 
     async def recent(self, limit: int) -> tuple[AuditRow, ...]:
@@ -91,5 +91,5 @@
         try:
             return _decoder.decode(row.body)
         except msgspec.MsgspecError:
-            self._counters.add('audit.rows', outcome='corrupt')
+            self._counters.add('audit_rows', outcome='corrupt')
             return None
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/egress.py
@@ -153,7 +153,7 @@
             if last or not self._may_repeat(call, progress, refused, budget):
                 raise refused.error
             self._context.counters.add(
-                'calls.retries', kind=refused.error.kind.value
+                'calls_retries', kind=refused.error.kind.value
             )
 
     def _choose_side(self, call: Call) -> bool:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -149,7 +149,7 @@
             request.settle()
 
     def _give_up(self, request: InboundRequest, error: BluebellError) -> None:
-        self._counters.add('calls.refused', kind=error.kind.value)
+        self._counters.add('calls_refused', kind=error.kind.value)
         if not self.transport.is_closing():
             request.reply.refuse(error)
 
@@ -157,7 +157,7 @@
         self._refused = True
         if self._reader.fail(error):
             return
-        self._counters.add('calls.refused', kind=error.kind.value)
+        self._counters.add('calls_refused', kind=error.kind.value)
         if self._task is None:
             Reply(self.transport, self._gate, self._state).refuse(error)
             self.transport.close()
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/once.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/once.py
@@ -172,7 +172,7 @@
             work.key, work.fingerprint, work.call.route.work.timeout
         )
         if isinstance(claimed, StoredAnswer):
-            self._context.counters.add('claims.replayed')
+            self._context.counters.add('claims_replayed')
             return claimed
         return await self._run_claimed(ledger, claimed, work)
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/pool.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/pool.py
@@ -104,5 +104,5 @@
         except asyncio.CancelledError:
             self._open[address] -= 1
             raise
-        self._counters.add('calls.connections_opened')
+        self._counters.add('calls_connections_opened')
         return connection
--- a/packages/bluebellslip/src/bluebellslip/_internal/claims/commit.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/claims/commit.py
@@ -115,8 +115,8 @@
 
     async def _commit(self, batch: list[_Operation]) -> None:
         while batch:
-            self._counters.add('claims.transactions')
-            self._counters.add('claims.writes', len(batch))
+            self._counters.add('claims_transactions')
+            self._counters.add('claims_writes', len(batch))
             try:
                 answer = await self._table.transact(_make_transaction(batch))
             except PlatformDownError as down:
@@ -130,7 +130,7 @@
     async def _read_back(
         self, batch: Sequence[_Operation], unknown: BluebellError
     ) -> None:
-        self._counters.add('claims.lost_answers')
+        self._counters.add('claims_lost_answers')
         async with anyio.create_task_group() as group:
             for operation in batch:
                 group.start_soon(self._settle, operation, unknown)
--- a/packages/bluebellslip/src/bluebellslip/_internal/claims/keeper.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/claims/keeper.py
@@ -65,4 +65,4 @@
             try:
                 await self._sweeper.sweep()
             except BluebellError:
-                self._context.counters.add('claims.sweeps_failed')
+                self._context.counters.add('claims_sweeps_failed')
--- a/packages/bluebellslip/src/bluebellslip/_internal/claims/ledger.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/claims/ledger.py
@@ -194,13 +194,13 @@
             try:
                 await self._commit.submit(claim.key, claim.version, body)
             except BluebellError:
-                self._context.counters.add('claims.store_retries')
+                self._context.counters.add('claims_store_retries')
             else:
                 return
             await anyio.sleep(
                 min(_LONGEST_PAUSE_S, _FIRST_PAUSE_S * 2**attempt)
             )
-        self._context.counters.add('claims.store_given_up')
+        self._context.counters.add('claims_store_given_up')
 
 
 def _make_down(key: str, error: BluebellError) -> PlatformDownError:
--- a/packages/bluebellslip/src/bluebellslip/_internal/commands/watch.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/commands/watch.py
@@ -12,7 +12,7 @@
     select_service,
 )
 from bluebellslip._internal.cli.status_codes import SUCCESS, WITHDRAWN
-from bluebellslip._internal.exceptions import DeadlineError
+from bluebellslip._internal.exceptions import DeadlineExceededError
 from bluebellslip._internal.models.views import StatusBody
 from bluebellslip._internal.utils.durations import parse_duration
 
@@ -45,7 +45,7 @@
             if is_settled(status, whole_mesh=service is None):
                 return _find_exit(progress, status, service)
             if limit is not None and self._clock.elapsed() - started > limit:
-                raise DeadlineError(
+                raise DeadlineExceededError(
                     'Not all was settled in time.',
                     context={'timeout': timeout or ''},
                     hint='See "bluebell status" for what is left.',
--- a/packages/bluebellslip/src/bluebellslip/_internal/exceptions.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/exceptions.py
@@ -264,7 +264,7 @@
 
 
 class DeadlineExceededError(BluebellError):
-    """Work whose time ran out; it may or may not have run."""
+    """Time ran out; work that was asked for may or may not have run."""
 
     kind = ErrorKind.DEADLINE_EXCEEDED
 
@@ -273,9 +273,3 @@
     """A server that broke off an exchange; it may or may not have run."""
 
     kind = ErrorKind.SERVER_FAILED
-
-
-class DeadlineError(BluebellError):
-    """Something that was waited for did not happen in time."""
-
-    kind = ErrorKind.DEADLINE_EXCEEDED
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/exchange.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/exchange.py
@@ -82,7 +82,7 @@
             )
             for peer in peers:
                 self._link.send(peer, message)
-        self._context.counters.add('bluebell.evidence.sent', len(peers))
+        self._context.counters.add('evidence_sent', len(peers))
 
     def _peers(self, service: ServiceName) -> list[Address]:
         node = self._context.node
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/ledger.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/ledger.py
@@ -76,7 +76,7 @@
         transaction = build_transaction(row, version, action, who)
         result = await self._table.transact(transaction)
         if result.is_error():
-            self._context.counters.add('bluebell.move.crossed')
+            self._context.counters.add('moves_crossed')
             return None
         stored = StoredMove(row, result.ok.versions[0])
         self._publish(stored)
@@ -113,7 +113,7 @@
             reason=reason,
         )
         if self._context.facts.merge((fact,)):
-            self._context.counters.add('bluebell.move.stopped')
+            self._context.counters.add('moves_stopped')
             logger.warning(
                 'version stopped',
                 extra={'service': service, 'move': move, 'reason': reason},
@@ -122,7 +122,7 @@
     def note_error(self, error: BluebellError) -> None:
         """Count a platform error."""
         self._context.counters.add(
-            'bluebell.move.platform_errors', kind=error.kind.value
+            'moves_platform_errors', kind=error.kind.value
         )
 
     def _publish(self, stored: StoredMove) -> None:
@@ -132,7 +132,7 @@
             self._context.facts.merge((fact,))
 
     def _tell(self, stored: StoredMove, action: str) -> None:
-        self._context.counters.add('bluebell.move.steps', action=action)
+        self._context.counters.add('moves_steps', action=action)
         logger.info(
             action,
             extra={
--- a/tests/functional/test_calls_streams.py
+++ b/tests/functional/test_calls_streams.py
@@ -125,7 +125,7 @@
         line = await caller.reader.readline()
         assert line.split()[1] == status
         caller.close()
-        assert front.counters.sums['calls.refused'] == 1
+        assert front.counters.sums['calls_refused'] == 1
         assert (await call_once(front.egress, '/samples')).status == 200
 
 
--- a/tests/unit/test_watch_command.py
+++ b/tests/unit/test_watch_command.py
@@ -10,7 +10,10 @@
 from bluebellslip._internal.cli.status_codes import SUCCESS, WITHDRAWN
 from bluebellslip._internal.commands.status import StatusCommand
 from bluebellslip._internal.commands.watch import WatchCommand
-from bluebellslip._internal.exceptions import DeadlineError, NotFoundError
+from bluebellslip._internal.exceptions import (
+    DeadlineExceededError,
+    NotFoundError,
+)
 from lib.desk import Desk
 from lib.mesh_views import make_move, make_status
 
@@ -52,7 +55,7 @@
 
 def test_watch_gives_up_at_its_timeout() -> None:
     desk = Desk({'/v1/status': [_at(0.5)]})
-    with pytest.raises(DeadlineError):
+    with pytest.raises(DeadlineExceededError):
         desk.run(WatchCommand, service='orders', timeout='5m')
     assert len(desk.transport.sent) == 6
 
