--- a/bench/capacity_lines.py
+++ b/bench/capacity_lines.py
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Line:
-    """One figure of one role; a limit where the letter or platform has one."""
+    """One figure of one role; a limit where there is one."""
 
     role: str
     quantity: str
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -49,7 +49,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
-    """What the letter and the platform allow."""
+    """What a node may spend, and what the platform takes."""
 
     added_ms: float = 0.64
     converged_s: float = 11.0
