Make the measurements anew and work out the capacity from them

Memory at 1,500 nodes: 32.0 MB by its parts, 62.6 MB by the line through the measured sizes, whose slope of 22 kB a node is not explained; both stand in the table.

--- a/bench/capacity_lines.py
+++ b/bench/capacity_lines.py
@@ -174,13 +174,22 @@
         ),
         Line(
             'member',
-            'private memory of the process',
+            'private memory of the process, by its parts',
             hold_memory(basis),
             'MB',
             'lazy imports, shared names, 4 connections',
             'bench.peers, bench.connections, bench.snapshot',
             basis.limits.control_mb,
         ),
+        Line(
+            'member',
+            'private memory, line through the measured sizes',
+            extend_memory(basis),
+            'MB',
+            'its slope is not explained',
+            'bench.peers',
+            basis.limits.control_mb,
+        ),
     )
 
 
@@ -397,3 +406,10 @@
     services = size.services * slopes.service_kb
     connections = _HELD_CONNECTIONS * slopes.connection_kb
     return slopes.node_mb + (members + services + connections) / KB
+
+
+def extend_memory(basis: Basis) -> float:
+    """Return the private memory by the slope over the measured meshes."""
+    slopes = basis.slopes
+    more_nodes = max(0, basis.size.servers - slopes.largest_mesh)
+    return slopes.largest_node_mb + slopes.node_mb_per_node * more_nodes
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -76,6 +76,8 @@
     service_build_ms: float
     service_body_bytes: float
     node_mb: float
+    largest_node_mb: float
+    node_mb_per_node: float
     node_cpu_percent: float
     quiet_bytes_s: float
     change_bytes: float
@@ -130,6 +132,8 @@
             service_build_ms=snapshot['build_ms_per_service'],
             service_body_bytes=snapshot['body_bytes_per_service'],
             node_mb=peers['rows'][0]['private_mb'],
+            largest_node_mb=mesh['private_mb'],
+            node_mb_per_node=max(0, facts['private_mb_per_node']),
             node_cpu_percent=max(row['cpu_percent'] for row in peers['rows']),
             quiet_bytes_s=max(row['sent_bytes_s'] for row in peers['rows']),
             change_bytes=mesh['bytes_change'],
