--- a/bench/capacity_lines.py
+++ b/bench/capacity_lines.py
@@ -172,6 +172,13 @@
             'bench.peers, bench.peer_kernel',
             basis.limits.control_cpu_percent,
         ),
+    )
+
+
+@roles.register('memory of a node')
+def describe_memory(basis: Basis) -> tuple[Line, ...]:
+    """Lines of the memory of every node's process."""
+    return (
         Line(
             'member',
             'private memory of the process, by its parts',
