Take trifles off latencies before versions are compared

Cause: a rank test says nothing of size. Where latencies spread little, any difference divides the versions cleanly: 0.8 ms on 3 ms, 0.4 ms on 7 ms and 5 percent on 50 ms, each with a spread of 10 percent, were evidence enough to withdraw (the new test, red with forgive() off: 3 of 3). A canary with a small share runs on cold caches and is slower by a few tenths of a millisecond, so a good version of a fast service could be withdrawn. Ruled out: wider tolerance of odds, which grow without bound as the spread shrinks; coarser buckets, whose bounds still divide. Change: buckets of a twelfth of a doubling; one of them, or 1 ms if more, is taken off the new version's latencies; tolerated odds 1.05, 1.1 and 1.3 in place of 1.2, 1.25 and 1.5. The alarm after done does the same. Conclusion: kept; a fifth more latency is still found on narrow latencies.

--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/assessment.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/assessment.py
@@ -16,6 +16,7 @@
     Tally,
     count_beyond,
     find_quantile,
+    forgive,
 )
 
 ALL_ROUTES: Final = RouteName('all routes')
@@ -39,7 +40,7 @@
 SIGNS: Final = tuple(Sign)
 _FIRST_SLOW: Final = SIGNS.index(Sign.SLOW)
 _QUANTILES: Final = (_MIDDLE, _TAIL, _FAR_TAIL)  # of the signs from SLOW on
-_TOLERANCES: Final = (1.4, 3, 1.2, 1.25, 1.5)
+_TOLERANCES: Final = (1.4, 3, 1.05, 1.1, 1.3)
 _TILTS: Final = (
     (2.5, 8, 80),
     (4, 30),
@@ -110,7 +111,7 @@
         if old.calls and new.calls:
             counts = (old.calls, new.calls, old.failures, new.failures)
             self._observe(0, counts)
-            self._observe_latency(old.buckets, new.buckets)
+            self._observe_latency(old.buckets, forgive(new.buckets))
         if old.refused or new.refused:
             asked = (old.calls + old.refused, new.calls + new.refused)
             self._observe(1, (*asked, old.refused, new.refused))
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/change.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/change.py
@@ -14,6 +14,7 @@
     Tally,
     count_beyond,
     find_quantile,
+    forgive,
 )
 
 ALARM: Final = 7.0  # nats
@@ -60,12 +61,13 @@
         failing = (self.reference.failures + 1) / (self.reference.calls + 2)
         self.sums[0].observe(tally.calls, tally.failures, _widen(failing))
         known = sum(self.reference.buckets.values())
-        calls = sum(tally.buckets.values())
+        latencies = forgive(tally.buckets)
+        calls = sum(latencies.values())
         for index, fraction in enumerate((_MIDDLE, _TAIL), 1):
             limit = find_quantile(self.reference.buckets, fraction)
             beyond = count_beyond(self.reference.buckets, limit)
             chance = _widen((beyond + 1) / (known + 2))
-            marked = count_beyond(tally.buckets, limit)
+            marked = count_beyond(latencies, limit)
             self.sums[index].observe(calls, marked, chance)
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/moves/tallies.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/moves/tallies.py
@@ -7,14 +7,16 @@
 
 import msgspec
 
-BUCKETS_PER_DOUBLING: Final = 4
+BUCKETS_PER_DOUBLING: Final = 12
 LEAST_LATENCY_S: Final = 0.00025  # upper bound of the first bucket
-LAST_BUCKET: Final = 72
+LAST_BUCKET: Final = 216
+ALLOWANCE_S: Final = 0.001  # slower by less is no badness
 
 _LOG_LEAST: Final = math.log2(LEAST_LATENCY_S)
+_BUCKETS: Final = range(LAST_BUCKET + 1)
 _BOUNDS_S: Final = tuple(
     LEAST_LATENCY_S * 2 ** (bucket / BUCKETS_PER_DOUBLING)
-    for bucket in range(LAST_BUCKET + 1)
+    for bucket in _BUCKETS
 )
 
 
@@ -26,6 +28,29 @@
     return min(LAST_BUCKET, math.ceil(doublings * BUCKETS_PER_DOUBLING))
 
 
+def _forgive_bucket(bucket: int) -> int:
+    sooner = _BOUNDS_S[bucket] - ALLOWANCE_S
+    below = sum(bound <= sooner for bound in _BOUNDS_S)
+    return max(0, min(bucket, below) - 1)
+
+
+_FORGIVEN: Final = tuple(_forgive_bucket(bucket) for bucket in _BUCKETS)
+
+
+def forgive(buckets: Mapping[int, int]) -> dict[int, int]:
+    """Return latencies less what is no badness: a bucket, or 1 ms if more.
+
+    Calls that pass the least share of a server run on cold caches, and the
+    latencies of many services spread so little that a hundredth more divides
+    them cleanly. Neither says anything against a version.
+    """
+    forgiven: dict[int, int] = {}
+    for bucket, count in buckets.items():
+        sooner = _FORGIVEN[bucket]
+        forgiven[sooner] = forgiven.get(sooner, 0) + count
+    return forgiven
+
+
 def bound_of(bucket: int) -> dt.timedelta:
     """Return the upper bound of a bucket."""
     return dt.timedelta(seconds=_BOUNDS_S[bucket])
--- a/tests/unit/test_moves_evidence.py
+++ b/tests/unit/test_moves_evidence.py
@@ -5,6 +5,7 @@
 from random import Random
 
 import msgspec
+import pytest
 
 from bluebellslip._internal.kernel.clock import ManualClock
 from bluebellslip._internal.kernel.ports import Outcome, Verdict
@@ -57,6 +58,43 @@
     return tally
 
 
+def draw_narrow(source: Random, calls: int, least_s: float) -> Tally:
+    tally = Tally(calls)
+    for _ in range(calls):
+        bucket = find_bucket(least_s * (1 + 0.1 * source.random()))
+        tally.buckets[bucket] = tally.buckets.get(bucket, 0) + 1
+    return tally
+
+
+@pytest.mark.parametrize(
+    ('old_s', 'new_s'), [(0.003, 0.0038), (0.007, 0.0074), (0.05, 0.0525)]
+)
+def test_a_trifle_on_narrow_latencies_is_no_evidence(
+    old_s: float, new_s: float
+) -> None:
+    source = Random(7)
+    assessment = Assessment()
+    for _ in range(300):
+        assessment.observe(
+            {DEPOSITS: draw_narrow(source, 30, old_s)},
+            {DEPOSITS: draw_narrow(source, 10, new_s)},
+        )
+    assert assessment.strongest is not None
+    assert assessment.strongest.log_evidence < -math.log(_ALPHA)
+
+
+def test_a_fifth_more_on_narrow_latencies_is_evidence() -> None:
+    source = Random(8)
+    assessment = Assessment()
+    for _ in range(300):
+        assessment.observe(
+            {DEPOSITS: draw_narrow(source, 30, 0.05)},
+            {DEPOSITS: draw_narrow(source, 10, 0.06)},
+        )
+    assert assessment.strongest is not None
+    assert assessment.strongest.log_evidence >= -math.log(_ALPHA)
+
+
 def test_growth_is_never_below_the_exact_one() -> None:
     source = Random(1)
     for _ in range(3000):
