--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,10 +1,22 @@
-"""Run every measurement, each in a process of its own, one after another."""
+"""Run every measurement in a process of its own, and check the bounds."""
 
 import subprocess
 import sys
 from typing import Final
 
-MEASUREMENTS: Final = ('snapshot', 'telemetry', 'moves', 'calls', 'peers')
+MEASUREMENTS: Final = (
+    'snapshot',
+    'evidence',
+    'telemetry',
+    'claims',
+    'connections',
+    'acceptance',
+    'peer_kernel',
+    'peers',
+    'calls',
+    'moves',
+    'bounds',
+)
 
 
 def run_all(names: tuple[str, ...] = MEASUREMENTS) -> int:
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 from typing import Final
 
-from bench.capacity_lines import Basis, Line, compute_lines
-from bench.capacity_model import Limits, Size, Slopes
+from bench.capacity_lines import Line, compute_lines
+from bench.capacity_model import Basis, Limits, Size, Slopes
 from bench.results import COMMITTED
 
 PAGE: Final = Path('docs/CAPACITY.md')
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -156,6 +156,15 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Basis:
+    """What lines are worked out from."""
+
+    size: Size
+    slopes: Slopes
+    limits: Limits
+
+
 def _read(directory: Path, name: str) -> Any:
     return json.loads((directory / f'{name}.json').read_text(encoding='utf-8'))
 
