--- a/bench/peer_kernel.py
+++ b/bench/peer_kernel.py
@@ -9,15 +9,14 @@
 import functools
 import gc
 import itertools
-import time
 import tracemalloc
-from collections.abc import Callable
 from random import Random
 from typing import Final
 
 import msgspec
 
 from bench.results import Cell, fit_slope, print_rows, write_results
+from bench.timing import take_least
 from bluebellslip._internal.kernel.clock import ManualClock
 from bluebellslip._internal.kernel.counters import NullCounters
 from bluebellslip._internal.kernel.directory import Directory
@@ -160,7 +159,11 @@
 
 
 def _time_ticks(view: View) -> float:
-    return _take_least(functools.partial(_tick, view)) / _MESSAGES * _US
+    return (
+        take_least(functools.partial(_tick, view), _REPETITIONS)
+        / _MESSAGES
+        * _US
+    )
 
 
 def _tick(view: View) -> None:
@@ -175,7 +178,7 @@
     sender = build_member(3)
     packet = codec.encode(Ping(1, sender.node, view.core.own, 2100))
     action = functools.partial(_answer_pings, view, codec, packet)
-    return _take_least(action) / _MESSAGES * _US
+    return take_least(action, _REPETITIONS) / _MESSAGES * _US
 
 
 def _answer_pings(view: View, codec: PeerCodec, packet: bytes) -> None:
@@ -192,7 +195,7 @@
     """Take in a message of facts that are news, and pass them on."""
     incarnation = itertools.count(2)
     action = functools.partial(_pass_gossip, view, codec, incarnation)
-    return _take_least(action) / _GOSSIPS * _US
+    return take_least(action, _REPETITIONS) / _GOSSIPS * _US
 
 
 def _pass_gossip(
@@ -215,7 +218,7 @@
 
 def _time_sync(view: View) -> float:
     """Begin an exchange and find out that nothing differs."""
-    return _take_least(functools.partial(_sync, view)) * _US
+    return take_least(functools.partial(_sync, view), _REPETITIONS) * _US
 
 
 def _sync(view: View) -> None:
@@ -225,7 +228,7 @@
 
 def _time_join(view: View) -> float:
     """Exchange everything with a node that knows nothing, on both sides."""
-    return _take_least(functools.partial(_join, view)) * _MS
+    return take_least(functools.partial(_join, view), _REPETITIONS) * _MS
 
 
 def _join(view: View) -> None:
@@ -240,14 +243,5 @@
         joiner.core.intake.receive(answer.facts)
 
 
-def _take_least(action: Callable[[], None]) -> float:
-    best = float('inf')
-    for _ in range(_REPETITIONS):
-        begun = time.perf_counter()
-        action()
-        best = min(best, time.perf_counter() - begun)
-    return best
-
-
 if __name__ == '__main__':
     main()
--- a/bench/snapshot.py
+++ b/bench/snapshot.py
@@ -4,12 +4,11 @@
 two deployments that run today. Times are the least of several repetitions.
 """
 
-import time
 import tracemalloc
-from collections.abc import Callable
 from typing import Final
 
 from bench.results import Cell, fit_slope, print_rows, write_results
+from bench.timing import take_least
 from bluebellslip._internal.models.config import (
     ClassSpec,
     ConfigDocument,
@@ -66,17 +65,18 @@
     record = build_record(services)
     body = encode_record(record)
     digest = compute_digest(body)
-    build_s = _take_least(lambda: decode_snapshot(body, digest))
+    build_s = take_least(lambda: decode_snapshot(body, digest), _REPETITIONS)
     tracemalloc.start()
     snapshot = decode_snapshot(body, digest)
     held, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     service = ServiceName(f'service-{services - 1:04d}')
-    match_s = _take_least(
+    match_s = take_least(
         lambda: [
             snapshot.match(service, 'GET', '/v1/things/7')
             for _ in range(_MATCHES)
-        ]
+        ],
+        _REPETITIONS,
     )
     return {
         'services': services,
@@ -120,14 +120,5 @@
     )
 
 
-def _take_least(action: Callable[[], object]) -> float:
-    best = float('inf')
-    for _ in range(_REPETITIONS):
-        begun = time.perf_counter()
-        action()
-        best = min(best, time.perf_counter() - begun)
-    return best
-
-
 if __name__ == '__main__':
     main()
