Follow the store with two nodes of each failure domain

Cause: each node held a question of its own at the store. Ruled out: longer questions; with 25 s instead of 8 s nodes heard nothing new after a silent outage of the store, which a functional test showed.

Change: the first two living nodes of a domain, by name, that hear the store follow it. The others learn of roll-outs by beacons, fetch configurations from a neighbour that is ahead, at once, and ask the store every 30 s. One steps in when a follower falls silent, leaves or loses the store. An order that was taken back is not brought back by peers that still tell of it.

--- a/packages/bluebellslip/src/bluebellslip/_internal/control/health.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/health.py
@@ -12,6 +12,12 @@
 
     def __init__(self) -> None:
         self._is_lost = False
+        self._is_heard = False
+
+    @property
+    def is_heard(self) -> bool:
+        """Whether the store answered the newest question."""
+        return self._is_heard
 
     @property
     def is_lost(self) -> bool:
@@ -23,9 +29,11 @@
         if not self._is_lost:
             logger.warning('store_lost', extra={'reason': str(error)})
         self._is_lost = True
+        self._is_heard = False
 
     def recover(self, position: int | None) -> None:
         """Note that the store answered."""
         if self._is_lost:
             logger.info('store_regained', extra={'at': position})
         self._is_lost = False
+        self._is_heard = True
--- a/packages/bluebellslip/src/bluebellslip/_internal/control/orders.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/orders.py
@@ -18,9 +18,15 @@
 
 logger = logging.getLogger(__name__)
 
-# How long the store holds a question back until there is news. A connection
-# that went silent is noticed after this time at the latest.
-WATCH_WAIT: Final = dt.timedelta(seconds=8)
+# How long the store holds a question back until there is news. A store that
+# went silent on an open connection is noticed after this time at the latest;
+# few nodes ask, so that short questions are cheap.
+WATCH_WAIT: Final = dt.timedelta(seconds=4)
+# A node whose neighbours follow the store asks it only this often, for what
+# beacons don't tell: orders that were taken back.
+CATCH_UP_EVERY: Final = dt.timedelta(seconds=30)
+# How soon such a node notices that the duty has come to it.
+DUTY_LOOK_EVERY: Final = dt.timedelta(milliseconds=250)
 # Pause between two questions when there is news, which gathers changes that
 # come in quick succession; a quarter of the time to apply them.
 NEWS_PAUSE: Final = dt.timedelta(milliseconds=500)
@@ -39,6 +45,8 @@
         Spreads the retries.
     health
         Takes in whether the store answers.
+    is_on_duty
+        Tells whether this node has to follow the store.
     apply
         Receives the news.
     """
@@ -48,6 +56,7 @@
         store: ControlStore,
         random_source: Random,
         health: StoreHealth,
+        is_on_duty: Callable[[], bool],
         apply: Callable[[Orders], None],
     ) -> None:
         self._store = store
@@ -55,11 +64,14 @@
         self._jitter = FullJitter(random_source, _FIRST_RETRY, _LAST_RETRY)
         self._position: int | None = None
         self._health = health
+        self._is_on_duty = is_on_duty
         self._asking: asyncio.Task[Orders] | None = None
         self._hurry = False
+        self._is_standing_by = False
 
     def hurry(self) -> None:
         """Ask at once, on a new connection, since others have news."""
+        self._is_standing_by = False
         if self._asking is not None and not self._asking.done():
             self._hurry = True
             self._asking.cancel()
@@ -74,6 +86,16 @@
             self._apply(orders)
             if orders.config or orders.rollouts or orders.withdrawn:
                 await asyncio.sleep(NEWS_PAUSE.total_seconds())
+            await self._stand_by()
+
+    async def _stand_by(self) -> None:
+        """Leave the store to others for as long as they follow it."""
+        self._is_standing_by = True
+        for _ in range(CATCH_UP_EVERY // DUTY_LOOK_EVERY):
+            if self._is_on_duty() or not self._is_standing_by:
+                break
+            await asyncio.sleep(DUTY_LOOK_EVERY.total_seconds())
+        self._is_standing_by = False
 
     async def _ask(self) -> Orders | None:
         self._asking = asyncio.ensure_future(self._question())
@@ -97,7 +119,8 @@
     async def _question(self) -> Orders:
         if self._position is None:
             return await self._store.read_orders()
-        wait = dt.timedelta() if self._health.is_lost else WATCH_WAIT
+        is_brief = self._health.is_lost or not self._is_on_duty()
+        wait = dt.timedelta() if is_brief else WATCH_WAIT
         return await self._store.watch_orders(self._position, wait)
 
     async def _fail(self, error: BluebellError) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/control/relay.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/relay.py
@@ -10,7 +10,6 @@
 from bluebellslip._internal.calls.pool import ConnectionPool
 from bluebellslip._internal.calls.question import Question, ask
 from bluebellslip._internal.calls.request import InboundRequest
-from bluebellslip._internal.control.health import StoreHealth
 from bluebellslip._internal.exceptions import BluebellError, NotReadyError
 from bluebellslip._internal.fleet.roster import Peer, Roster
 from bluebellslip._internal.mesh.holder import ConfigHolder
@@ -23,10 +22,13 @@
 CONFIG_QUESTION: Final = b'config'
 # How long a node may be behind its peers, without any progress, before it asks
 # one of them: the store is nearer to all, and half of the time to apply a
-# configuration is left. Where the store is known to be lost, it is not waited
-# for.
+# configuration is left. Where the store is known to be lost, or left to
+# neighbours, it is not waited for if a neighbour is ahead.
 STORE_FIRST: Final = dt.timedelta(seconds=1)
 LOOK_EVERY: Final = dt.timedelta(milliseconds=200)
+# Pause after a configuration came from a peer, which gathers changes that come
+# in quick succession; a quarter of the time to apply them.
+NEWS_PAUSE: Final = dt.timedelta(milliseconds=500)
 _TIMEOUT: Final = dt.timedelta(seconds=1)
 _OK: Final = 200
 _JSON: Final = (b'content-type', b'application/json')
@@ -49,8 +51,8 @@
         Where this node stands; peers there are asked first.
     random_source
         Chooses among peers.
-    health
-        Tells whether the store answers.
+    follows_store
+        Tells whether this node itself hears of news from the store.
     """
 
     def __init__(
@@ -61,9 +63,9 @@
         decode: Callable[[bytes], ConfigRecord],
         failure_domain: str,
         random_source: Random,
-        health: StoreHealth,
+        follows_store: Callable[[], bool],
     ) -> None:
-        self._health = health
+        self._follows_store = follows_store
         self._holder = holder
         self._roster = roster
         self._pool = pool
@@ -78,29 +80,8 @@
             raise NotReadyError('The node holds no configuration yet.')
         request.reply.respond(_OK, (_JSON,), record.body)
 
-    async def run(self) -> None:
-        """Catch up with peers until cancelled."""
-        behind = dt.timedelta()
-        held = 0
-        while True:
-            await asyncio.sleep(LOOK_EVERY.total_seconds())
-            revision = self._holder.revision
-            is_behind = self._roster.newest_revision > revision
-            if not is_behind or revision != held:
-                behind = dt.timedelta()
-                held = revision
-                continue
-            behind += LOOK_EVERY
-            peer = self._choose()
-            if peer is None or not self._is_due(behind):
-                continue
-            await self._fetch(peer)
-
-    def _is_due(self, behind: dt.timedelta) -> bool:
-        return self._health.is_lost or behind >= STORE_FIRST
-
-    def _choose(self) -> Peer | None:
-        """Return a peer that is ahead, a near one if there is one."""
+    def choose(self, behind: dt.timedelta) -> Peer | None:
+        """Return a peer to ask, a near one if there is one; none to wait."""
         ahead = [
             peer
             for peer in self._roster.peers
@@ -113,9 +94,29 @@
             if peer.latest is not None
             and peer.latest.failure_domain == self._failure_domain
         ]
-        choices = near or ahead
+        is_overdue = behind >= STORE_FIRST
+        if not is_overdue and self._follows_store():
+            return None
+        choices = ahead if is_overdue and not near else near
         return self._random.choice(choices) if choices else None
 
+    async def run(self) -> None:
+        """Catch up with peers until cancelled."""
+        behind = dt.timedelta()
+        held = 0
+        while True:
+            await asyncio.sleep(LOOK_EVERY.total_seconds())
+            revision = self._holder.revision
+            is_behind = self._roster.newest_revision > revision
+            if not is_behind or revision != held:
+                behind = dt.timedelta()
+                held = revision
+                continue
+            behind += LOOK_EVERY
+            peer = self.choose(behind)
+            if peer is not None:
+                await self._fetch(peer)
+
     async def _fetch(self, peer: Peer) -> None:
         if peer.latest is None:
             return
@@ -129,6 +130,7 @@
             )
             if reply.status == _OK:
                 self._holder.offer(self._decode(reply.body), peer.node)
+                await asyncio.sleep(NEWS_PAUSE.total_seconds())
         except (BluebellError, TimeoutError) as error:
             logger.warning(
                 'config_not_fetched',
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
@@ -98,7 +98,8 @@
     ``started`` is the Unix time of the node's start in milliseconds and
     ``sequence`` rises with every beacon, so that late and doubled ones are
     told apart. ``beacons_address`` is where the node listens for beacons.
-    ``wants_reply`` is set by a node that has just begun to know the receiver.
+    ``wants_reply`` is set by a node that has just begun to know the receiver,
+    ``hears_store`` by one that the store answered last time.
     """
 
     node: str
@@ -112,6 +113,7 @@
     state: NodeState
     revision: int
     wants_reply: bool
+    hears_store: bool = False
     server: ServerBeacon | None = None
     rollouts: tuple[RolloutBeacon, ...] = ()
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/roster.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/roster.py
@@ -149,6 +149,14 @@
     endpoint: Endpoint | None = None
     silent_after: dt.timedelta = SILENT_AFTER
 
+    @property
+    def hears_store(self) -> bool:
+        """Whether it serves, and the store answers it."""
+        latest = self.latest
+        if latest is None or latest.state is not NodeState.SERVING:
+            return False
+        return latest.hears_store
+
     def is_silent(self, now: dt.timedelta) -> bool:
         """Tell whether beacons have failed to come."""
         return self.heard_at is None or now - self.heard_at > self.silent_after
@@ -237,6 +245,19 @@
             for peer in self._peers.values()
         )
 
+    def count_following_before(self) -> int:
+        """Return how many neighbours before this node hear the store.
+
+        Neighbours are the living nodes of the same failure domain, in the
+        order of their names.
+        """
+        before = [
+            peer
+            for peer in self.select_living(self._peers.values())
+            if peer.node < self._node and not self.is_far(peer)
+        ]
+        return sum(peer.hears_store for peer in before)
+
     def count_alive(self) -> int:
         """Return the number of peers that are heard of."""
         return len(self.select_living(self._peers.values()))
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -219,6 +219,7 @@
     def _fill_source(self) -> None:
         source, side = self._views.source, self._paths.server_side
         source.read_revision = lambda: self._views.holder.revision
+        source.hears_store = lambda: self._views.store_health.is_heard
         source.read_server = side.describe
         source.read_rollouts = lambda: self._views.book.tell(side.version)
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_parts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_parts.py
@@ -10,6 +10,7 @@
 from bluebellslip._internal.control.orders import OrdersWatcher
 from bluebellslip._internal.control.ports import NodeEntry
 from bluebellslip._internal.control.relay import CONFIG_QUESTION, ConfigRelay
+from bluebellslip._internal.control.watch_duty import WatchDuty
 from bluebellslip._internal.fleet.lighthouse import BeaconSource, Lighthouse
 from bluebellslip._internal.fleet.local_server import LocalServer
 from bluebellslip._internal.fleet.roster import Roster
@@ -59,6 +60,7 @@
     lighthouse: Lighthouse
     book: RolloutBook
     store_health: StoreHealth
+    watch_duty: WatchDuty
 
     @classmethod
     def from_settings(
@@ -70,6 +72,7 @@
         locality = Locality(settings.region, settings.failure_domain)
         roster = Roster(clock, node, settings.failure_domain)
         source = BeaconSource()
+        health = StoreHealth()
         lighthouse = Lighthouse(
             node,
             locality,
@@ -99,9 +102,14 @@
                 settings.bounds.canary_share,
                 roster.endpoints,
             ),
-            store_health=StoreHealth(),
+            store_health=health,
+            watch_duty=WatchDuty(roster, health),
         )
 
+    def follows_store(self) -> bool:
+        """Tell whether this node hears of news from the store itself."""
+        return not self.store_health.is_lost and self.watch_duty.is_ours
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Paths:
@@ -146,7 +154,7 @@
             adapter.decode_config,
             settings.failure_domain,
             random,
-            views.store_health,
+            views.follows_store,
         )
         side_doors = SideDoors()
         side_doors.register(CONFIG_QUESTION, relay.answer)
@@ -206,10 +214,18 @@
         """Build what follows and writes the store."""
         random = surroundings.random
         news = NewsDesk(
-            surroundings.clock, views.holder, views.book, views.lighthouse
+            surroundings.clock,
+            views.holder,
+            views.book,
+            views.lighthouse,
+            views.follows_store,
         )
         watcher = OrdersWatcher(
-            adapter.store, random, views.store_health, news.take_orders
+            adapter.store,
+            random,
+            views.store_health,
+            lambda: views.watch_duty.is_ours,
+            news.take_orders,
         )
         news.follow(watcher)
         return cls(
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/news.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/news.py
@@ -1,6 +1,7 @@
 """Brings news of the store and of peers to the parts of a node."""
 
 import datetime as dt
+from collections.abc import Callable
 from typing import Final
 
 from bluebellslip._internal.control.orders import OrdersWatcher
@@ -30,6 +31,8 @@
         The roll-outs.
     lighthouse
         Tells the other nodes.
+    follows_store
+        Tells whether this node hears of news from the store itself.
     """
 
     def __init__(
@@ -38,11 +41,13 @@
         holder: ConfigHolder,
         book: RolloutBook,
         lighthouse: Lighthouse,
+        follows_store: Callable[[], bool],
     ) -> None:
         self._clock = clock
         self._holder = holder
         self._book = book
         self._lighthouse = lighthouse
+        self._follows_store = follows_store
         self._watcher: OrdersWatcher | None = None
         self._behind_since: dt.timedelta | None = None
         holder.on_change(self._note_config)
@@ -86,6 +91,9 @@
 
     def _note_config(self, table: RoutingTable) -> None:
         self._behind_since = None
+        if self._follows_store():
+            # Neighbours that leave the store to this node wait for the news.
+            self._lighthouse.hasten()
 
     def _spread_rollout(self, rollout: Rollout) -> None:
         self._lighthouse.hasten()
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/book.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/book.py
@@ -110,6 +110,7 @@
         self._find_endpoints = find_endpoints
         self._rollouts: dict[ServiceName, Rollout] = {}
         self._listeners: list[Callable[[Rollout], None]] = []
+        self._withdrawn: dict[str, int] = {}
         self.is_loaded = False
 
     @property
@@ -149,8 +150,10 @@
         return rollout
 
     def withdraw(self, service: ServiceName) -> None:
-        """Forget an order that is gone."""
-        if self._rollouts.pop(service, None) is not None:
+        """Forget an order that is gone, whatever peers still tell of it."""
+        rollout = self._rollouts.pop(service, None)
+        if rollout is not None:
+            self._withdrawn[service] = rollout.order.revision
             logger.info('rollout_withdrawn', extra={'service': service})
 
     def settle(self, status: RolloutStatus) -> None:
@@ -175,27 +178,8 @@
         """
         self.is_loaded = self.is_loaded or beacon.revision > 0
         for told in beacon.rollouts:
-            rollout = self.order(
-                RolloutOrder(
-                    ServiceName(told.service),
-                    VersionName(told.target),
-                    told.duration_ms * _MILLISECOND,
-                    told.revision,
-                ),
-                told.age_ms * _MILLISECOND,
-            )
-            if rollout.order.revision != told.revision:
-                continue
-            rollout.is_settled = rollout.is_settled or told.is_settled
-            if told.status_revision > rollout.status_revision:
-                rollout.status_revision = told.status_revision
-                self._enter(rollout, _STATES[told.state])
-            if told.is_bad:
-                self._condemn(rollout, 'peer', None)
-            if told.routes:
-                rollout.ledger.hear(
-                    Source(beacon.node, beacon.started, told.is_target), told
-                )
+            if told.revision > self._withdrawn.get(told.service, 0):
+                self._hear_order(beacon, told)
 
     def tell(self, version: VersionName | None) -> tuple[RolloutBeacon, ...]:
         """Return what other nodes are told.
@@ -240,6 +224,29 @@
         """Return what is to be done about a roll-out."""
         return decide(self.view(rollout))
 
+    def _hear_order(self, beacon: Beacon, told: RolloutBeacon) -> None:
+        rollout = self.order(
+            RolloutOrder(
+                ServiceName(told.service),
+                VersionName(told.target),
+                told.duration_ms * _MILLISECOND,
+                told.revision,
+            ),
+            told.age_ms * _MILLISECOND,
+        )
+        if rollout.order.revision != told.revision:
+            return
+        rollout.is_settled = rollout.is_settled or told.is_settled
+        if told.status_revision > rollout.status_revision:
+            rollout.status_revision = told.status_revision
+            self._enter(rollout, _STATES[told.state])
+        if told.is_bad:
+            self._condemn(rollout, 'peer', None)
+        if told.routes:
+            rollout.ledger.hear(
+                Source(beacon.node, beacon.started, told.is_target), told
+            )
+
     def _describe(
         self, rollout: Rollout, version: VersionName | None, now: dt.timedelta
     ) -> RolloutBeacon:
--- a/tests/unit/test_news.py
+++ b/tests/unit/test_news.py
@@ -49,7 +49,7 @@
         NullCounters(),
     )
     book = RolloutBook(clock, NodeId('me'), 1, 0.1, roster.endpoints)
-    desk = NewsDesk(clock, holder, book, lighthouse)
+    desk = NewsDesk(clock, holder, book, lighthouse, bool)
     watcher = CountingWatcher()
     desk.follow(watcher)
     return desk, holder, watcher
@@ -89,6 +89,7 @@
             Store(),  # type: ignore[arg-type]
             Random(1),
             StoreHealth(),
+            lambda: True,
             lambda orders: None,
         )
         task = asyncio.create_task(watcher.run())
