Choose among nearly equal servers by their free slots

Cause: all nodes took the best server of the newest reports, which are 0.8 s old on large fleets, until the next one. Ruled out: the processor (0.10 cores at most).

Change: servers within a fifth of the worth of the best, on the same side of the failure domain's border, are drawn by free slots; an old report counts for less, the usual occupation of the service for more. Of large services more than four servers are asked.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
@@ -15,25 +15,32 @@
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.identity import NodeId, ServiceName
 from bluebellslip._internal.proxy.answers import Answer
-from bluebellslip._internal.proxy.asking import Asker, Result, estimate_size
+from bluebellslip._internal.proxy.asking import Asker, Result
+from bluebellslip._internal.proxy.estimates import find_usual_hold
 from bluebellslip._internal.proxy.placement import (
     Choice,
     Need,
     Placement,
-    find_usual_hold,
 )
 from bluebellslip._internal.proxy.retry_budget import SharedRetryBudget
 from bluebellslip._internal.proxy.retry_rules import FailedAttempt, may_go_on
 from bluebellslip._internal.proxy.sizes import AnswerSizes
 from bluebellslip._internal.proxy.trace import AttemptTrace, RequestTrace
-from bluebellslip._internal.proxy.work import Errand, Work
+from bluebellslip._internal.proxy.work import Errand, Work, estimate_size
 
 # Servers that are asked for one request before it is refused; refusals of a
-# node cost a millisecond or two each.
+# node cost a millisecond or two each. Of a large service, one server in so many
+# is asked.
 MAX_PLACEMENTS: Final = 4
+SERVERS_PER_PLACEMENT: Final = 5
 _KILOBYTE: Final = 1024
 
 
+def limit_placements(servers: int) -> int:
+    """Return how many servers of a service are asked for one request."""
+    return max(MAX_PLACEMENTS, servers // SERVERS_PER_PLACEMENT)
+
+
 class VersionChooser(Protocol):
     """Deals requests out between the versions of a service."""
 
@@ -161,13 +168,12 @@
 
     def _list_fresh(self) -> list[Endpoint]:
         """Return the servers that were not asked yet."""
-        if len(self._refused) >= MAX_PLACEMENTS:
-            return []
         service = self._work.service
+        known = self._mesh.roster.endpoints(service)
+        if len(self._refused) >= limit_placements(len(known)):
+            return []
         endpoints = self._mesh.versions.select(
-            service,
-            self._mesh.roster.endpoints(service),
-            for_target=self._for_target,
+            service, known, for_target=self._for_target
         )
         asked = self._refused | self._reached
         return [each for each in endpoints if each.node not in asked]
@@ -176,7 +182,8 @@
         chosen = self._mesh.placement.choose(self._list_fresh(), self._need)
         if chosen is None:
             raise self._refuse()
-        if len(self._refused) + 1 >= MAX_PLACEMENTS:
+        known = self._mesh.roster.endpoints(self._work.service)
+        if len(self._refused) + 1 >= limit_placements(len(known)):
             return Choice(chosen.endpoint, dt.timedelta.max)
         return chosen
 
@@ -201,7 +208,9 @@
     def _need(self) -> Need:
         now = self._mesh.clock.elapsed()
         route = self._work.route
-        size = estimate_size(self._work) + self._mesh.sizes.expect(route)
+        size = estimate_size(self._work.request) + self._mesh.sizes.expect(
+            route
+        )
         return Need(
             route=route,
             kilobytes=size / _KILOBYTE,
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/estimates.py
@@ -0,0 +1,119 @@
+"""What a node expects of servers by their reports, which are never quite new.
+
+Requests of this node count from the moment they are sent, those of others from
+the newest report; the older it is, the more a server counts as taken as the
+others of its service are.
+"""
+
+import datetime as dt
+import math
+from collections.abc import Iterable, Sequence
+from typing import Final
+
+from bluebellslip._internal.fleet.roster import Endpoint
+from bluebellslip._internal.models.identity import RouteName
+
+# Assumed hold time of a server that has not told one and has no like.
+UNKNOWN_HOLD: Final = dt.timedelta(milliseconds=50)
+# A cold server works about this much slower.
+COLD_FACTOR: Final = 2.0
+# Part of what a server works off that is not replaced by requests of others,
+# while its report grows old.
+WORKED_OFF: Final = 0.5
+_NOTHING: Final = dt.timedelta()
+_NO_TIME: Final = dt.timedelta(milliseconds=1)
+
+
+def find_usual_hold(
+    endpoints: Iterable[Endpoint], route: RouteName | None = None
+) -> dt.timedelta:
+    """Return the mean time at the servers that have told one.
+
+    Parameters
+    ----------
+    endpoints
+        The servers.
+    route
+        The route whose time it is; none for requests of all routes.
+    """
+    told = [
+        hold
+        for endpoint in endpoints
+        if (hold := _read_hold(endpoint, route)) is not None
+    ]
+    return sum(told, _NOTHING) / len(told) if told else UNKNOWN_HOLD
+
+
+def _read_hold(
+    endpoint: Endpoint, route: RouteName | None
+) -> dt.timedelta | None:
+    if route is None:
+        return endpoint.load.hold or None
+    return endpoint.holds.get(route)
+
+
+def estimate_room(
+    endpoint: Endpoint, hold: dt.timedelta, now: dt.timedelta
+) -> float:
+    """Return the free slots of a server; below zero those that are waited for.
+
+    Parameters
+    ----------
+    endpoint
+        The server.
+    hold
+        Mean time that a request holds a slot there.
+    now
+        Time on this node's clock.
+    """
+    load = endpoint.load
+    since = endpoint.in_flight - load.own
+    worked_off = load.slots * ((now - load.at) / max(hold, _NO_TIME))
+    waiting = max(0, load.waiting - worked_off * WORKED_OFF)
+    occupied = max(endpoint.in_flight, load.in_use + waiting + since)
+    return load.slots - occupied
+
+
+def find_taken(endpoints: Sequence[Endpoint]) -> float:
+    slots = sum(endpoint.load.slots for endpoint in endpoints)
+    taken = sum(
+        min(endpoint.load.in_use, endpoint.load.slots) for endpoint in endpoints
+    )
+    return taken / max(1, slots)
+
+
+def expect_room(
+    endpoint: Endpoint, hold: dt.timedelta, taken: float, now: dt.timedelta
+) -> float:
+    """Return the free slots of a server, by its report and by the others'.
+
+    A report tells less of now the more of the requests in it have ended.
+    """
+    load = endpoint.load
+    still_true = math.exp((load.at - now) / max(hold, _NO_TIME))
+    by_report = estimate_room(endpoint, hold, now)
+    by_others = load.slots * (1 - taken)
+    own_limit = load.slots - endpoint.in_flight
+    return min(own_limit, still_true * by_report + (1 - still_true) * by_others)
+
+
+def estimate_wait(
+    endpoint: Endpoint, hold: dt.timedelta, now: dt.timedelta
+) -> dt.timedelta:
+    """Return the time until a slot of a server is free for one more request."""
+    ahead = 1 - estimate_room(endpoint, hold, now)
+    if ahead <= 0:
+        return _NOTHING
+    return hold * (ahead / endpoint.load.slots)
+
+
+def find_hold(
+    endpoint: Endpoint,
+    now: dt.timedelta,
+    route: RouteName,
+    usual: dt.timedelta,
+) -> dt.timedelta:
+    hold = endpoint.holds.get(route)
+    if hold is not None:
+        return hold
+    return usual * COLD_FACTOR if now < endpoint.warm_at else usual
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/placement.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/placement.py
@@ -7,27 +7,33 @@
 cross between failure domains. Being faster than the caller needs is worth
 little, so a slow server nearby goes before a fast one far away until answers
 would come late. Requests of this node count from the moment they are sent,
-those of others from the newest report, so that many nodes don't all run to
-the server that was idle a moment ago.
+those of others from the newest report. Reports are old by a good part of the
+time that a request takes, and all nodes read the same ones: were each to take
+the best server, all would run to it until the next report. So those that are
+nearly as good are chosen among by chance, in proportion to their free slots;
+the older a report, the more a server counts as taken as the others are.
 """
 
 import dataclasses
 import datetime as dt
 import math
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Sequence
 from random import Random
 from typing import Final
 
 from bluebellslip._internal.fleet.roster import Endpoint
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.identity import Locality, RouteName
+from bluebellslip._internal.proxy.estimates import (
+    estimate_wait,
+    expect_room,
+    find_hold,
+    find_taken,
+    find_usual_hold,
+)
 
 # Time on the way between failure domains and back, on top of the near way.
 CROSSING_TIME: Final = dt.timedelta(milliseconds=3)
-# Assumed hold time of a server that has not told one and has no like.
-UNKNOWN_HOLD: Final = dt.timedelta(milliseconds=50)
-# A cold server works about this much slower.
-COLD_FACTOR: Final = 2.0
 # Part of its worth that an answer loses when it misses its target latency.
 LATE_LOSS: Final = 0.7
 # Chance of coming late when the expected time is the whole time; times at a
@@ -37,6 +43,10 @@
 USUAL_FAILING: Final = 0.03
 # Servers whose costs differ by less are alike and chosen among by chance.
 ALIKE: Final = 0.004
+# A server with free slots whose cost exceeds the least by this is chosen e
+# times less often for each of its free slots; by more than the limit, never.
+SPREAD: Final = 0.05
+SPREAD_LIMIT: Final = 0.2
 # First pause after a failed connection to a node; it doubles up to the last.
 FIRST_PAUSE: Final = dt.timedelta(milliseconds=500)
 LAST_PAUSE: Final = dt.timedelta(seconds=4)
@@ -44,9 +54,6 @@
 # A server far away that would come late by more than this, as its newest report
 # tells, is not asked: its refusal would cross between failure domains, too.
 HOPELESS_AFTER: Final = dt.timedelta(milliseconds=100)
-# Part of what a server works off that is not replaced by requests of others,
-# while its report grows old.
-WORKED_OFF: Final = 0.5
 _NOTHING: Final = dt.timedelta()
 _NO_TIME: Final = dt.timedelta(milliseconds=1)
 
@@ -98,6 +105,20 @@
     fixed: float
     total: float
     is_vain: bool
+    is_far: bool
+    room: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Usual:
+    """What is usual among the servers of a service.
+
+    ``hold`` is the time that a request of the route takes, ``taken`` the share
+    of the slots that is taken.
+    """
+
+    hold: dt.timedelta
+    taken: float
 
 
 class Placement:
@@ -136,7 +157,9 @@
         self, endpoints: Sequence[Endpoint], need: Need
     ) -> Choice | None:
         """Return the best of some servers; none if no one is worth asking."""
-        usual = find_usual_hold(endpoints, need.route)
+        usual = _Usual(
+            find_usual_hold(endpoints, need.route), find_taken(endpoints)
+        )
         estimates = [
             estimate
             for endpoint in endpoints
@@ -144,12 +167,7 @@
         ]
         if not estimates:
             return None
-        least = min(estimate.total for estimate in estimates)
-        chosen = self._random.choice([
-            estimate
-            for estimate in estimates
-            if estimate.total - least <= ALIKE
-        ])
+        chosen = self._pick(estimates)
         others = [
             estimate.total
             for estimate in estimates
@@ -160,26 +178,65 @@
             patience = _find_patience(chosen, min(others), need)
         return Choice(chosen.endpoint, patience)
 
+    def _pick(self, estimates: Sequence[_Estimate]) -> _Estimate:
+        best = min(estimates, key=lambda estimate: estimate.total)
+        least = best.total
+        free = [
+            estimate
+            for estimate in estimates
+            if estimate.room > 0
+            and estimate.is_far == best.is_far
+            and estimate.total - least <= SPREAD_LIMIT
+        ]
+        if free:
+            weights = [
+                estimate.room * math.exp((least - estimate.total) / SPREAD)
+                for estimate in free
+            ]
+            return self._random.choices(free, weights)[0]
+        return self._random.choice([
+            estimate
+            for estimate in estimates
+            if estimate.total - least <= ALIKE
+        ])
+
     def _estimate(
-        self, endpoint: Endpoint, need: Need, usual: dt.timedelta
+        self, endpoint: Endpoint, need: Need, usual: '_Usual'
     ) -> _Estimate:
         now = self._clock.elapsed()
-        hold = _find_hold(endpoint, now, need.route, usual)
-        fixed = 0.0
-        wait = estimate_wait(endpoint, endpoint.load.hold or usual, now)
+        hold = find_hold(endpoint, now, need.route, usual.hold)
+        usual_of_all = endpoint.load.hold or usual.hold
+        wait = estimate_wait(endpoint, usual_of_all, now)
         spent = hold + wait
         is_far = endpoint.locality != self._locality
         late = spent - max(need.target, _NOTHING)
         is_vain = is_far and wait > HOPELESS_AFTER and late > HOPELESS_AFTER
         if is_far:
-            fixed += self._crossing_cost * need.kilobytes
             spent += CROSSING_TIME
+        fixed = self._find_fixed(endpoint, need, now)
+        total = fixed + estimate_loss(spent, need)
+        return _Estimate(
+            endpoint=endpoint,
+            hold=hold,
+            fixed=fixed,
+            total=total,
+            is_vain=is_vain,
+            is_far=is_far,
+            room=expect_room(endpoint, usual_of_all, usual.taken, now),
+        )
+
+    def _find_fixed(
+        self, endpoint: Endpoint, need: Need, now: dt.timedelta
+    ) -> float:
+        """Return the part of a server's cost that its queue does not change."""
+        fixed = 0.0
+        if endpoint.locality != self._locality:
+            fixed += self._crossing_cost * need.kilobytes
         if endpoint.failing > USUAL_FAILING:
             fixed += endpoint.failing
         if now < endpoint.unreachable_until:
             fixed += 1
-        total = fixed + estimate_loss(spent, need)
-        return _Estimate(endpoint, hold, fixed, total, is_vain)
+        return fixed
 
 
 def estimate_loss(spent: dt.timedelta, need: Need) -> float:
@@ -203,49 +260,6 @@
     endpoint.unreachable_until = _NOTHING
 
 
-def find_usual_hold(
-    endpoints: Iterable[Endpoint], route: RouteName | None = None
-) -> dt.timedelta:
-    """Return the mean time at the servers that have told one.
-
-    Parameters
-    ----------
-    endpoints
-        The servers.
-    route
-        The route whose time it is; none for requests of all routes.
-    """
-    told = [
-        hold
-        for endpoint in endpoints
-        if (hold := _read_hold(endpoint, route)) is not None
-    ]
-    return sum(told, _NOTHING) / len(told) if told else UNKNOWN_HOLD
-
-
-def _read_hold(
-    endpoint: Endpoint, route: RouteName | None
-) -> dt.timedelta | None:
-    if route is None:
-        return endpoint.load.hold or None
-    return endpoint.holds.get(route)
-
-
-def estimate_wait(
-    endpoint: Endpoint, hold: dt.timedelta, now: dt.timedelta
-) -> dt.timedelta:
-    """Return the time until a slot of a server is free for one more request."""
-    load = endpoint.load
-    since = endpoint.in_flight - load.own
-    worked_off = load.slots * ((now - load.at) / max(hold, _NO_TIME))
-    waiting = max(0, load.waiting - worked_off * WORKED_OFF)
-    occupied = max(endpoint.in_flight, load.in_use + waiting + since)
-    ahead = occupied + 1 - load.slots
-    if ahead <= 0:
-        return _NOTHING
-    return hold * (ahead / load.slots)
-
-
 def estimate_return(
     endpoints: Collection[Endpoint], limit: dt.timedelta, now: dt.timedelta
 ) -> dt.timedelta:
@@ -278,15 +292,3 @@
         return need.limit
     longest = max(need.target, _NO_TIME) * math.sqrt(allowed)
     return max(_NOTHING, longest - chosen.hold)
-
-
-def _find_hold(
-    endpoint: Endpoint,
-    now: dt.timedelta,
-    route: RouteName,
-    usual: dt.timedelta,
-) -> dt.timedelta:
-    hold = endpoint.holds.get(route)
-    if hold is not None:
-        return hold
-    return usual * COLD_FACTOR if now < endpoint.warm_at else usual
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -10,11 +10,11 @@
 from bluebellslip._internal.fleet.roster import Endpoint
 from bluebellslip._internal.kernel.clock import ManualClock
 from bluebellslip._internal.models.identity import RouteName
+from bluebellslip._internal.proxy.estimates import estimate_wait
 from bluebellslip._internal.proxy.placement import (
     Choice,
     Need,
     Placement,
-    estimate_wait,
     note_reached,
     note_unreachable,
 )
