Let long bodies cross a narrow link a few at a time

Change: `Intake` asks for no more bytes at once than the link carries in 0.2 s, and refuses a body that would not be in within the caller's patience. The body is in before a slot is taken.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
@@ -57,6 +57,14 @@
             self._keep(self._body.take())
         return b''.join(self._log)
 
+    async def gather(self) -> None:
+        """Read the body until it is whole or too long to be held."""
+        self._request.invite_body()
+        while self._replayable and not self._body.complete:
+            if self._size + self._body.size > self._replay_bytes // 2:
+                return
+            self._keep(await self._body.read())
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body from its start."""
         self._request.invite_body()
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/gate.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/gate.py
@@ -67,7 +67,11 @@
 
     def has_room(self, call: Call) -> bool:
         """Tell whether a call would be admitted or queued now."""
-        return self._queue.accepts(self._make_ticket(call))
+        return self.accepts(self._make_ticket(call))
+
+    def accepts(self, ticket: Ticket) -> bool:
+        """Tell whether a ticket would be admitted or queued now."""
+        return self._queue.accepts(ticket)
 
     async def enter(self, call: Call) -> Ticket:
         """Return a ticket that holds a slot.
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
@@ -28,6 +28,7 @@
     settled: bool = False
     _task: asyncio.Task[None] | None = None
     _timer: asyncio.TimerHandle | None = None
+    _invited: bool = False
 
     @property
     def reusable(self) -> bool:
@@ -56,7 +57,9 @@
 
     def invite_body(self) -> None:
         """Tell a caller that waits for it to send the body."""
-        if names.EXPECT in self.fields and not self.body.complete:
+        waits = names.EXPECT in self.fields and not self.body.complete
+        if waits and not self._invited:
+            self._invited = True
             self.reply.invite_body()
 
     def _expire(self) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/mesh_settings.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/mesh_settings.py
@@ -9,6 +9,7 @@
 
 Seconds = Annotated[float, msgspec.Meta(ge=0)]
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Rate = Annotated[float, msgspec.Meta(gt=0)]
 Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
@@ -71,6 +72,7 @@
     service and ``heartbeat`` the time in seconds between its heartbeats.
     ``crossing_cost`` is the part of an answer's worth that moving a kilobyte
     to another failure domain counts for when a server is chosen.
+    ``link_mbps`` is what the instance's own link carries, in megabits a second.
     """
 
     node: str
@@ -82,6 +84,7 @@
     store: StoreSettings
     heartbeat: Seconds = 1.5
     crossing_cost: Ratio = 0.05
+    link_mbps: Rate = 1000
     bounds: Bounds = Bounds()
 
     @property
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -187,6 +187,7 @@
         self._settings = settings
         self._paths.callers.apply(settings.bounds)
         self._paths.placement.apply(settings.crossing_cost)
+        self._paths.intake.apply(settings.link_mbps)
         logger.info('settings_reloaded', extra={'needs_restart': fixed})
 
     async def _stop(self) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_parts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_parts.py
@@ -39,6 +39,7 @@
 from bluebellslip._internal.proxy.door import Door
 from bluebellslip._internal.proxy.egress import CallerHandler, CallerSide
 from bluebellslip._internal.proxy.ingress import PeerHandler
+from bluebellslip._internal.proxy.intake import Intake
 from bluebellslip._internal.proxy.placement import Placement
 from bluebellslip._internal.proxy.side_doors import SideDoors
 from bluebellslip._internal.proxy.sizes import AnswerSizes
@@ -120,6 +121,7 @@
     placement: Placement
     callers: CallerHandler
     peers: PeerHandler
+    intake: Intake
     relay: ConfigRelay
 
     @classmethod
@@ -131,11 +133,12 @@
         views: Views,
     ) -> Self:
         """Build the ways of requests through a node."""
-        clock, random = surroundings.clock, surroundings.random
+        clock = surroundings.clock
         counters = surroundings.counters
         peer_pool = ConnectionPool(counters)
         versions = RolloutVersions(views.book)
         witness = RolloutWitness(views.book)
+        intake = Intake(settings.link_mbps)
         door = Door(
             clock,
             views.server,
@@ -145,7 +148,10 @@
             witness,
         )
         placement = Placement(
-            clock, random, views.locality, settings.crossing_cost
+            clock,
+            surroundings.random,
+            views.locality,
+            settings.crossing_cost,
         )
         relay = ConfigRelay(
             views.holder,
@@ -153,7 +159,7 @@
             peer_pool,
             adapter.decode_config,
             settings.failure_domain,
-            random,
+            surroundings.random,
             views.follows_store,
         )
         side_doors = SideDoors()
@@ -184,12 +190,13 @@
                     sizes=AnswerSizes(),
                 ),
                 views.holder,
-                random,
+                surroundings.random,
                 counters,
                 door.running,
                 OutgoingCount(views.server, witness),
             ),
-            peers=PeerHandler(door, adapter.dialect, side_doors),
+            peers=PeerHandler(door, adapter.dialect, side_doors, intake),
+            intake=intake,
             relay=relay,
         )
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/asking.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/asking.py
@@ -27,17 +27,16 @@
     note_unreachable,
 )
 from bluebellslip._internal.proxy.work import (
+    INVITED_BYTES,
     LOAD_HEADER,
     WORK_HEADER,
     Errand,
     Work,
     decode_load,
     encode_work,
+    estimate_size,
 )
 
-# A body above this waits for the node beside the server to admit the request,
-# so that it does not cross the network in vain.
-INVITED_BYTES: Final = 16 * 1024
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
 
 
@@ -186,18 +185,8 @@
         )
 
 
-def estimate_size(work: Work) -> int:
-    """Return the size of a request's body in bytes, guessed if not told."""
-    length = work.request.fields.get(names.CONTENT_LENGTH)
-    if length is not None and length.isdigit():
-        return int(length)
-    return (
-        INVITED_BYTES if names.TRANSFER_ENCODING in work.request.fields else 0
-    )
-
-
 def _is_large(work: Work) -> bool:
-    return estimate_size(work) >= INVITED_BYTES
+    return estimate_size(work.request) >= INVITED_BYTES
 
 
 async def _read_refusal(connection: OutboundConnection) -> BluebellError:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/door.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/door.py
@@ -313,26 +313,40 @@
         """
         work = self._work
         self._door.check(work, self._errand)
-        self._ticket = await self._door.gate.admit(
-            Ticket(
-                priority=work.priority,
-                depth=work.depth,
-                deadline=work.deadline,
-                objective=work.objective,
-                patience=self._errand.patience,
-            )
-        )
+        self._ticket = await self._door.gate.admit(self._make_ticket())
         self._facts = self._door.check(work, self._errand)
         self._begun = self._door.clock.elapsed()
         head = await self._hand_over(self._facts)
         self._check(head)
         return head
 
+    def check_room(self) -> None:
+        """Look whether the server has room for the request in time.
+
+        Raises
+        ------
+        BluebellError
+            With the reason why it would be refused; it did not run.
+        """
+        self._door.check(self._work, self._errand)
+        if not self._door.gate.accepts(self._make_ticket()):
+            raise OverloadedError('The server has no slot in time.')
+
     def give_up(self) -> None:
         """Note that the time of the request ran out."""
         if self.sent:
             self._verdict = Verdict.FAILED
 
+    def _make_ticket(self) -> Ticket:
+        work = self._work
+        return Ticket(
+            priority=work.priority,
+            depth=work.depth,
+            deadline=work.deadline,
+            objective=work.objective,
+            patience=self._errand.patience,
+        )
+
     async def _hand_over(self, facts: ServerFacts) -> ResponseHead:
         rested = None if self._work.is_repeatable else FRESH_ENOUGH_S
         exchange = await self._connect(facts, rested)
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
@@ -13,11 +13,14 @@
     DeadlineExceededError,
 )
 from bluebellslip._internal.proxy.door import Door, Visit
+from bluebellslip._internal.proxy.intake import Intake
 from bluebellslip._internal.proxy.side_doors import SideDoors
 from bluebellslip._internal.proxy.work import (
+    INVITED_BYTES,
     LOAD_HEADER,
     Arrival,
     encode_load,
+    estimate_size,
 )
 
 logger = logging.getLogger(__name__)
@@ -39,11 +42,18 @@
         Names of callers' headers.
     side_doors
         What other nodes may ask for beside requests to the server.
+    intake
+        Bodies on their way to this node.
     """
 
     def __init__(
-        self, door: Door, dialect: Dialect, side_doors: SideDoors
+        self,
+        door: Door,
+        dialect: Dialect,
+        side_doors: SideDoors,
+        intake: Intake,
     ) -> None:
+        self._intake = intake
         self._door = door
         self._dialect = dialect
         self._side_doors = side_doors
@@ -60,6 +70,7 @@
         async with self._door.open(arrival.work, arrival.errand) as visit:
             try:
                 async with asyncio.timeout(left.total_seconds()):
+                    await self._take_body_in(arrival, visit)
                     await self._relay(request, visit)
             except TimeoutError:
                 visit.give_up()
@@ -74,6 +85,15 @@
                 # cross the network for each of many refusals.
                 raise type(error)(error.message) from error
 
+    async def _take_body_in(self, arrival: Arrival, visit: Visit) -> None:
+        """Let a long body cross the link before a slot is taken for it."""
+        size = estimate_size(arrival.work.request)
+        if size < INVITED_BYTES:
+            return
+        visit.check_room()
+        async with self._intake.reserve(size, arrival.errand.patience):
+            await arrival.work.upload.gather()
+
     async def _relay(self, request: InboundRequest, visit: Visit) -> None:
         head = await visit.run()
         await relay_answer(request, head, visit.connection, (self._load(),))
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/intake.py
@@ -0,0 +1,148 @@
+"""Bodies of requests on their way over this node's link, a few at a time.
+
+Answers uploads beside narrow links. Were all that find a slot sent at once,
+they would fill the link's queue for a second and more, and everything else of
+this node would stand behind them: readiness, beacons, configurations, answers.
+So no more bytes are asked for than cross the link in a moment; other bodies
+stay where they are until it is their turn. Slots are taken only when a body is
+in, so that no server waits for bytes.
+"""
+
+import asyncio
+import datetime as dt
+from collections import deque
+from typing import Final
+
+from bluebellslip._internal.exceptions import OverloadedError
+
+# What may be on its way at once, by the time that it takes the link; a small
+# part of the quickest latency objectives.
+WINDOW: Final = dt.timedelta(milliseconds=200)
+# A body that is not in after this time comes from a slow caller, not through a
+# full link, and holds nobody else up.
+SLOW_AFTER: Final = dt.timedelta(milliseconds=600)
+_BITS_OF_MEGABIT: Final = 1_000_000
+_BITS_OF_BYTE: Final = 8
+
+
+class Intake:
+    """The bodies that cross the link to this node.
+
+    Parameters
+    ----------
+    link_mbps
+        What the link carries, in megabits a second.
+    """
+
+    def __init__(self, link_mbps: float) -> None:
+        self._rate = link_mbps * _BITS_OF_MEGABIT / _BITS_OF_BYTE
+        self._crossing = 0
+        self._waiting: deque[_Turn] = deque()
+
+    @property
+    def crossing(self) -> int:
+        """Bytes that were asked for and are not in yet."""
+        return self._crossing
+
+    def apply(self, link_mbps: float) -> None:
+        """Follow another rate of the link from now on."""
+        self._rate = link_mbps * _BITS_OF_MEGABIT / _BITS_OF_BYTE
+
+    def expect(self, size: int) -> dt.timedelta:
+        """Return when a body of so many bytes that comes now would be in."""
+        ahead = self._crossing + sum(turn.size for turn in self._waiting)
+        return dt.timedelta(seconds=(ahead + size) / self._rate)
+
+    def reserve(self, size: int, patience: dt.timedelta) -> 'Crossing':
+        """Return the crossing of a body; use it as context manager.
+
+        Raises
+        ------
+        OverloadedError
+            When the body would not be in soon enough.
+        """
+        expected = self.expect(size)
+        if self._crossing and expected > patience:
+            raise OverloadedError(
+                'The link to the server has no room in time for this body.',
+                context={'bytes': str(size)},
+            )
+        return Crossing(self, size)
+
+    async def enter(self, turn: '_Turn') -> None:
+        """Wait until it is a body's turn."""
+        if not self._waiting and self._has_room(turn.size):
+            self._crossing += turn.size
+            return
+        self._waiting.append(turn)
+        try:
+            await turn.granted
+        except asyncio.CancelledError:
+            self._abandon(turn)
+            raise
+
+    def leave(self, size: int) -> None:
+        """Take note that a body is in, or given up."""
+        self._crossing -= size
+        self._grant()
+
+    def _has_room(self, size: int) -> bool:
+        window = self._rate * WINDOW.total_seconds()
+        return not self._crossing or self._crossing + size <= window
+
+    def _grant(self) -> None:
+        while self._waiting and self._has_room(self._waiting[0].size):
+            turn = self._waiting.popleft()
+            if not turn.granted.done():
+                self._crossing += turn.size
+                turn.granted.set_result(None)
+
+    def _abandon(self, turn: '_Turn') -> None:
+        if not turn.granted.cancelled():
+            self.leave(turn.size)
+        elif turn in self._waiting:
+            self._waiting.remove(turn)
+
+
+class _Turn:
+    """A body that waits."""
+
+    def __init__(self, size: int) -> None:
+        self.size = size
+        self.granted: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+
+class Crossing:
+    """One body on its way over the link.
+
+    Parameters
+    ----------
+    intake
+        What it belongs to.
+    size
+        Its size in bytes.
+    """
+
+    def __init__(self, intake: Intake, size: int) -> None:
+        self._intake = intake
+        self._size = size
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def __aenter__(self) -> None:
+        await self._intake.enter(_Turn(self._size))
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(SLOW_AFTER.total_seconds(), self._end)
+
+    async def __aexit__(self, *raised: object) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self._end()
+
+    def _end(self) -> None:
+        """Give the room back; only once."""
+        size = self._size
+        self._size = 0
+        if size:
+            self._intake.leave(size)
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/work.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/work.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bluebellslip._internal.calls import headers as names
 from bluebellslip._internal.calls.exchange import Upload
 from bluebellslip._internal.calls.request import InboundRequest
 from bluebellslip._internal.exceptions import PeerGarbledError
@@ -18,9 +19,20 @@
 LOAD_HEADER: Final = b'bluebell-server-load'
 # Bytes of a body that are kept for sending it again after a refusal.
 REPLAY_BYTES: Final = 1 << 20
+# A body above this waits for the node beside the server to admit the request,
+# so that it does not cross the network in vain.
+INVITED_BYTES: Final = 16 * 1024
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
 
 
+def estimate_size(request: InboundRequest) -> int:
+    """Return the size of a request's body in bytes, guessed if not told."""
+    length = request.fields.get(names.CONTENT_LENGTH)
+    if length is not None and length.isdigit():
+        return int(length)
+    return INVITED_BYTES if names.TRANSFER_ENCODING in request.fields else 0
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Work:
     """A request as the node beside a server needs to know it.
--- /dev/null
+++ b/tests/unit/test_intake.py
@@ -0,0 +1,136 @@
+"""Bodies on their way over a narrow link."""
+
+import asyncio
+import datetime as dt
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+
+from bluebellslip._internal.exceptions import OverloadedError
+from bluebellslip._internal.proxy.intake import WINDOW, Intake
+from lib.fleet import MS, SECOND
+
+_NARROW = 5.0  # megabits a second: 625 kB a second
+_BODY = 60_000  # bytes
+_BYTES_IN_WINDOW = 625_000 * WINDOW.total_seconds()
+
+
+def play(scene: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(scene)
+
+
+async def settle() -> None:
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+class Bodies:
+    """Bodies that cross until they are told to be in."""
+
+    def __init__(self, intake: Intake) -> None:
+        self.intake = intake
+        self.most = 0
+        self.tasks: list[asyncio.Task[None]] = []
+        self.ends: list[asyncio.Event] = []
+
+    def send(self, size: int = _BODY) -> None:
+        end = asyncio.Event()
+        self.ends.append(end)
+        self.tasks.append(asyncio.create_task(self._cross(size, end)))
+
+    async def _cross(self, size: int, end: asyncio.Event) -> None:
+        async with self.intake.reserve(size, 60 * SECOND):
+            self.most = max(self.most, self.intake.crossing)
+            await end.wait()
+
+
+def test_burst_of_uploads_leaves_the_link_free_for_the_rest() -> None:
+    async def scene() -> None:
+        bodies = Bodies(Intake(_NARROW))
+        for _ in range(9):
+            bodies.send()
+        await settle()
+        assert bodies.intake.crossing <= _BYTES_IN_WINDOW
+        for end in bodies.ends:
+            end.set()
+            await settle()
+        assert all(task.done() for task in bodies.tasks)
+        assert bodies.most <= _BYTES_IN_WINDOW
+        assert bodies.intake.crossing == 0
+
+    play(scene())
+
+
+def test_body_longer_than_the_window_crosses_alone() -> None:
+    async def scene() -> None:
+        bodies = Bodies(Intake(_NARROW))
+        bodies.send(10 * _BODY)
+        bodies.send()
+        await settle()
+        assert bodies.intake.crossing == 10 * _BODY
+        bodies.ends[0].set()
+        await settle()
+        assert bodies.intake.crossing == _BODY
+        bodies.tasks[1].cancel()
+        await settle()
+        assert bodies.intake.crossing == 0
+
+    play(scene())
+
+
+def test_body_that_would_be_late_is_refused_at_once() -> None:
+    async def scene() -> None:
+        intake = Intake(_NARROW)
+        bodies = Bodies(intake)
+        for _ in range(10):
+            bodies.send()
+        await settle()
+        assert intake.expect(_BODY) > SECOND
+        with pytest.raises(OverloadedError):
+            intake.reserve(_BODY, 500 * MS)
+        intake.reserve(_BODY, 2 * SECOND)
+        for task in bodies.tasks:
+            task.cancel()
+        await settle()
+        assert intake.expect(0) == dt.timedelta()
+
+    play(scene())
+
+
+def test_one_that_gave_up_waiting_takes_no_room() -> None:
+    async def scene() -> None:
+        bodies = Bodies(Intake(_NARROW))
+        for _ in range(4):
+            bodies.send()
+        await settle()
+        bodies.tasks[3].cancel()
+        bodies.tasks[0].cancel()
+        await settle()
+        assert bodies.intake.crossing == 2 * _BODY
+        for task in bodies.tasks:
+            task.cancel()
+        await settle()
+        assert bodies.intake.crossing == 0
+
+    play(scene())
+
+
+def test_slow_caller_holds_nobody_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(
+        'bluebellslip._internal.proxy.intake.SLOW_AFTER', dt.timedelta()
+    )
+
+    async def scene() -> None:
+        bodies = Bodies(Intake(_NARROW))
+        bodies.send(10 * _BODY)
+        bodies.send()
+        await asyncio.sleep(0.01)
+        assert not any(task.done() for task in bodies.tasks)
+        assert bodies.intake.crossing == 0
+        for end in bodies.ends:
+            end.set()
+        await settle()
+        assert bodies.intake.crossing == 0
+
+    play(scene())
