Leave nodes that fell silent with requests that may run again

Change: when a node falls silent, waits of repeatable requests that have no answer yet end, and the request goes elsewhere within the budget. A node that missed a beacon comes after others. Nodes that stand by read the entries every 120 s and all orders every 60 s: 1,500 nodes make 40 calls a second of 2,000.

--- a/packages/bluebellslip/src/bluebellslip/_internal/control/entry.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/entry.py
@@ -14,8 +14,10 @@
 logger = logging.getLogger(__name__)
 
 # Nodes tell each other of themselves; the store is asked again only in case
-# two began to know of each other too late.
+# two began to know of each other too late. Nodes that follow the store look
+# more often, and tell the others.
 LOOK_AGAIN: Final = dt.timedelta(seconds=30)
+LOOK_AGAIN_STANDING_BY: Final = dt.timedelta(seconds=120)
 # While no other node is heard of, the store is the only way to find one.
 LOOK_AGAIN_ALONE: Final = dt.timedelta(seconds=2)
 _FIRST_RETRY: Final = dt.timedelta(milliseconds=200)
@@ -37,6 +39,8 @@
         Receives the entries of all nodes.
     is_alone
         Tells whether no other node is heard of.
+    is_on_duty
+        Tells whether this node follows the store.
     """
 
     def __init__(
@@ -46,7 +50,9 @@
         random_source: Random,
         introduce: Callable[[tuple[NodeEntry, ...]], None],
         is_alone: Callable[[], bool],
+        is_on_duty: Callable[[], bool],
     ) -> None:
+        self._is_on_duty = is_on_duty
         self._store = store
         self._entry = entry
         self._random = random_source
@@ -70,8 +76,13 @@
                 await asyncio.sleep(self._jitter.next_wait().total_seconds())
                 continue
             self._jitter.reset()
-            pause = LOOK_AGAIN_ALONE if self._is_alone() else LOOK_AGAIN
-            await asyncio.sleep(jitter(pause, self._random).total_seconds())
+            pause = jitter(self._find_pause(), self._random)
+            await asyncio.sleep(pause.total_seconds())
+
+    def _find_pause(self) -> dt.timedelta:
+        if self._is_alone():
+            return LOOK_AGAIN_ALONE
+        return LOOK_AGAIN if self._is_on_duty() else LOOK_AGAIN_STANDING_BY
 
     async def _look(self) -> None:
         if not self._is_entered:
--- a/packages/bluebellslip/src/bluebellslip/_internal/control/orders.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/orders.py
@@ -24,7 +24,7 @@
 WATCH_WAIT: Final = dt.timedelta(seconds=4)
 # A node whose neighbours follow the store asks it only this often, for what
 # beacons don't tell: orders that were taken back.
-CATCH_UP_EVERY: Final = dt.timedelta(seconds=30)
+CATCH_UP_EVERY: Final = dt.timedelta(seconds=60)
 # How soon such a node notices that the duty has come to it.
 DUTY_LOOK_EVERY: Final = dt.timedelta(milliseconds=250)
 # Pause between two questions when there is news, which gathers changes that
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/roster.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/roster.py
@@ -4,7 +4,7 @@
 import datetime as dt
 import logging
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from bluebellslip._internal.control.ports import NodeEntry
@@ -100,6 +100,8 @@
         Time on this node's clock until which its node counts as away.
     connect_failures
         Connections to its node that failed in a row.
+    waits
+        To be called when the node falls silent, by those that wait for it.
     """
 
     node: NodeId
@@ -117,6 +119,7 @@
     in_flight: int = 0
     unreachable_until: dt.timedelta = dt.timedelta()
     connect_failures: int = 0
+    waits: set[Callable[[], None]] = dataclasses.field(default_factory=set)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -313,7 +316,10 @@
                 continue
             if peer.endpoint is not None:
                 logger.warning('peer_silent', extra={'peer': node})
+                waits = tuple(peer.endpoint.waits)
                 self._drop_endpoint(peer)
+                for end_wait in waits:
+                    end_wait()
             if (
                 peer.heard_at is not None
                 and now - peer.heard_at > FORGOTTEN_AFTER
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_parts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_parts.py
@@ -247,6 +247,7 @@
                 random,
                 views.lighthouse.introduce,
                 views.roster.is_alone,
+                lambda: views.watch_duty.is_ours,
             ),
             steward=Steward(
                 surroundings.clock,
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/asking.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/asking.py
@@ -26,6 +26,7 @@
     note_reached,
     note_unreachable,
 )
+from bluebellslip._internal.proxy.silence import UntilSilent
 from bluebellslip._internal.proxy.work import (
     INVITED_BYTES,
     LOAD_HEADER,
@@ -93,7 +94,8 @@
         """
         if endpoint.address is None:
             await self._ask_beside(work, errand, result)
-        else:
+            return
+        async with UntilSilent(endpoint, work):
             await self._ask_peer(
                 endpoint, endpoint.address, work, errand, result
             )
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/placement.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/placement.py
@@ -51,6 +51,11 @@
 FIRST_PAUSE: Final = dt.timedelta(milliseconds=500)
 LAST_PAUSE: Final = dt.timedelta(seconds=4)
 _MOST_DOUBLINGS: Final = 3
+# A node that was not heard of for longer than this has missed a beacon or died:
+# one and a half times the longest period. Until it counts as silent, others go
+# before it, as if a third of the answers' worth were lost there.
+QUIET_AFTER: Final = dt.timedelta(milliseconds=1200)
+QUIET_COST: Final = 0.3
 # A server far away that would come late by more than this, as its newest report
 # tells, is not asked: its refusal would cross between failure domains, too.
 HOPELESS_AFTER: Final = dt.timedelta(milliseconds=100)
@@ -236,9 +241,19 @@
             fixed += endpoint.failing
         if now < endpoint.unreachable_until:
             fixed += 1
+        if (
+            endpoint.address is not None
+            and now - endpoint.load.at > QUIET_AFTER
+        ):
+            fixed += QUIET_COST
         return fixed
 
 
+def _is_quiet(endpoint: Endpoint, now: dt.timedelta) -> bool:
+    is_peer = endpoint.address is not None
+    return is_peer and now - endpoint.load.at > QUIET_AFTER
+
+
 def estimate_loss(spent: dt.timedelta, need: Need) -> float:
     """Return the part of an answer's worth that a time is likely to cost."""
     late = _find_chance(spent, need.target)
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/silence.py
@@ -0,0 +1,57 @@
+"""Waits for a server whose node may fall silent.
+
+Answers nodes that lose power or are cut off with requests in flight: nothing
+resets their connections. A request that may run again need not wait for its
+deadline then.
+"""
+
+import asyncio
+from types import TracebackType
+
+from bluebellslip._internal.exceptions import ServerFailedError
+from bluebellslip._internal.fleet.roster import Endpoint
+from bluebellslip._internal.proxy.work import Work
+
+
+class UntilSilent:
+    """Bounds a wait by the moment at which a server's node counts as silent.
+
+    A context manager, which raises ``ServerFailedError`` when the node fell
+    silent before an answer began. A wait for the rest of an answer that the
+    caller already gets goes on, and so does that for work that must not run
+    twice: its answer may still come.
+
+    Parameters
+    ----------
+    endpoint
+        The server.
+    work
+        The request.
+    """
+
+    def __init__(self, endpoint: Endpoint, work: Work) -> None:
+        self._endpoint = endpoint
+        self._work = work
+        self._bound = asyncio.timeout(None)
+
+    async def __aenter__(self) -> None:
+        await self._bound.__aenter__()
+        self._endpoint.waits.add(self._end)
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._endpoint.waits.discard(self._end)
+        try:
+            await self._bound.__aexit__(kind, error, trace)
+        except TimeoutError as silence:
+            raise ServerFailedError(
+                'The node beside the server fell silent.'
+            ) from silence
+
+    def _end(self) -> None:
+        if self._work.is_repeatable and not self._work.request.reply.started:
+            self._bound.reschedule(asyncio.get_running_loop().time())
--- /dev/null
+++ b/tests/unit/test_silence.py
@@ -0,0 +1,101 @@
+"""Nodes that lose power with requests in flight."""
+
+import asyncio
+from random import Random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from bluebellslip._internal.exceptions import ServerFailedError
+from bluebellslip._internal.fleet.roster import SILENT_AFTER, Endpoint, Roster
+from bluebellslip._internal.kernel.clock import ManualClock
+from bluebellslip._internal.models.identity import NodeId
+from bluebellslip._internal.proxy.placement import (
+    QUIET_AFTER,
+    Need,
+    Placement,
+)
+from bluebellslip._internal.proxy.silence import UntilSilent
+from lib.fleet import (
+    HOME,
+    MS,
+    ORDERS,
+    ROUTE,
+    make_beacon,
+    make_endpoint,
+    make_server_beacon,
+)
+
+
+def make_work(*, repeatable: bool = True, started: bool = False) -> Any:
+    reply = SimpleNamespace(started=started)
+    request = SimpleNamespace(reply=reply)
+    return SimpleNamespace(is_repeatable=repeatable, request=request)
+
+
+def make_peer() -> tuple[ManualClock, Roster, Endpoint]:
+    clock = ManualClock()
+    roster = Roster(clock, NodeId('me'), 'a')
+    roster.hear(make_beacon('one', server=make_server_beacon()))
+    return clock, roster, roster.endpoints(ORDERS)[0]
+
+
+async def fall_silent(clock: ManualClock, roster: Roster) -> None:
+    await asyncio.sleep(0)
+    clock.advance(SILENT_AFTER + MS)
+    roster.expire()
+
+
+def test_request_that_may_run_again_does_not_wait_for_a_dead_node() -> None:
+    async def scene() -> None:
+        clock, roster, endpoint = make_peer()
+        silence = asyncio.create_task(fall_silent(clock, roster))
+        with pytest.raises(ServerFailedError):
+            async with UntilSilent(endpoint, make_work()):
+                await asyncio.sleep(60)
+        await silence
+        assert not endpoint.waits
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize(
+    'work', [make_work(repeatable=False), make_work(started=True)]
+)
+def test_answer_that_may_still_come_is_waited_for(work: Any) -> None:
+    async def scene() -> None:
+        clock, roster, endpoint = make_peer()
+        async with UntilSilent(endpoint, work):
+            await fall_silent(clock, roster)
+            await asyncio.sleep(0)
+        assert not endpoint.waits
+
+    asyncio.run(scene())
+
+
+def test_error_of_its_own_is_passed_on() -> None:
+    async def scene() -> None:
+        _, _, endpoint = make_peer()
+        with pytest.raises(TimeoutError):
+            async with UntilSilent(endpoint, make_work()):
+                raise TimeoutError
+
+    asyncio.run(scene())
+
+
+def test_node_that_missed_a_beacon_gets_nothing_while_others_are_heard() -> (
+    None
+):
+    clock = ManualClock()
+    placement = Placement(clock, Random(3), HOME, 0.05)
+    need = Need(ROUTE, 2, 400 * MS, 1200 * MS)
+    quiet, heard = make_endpoint('quiet', hold=50 * MS), make_endpoint('heard')
+    clock.advance(QUIET_AFTER + MS)
+    heard.load.at = clock.elapsed()
+    for _ in range(20):
+        chosen = placement.choose([quiet, heard], need)
+        assert chosen is not None
+        assert chosen.endpoint is heard
+    alone = placement.choose([quiet], need)
+    assert alone is not None
