--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
@@ -56,7 +56,7 @@
             self._timer.cancel()
 
     def invite_body(self) -> None:
-        """Tell a caller that waits for it to send the body."""
+        """Tell a caller that waits for it to send the body; only once."""
         waits = names.EXPECT in self.fields and not self.body.complete
         if waits and not self._invited:
             self._invited = True
--- a/packages/bluebellslip/src/bluebellslip/_internal/control/relay.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/relay.py
@@ -11,6 +11,7 @@
 from bluebellslip._internal.calls.pool import ConnectionPool
 from bluebellslip._internal.calls.question import Question, ask
 from bluebellslip._internal.calls.request import InboundRequest
+from bluebellslip._internal.control.orders import NEWS_PAUSE
 from bluebellslip._internal.exceptions import (
     BluebellError,
     NotReadyError,
@@ -31,9 +32,6 @@
 # neighbours, it is not waited for if a neighbour is ahead.
 STORE_FIRST: Final = dt.timedelta(seconds=1)
 LOOK_EVERY: Final = dt.timedelta(milliseconds=200)
-# Pause after a configuration came from a peer, which gathers changes that come
-# in quick succession; a quarter of the time to apply them.
-NEWS_PAUSE: Final = dt.timedelta(milliseconds=500)
 _TIMEOUT: Final = dt.timedelta(seconds=1)
 _OK: Final = 200
 _JSON: Final = (b'content-type', b'application/json')
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/estimates.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/estimates.py
@@ -75,6 +75,7 @@
 
 
 def find_taken(endpoints: Sequence[Endpoint]) -> float:
+    """Return the share of the slots of some servers that is taken."""
     slots = sum(endpoint.load.slots for endpoint in endpoints)
     taken = sum(
         min(endpoint.load.in_use, endpoint.load.slots) for endpoint in endpoints
@@ -113,6 +114,7 @@
     route: RouteName,
     usual: dt.timedelta,
 ) -> dt.timedelta:
+    """Return the time that a request takes at a server, or the usual one."""
     hold = endpoint.holds.get(route)
     if hold is not None:
         return hold
