--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/audience.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/audience.py
@@ -47,7 +47,7 @@
         ]
 
     def list_neighbours(self) -> list[Peer]:
-        """Return the peers of the node's own failure domain that were heard of."""
+        """Return the peers of the own failure domain that were heard of."""
         return [
             peer
             for peer in self._roster.peers
