Tell a slow caller from a long body on a narrow link

Change: what counts as slow is four times what all that is on its way needs, and 0.2 s. On links of 1,000 Mbit/s the window never binds.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/intake.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/intake.py
@@ -18,9 +18,11 @@
 # What may be on its way at once, by the time that it takes the link; a small
 # part of the quickest latency objectives.
 WINDOW: Final = dt.timedelta(milliseconds=200)
-# A body that is not in after this time comes from a slow caller, not through a
-# full link, and holds nobody else up.
-SLOW_AFTER: Final = dt.timedelta(milliseconds=600)
+# A body that is not in after so many times the time that all that is on its
+# way takes the link, and a moment more, comes from a slow caller and not
+# through a full link: it holds nobody else up.
+SLOW_FACTOR: Final = 4
+SLOW_LEAST: Final = dt.timedelta(milliseconds=200)
 _BITS_OF_MEGABIT: Final = 1_000_000
 _BITS_OF_BYTE: Final = 8
 
@@ -53,6 +55,11 @@
         ahead = self._crossing + sum(turn.size for turn in self._waiting)
         return dt.timedelta(seconds=(ahead + size) / self._rate)
 
+    def find_slow(self) -> dt.timedelta:
+        """Return after what time a body that begins to cross counts as slow."""
+        needed = dt.timedelta(seconds=self._crossing / self._rate)
+        return SLOW_LEAST + needed * SLOW_FACTOR
+
     def reserve(self, size: int, patience: dt.timedelta) -> 'Crossing':
         """Return the crossing of a body; use it as context manager.
 
@@ -133,7 +140,8 @@
     async def __aenter__(self) -> None:
         await self._intake.enter(_Turn(self._size))
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(SLOW_AFTER.total_seconds(), self._end)
+        slow_after = self._intake.find_slow().total_seconds()
+        self._timer = loop.call_later(slow_after, self._end)
 
     async def __aexit__(self, *raised: object) -> None:
         if self._timer is not None:
