Log requests that end with their node, and what a stop leaves undone

A cancelled request was counted as caller-left, whether its caller had disconnected or its node had stopped, and logged only if sampled; requests ignored after the listeners were shut down and unsent bytes left no trace.

Requests that end with their node now have the outcome cut-off and a line request_failed; node_stopped says how many requests of callers and of other nodes were left without a complete response, how many were ignored, and how many bytes were unsent. No decision changes.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -44,7 +44,8 @@
 
     While ``draining``, each reply closes its connection unless another
     pipelined request follows. While ``shutting_down``, further requests are
-    ignored, so that callers send them elsewhere.
+    ignored, so that callers send them elsewhere, and ``ignored_requests``
+    counts them.
 
     Parameters
     ----------
@@ -55,6 +56,7 @@
     def __init__(self, limits: CallerLimits) -> None:
         self.draining = False
         self.shutting_down = False
+        self.ignored_requests = 0
         self.limits = limits
         self.connections: set[InboundConnection] = set()
 
@@ -151,6 +153,7 @@
         if self._ignores_input:
             return
         if self._state.shutting_down:
+            self._state.ignored_requests += 1
             self._ignores_input = True
             if not self._in_progress:
                 self._close()
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
@@ -53,6 +53,11 @@
             for connection in self._state.connections
         )
 
+    @property
+    def ignored_requests(self) -> int:
+        """Number of requests ignored after ``shut_down``."""
+        return self._state.ignored_requests
+
     async def open(self) -> None:
         """Start listening.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
@@ -14,8 +14,9 @@
     """One request and the reply to it.
 
     ``fields`` maps header names to values; of a repeated header it keeps only
-    the last value. ``expired`` is set when the call times out, ``done`` when
-    the node has finished processing the request.
+    the last value. ``expired`` is set when the call times out,
+    ``connection_closed`` when its connection is closed before the reply is
+    complete, ``done`` when the node has finished processing the request.
     """
 
     method: bytes
@@ -25,6 +26,7 @@
     body: ReadBuffer
     reply: Reply
     expired: bool = False
+    connection_closed: bool = False
     done: bool = False
     _task: asyncio.Task[None] | None = None
     _timer: asyncio.TimerHandle | None = None
@@ -46,6 +48,7 @@
 
     def cancel(self) -> None:
         """Stop serving the request, since its connection is closed."""
+        self.connection_closed = True
         if self._task is not None:
             self._task.cancel()
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/listeners.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/listeners.py
@@ -99,6 +99,11 @@
         """Bytes of responses to callers and peers not yet sent to a socket."""
         return self._callers.unsent_bytes + self._peers.unsent_bytes
 
+    @property
+    def ignored_requests(self) -> int:
+        """Number of requests ignored after ``shut_down``."""
+        return sum(listener.ignored_requests for listener in self)
+
     async def open(self) -> None:
         """Start listening on all addresses.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -1,5 +1,6 @@
 """A node that reads peers and the desired state from the platform's store."""
 
+import dataclasses
 import datetime as dt
 import gc
 import logging
@@ -63,6 +64,28 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnfinishedWork:
+    """What a node leaves undone when it stops.
+
+    Parameters
+    ----------
+    callers
+        Requests of callers without a complete response.
+    peers
+        Requests of other nodes without a complete response.
+    ignored
+        Requests that arrived after the listeners were shut down.
+    unsent_bytes
+        Bytes of responses not yet sent to a socket.
+    """
+
+    callers: int = 0
+    peers: int = 0
+    ignored: int = 0
+    unsent_bytes: int = 0
+
+
 class MeshNode:
     """The process that runs beside one backend server.
 
@@ -90,6 +113,7 @@
         self._clock = environment.clock
         self._started = environment.clock.elapsed()
         self._draining = False
+        self._remainder = UnfinishedWork()
         self._state = MeshState.from_settings(settings, environment)
         components = (settings, adapter, environment, self._state)
         self._data_plane = DataPlane.from_state(*components)
@@ -149,7 +173,7 @@
                     self._reload()
                 await self._stop()
                 group.cancel_scope.cancel()
-        logger.info('node_stopped')
+        logger.info('node_stopped', extra=dataclasses.asdict(self._remainder))
 
     @property
     def _background_tasks(self) -> list[_BackgroundTask]:
@@ -227,8 +251,17 @@
             await anyio.sleep(_POLL_INTERVAL_S)
             self._listeners.shut_down()
         await anyio.sleep(_LINGER_S)
+        self._remainder = self._count_unfinished()
         self._state.beacon_protocol.close()
 
+    def _count_unfinished(self) -> UnfinishedWork:
+        return UnfinishedWork(
+            callers=self._data_plane.callers.in_flight.count,
+            peers=self._data_plane.peers.in_flight.count,
+            ignored=self._listeners.ignored_requests,
+            unsent_bytes=self._listeners.unsent_bytes,
+        )
+
     def _apply_config(self, table: RoutingTable) -> None:
         self._listeners.apply_bounds(table.config.bounds)
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -18,11 +18,13 @@
 from bluebellslip._internal.exceptions import (
     BluebellError,
     DeadlineExceededError,
+    DrainingError,
     ErrorKind,
     MalformedError,
     NotFoundError,
     NotReadyError,
     OverloadedError,
+    ServerFailedError,
     TooLargeError,
 )
 from bluebellslip._internal.kernel.counters import Counters
@@ -274,7 +276,9 @@
             response = None
             error = failure
         except asyncio.CancelledError:
-            self._record_outcome(trace, 'caller-left')
+            self._record_cancellation(
+                routed, trace, may_have_run=attempts.may_have_run
+            )
             raise
         else:
             self._count_outgoing(routed, failed=False)
@@ -349,6 +353,16 @@
         jitter_factor = 1 + RETRY_AFTER_JITTER * self._random.random()
         return max(MIN_RETRY_AFTER, expected) * jitter_factor
 
+    def _record_cancellation(
+        self, routed: RoutedRequest, trace: RequestTrace, *, may_have_run: bool
+    ) -> None:
+        if routed.request.connection_closed:
+            self._record_outcome(trace, 'caller-left')
+            return
+        kind = ServerFailedError if may_have_run else DrainingError
+        stopped = kind('The node stopped before the request ended.')
+        self._record_outcome(trace, 'cut-off', stopped)
+
     def _record_outcome(
         self,
         trace: RequestTrace,
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
@@ -8,6 +8,7 @@
 from bluebellslip._internal.calls.headers import Header
 from bluebellslip._internal.calls.metadata_headers import MetadataHeaders
 from bluebellslip._internal.calls.request import InboundRequest
+from bluebellslip._internal.calls.usage import UsageCounter
 from bluebellslip._internal.exceptions import (
     BluebellError,
     DeadlineExceededError,
@@ -60,11 +61,16 @@
         self._gateway = gateway
         self._metadata_headers = metadata_headers
         self._peer_queries = peer_queries
+        self.in_flight = UsageCounter()
 
     async def handle(self, request: InboundRequest) -> None:
         """Respond to a request; a raised error becomes the response."""
         if await self._peer_queries.handle(request):
             return
+        with self.in_flight:
+            await self._serve(request)
+
+    async def _serve(self, request: InboundRequest) -> None:
         now = self._gateway.clock.elapsed()
         peer_request = PeerRequest.from_request(
             request,
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -44,7 +44,12 @@
     'node_leaving': Event(
         'The node was asked to stop and is draining.', ('grace_s',)
     ),
-    'node_stopped': Event('The node has stopped.'),
+    'node_stopped': Event(
+        'The node has stopped, with this work undone: requests of callers and '
+        'of other nodes without a complete response, requests that arrived '
+        'after the listeners were shut down, bytes of responses not sent.',
+        ('callers', 'peers', 'ignored', 'unsent_bytes'),
+    ),
     'node_failed': Event(
         'The node cannot start or continue.', ('kind', 'reason')
     ),
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/request_trace.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/request_trace.py
@@ -24,7 +24,7 @@
 _CAUSE_TEXTS: Final[Mapping[str, str]] = {
     'overloaded': 'refused under load; it did not run',
     'no-server': 'no server accepted it; it did not run',
-    'draining': 'the servers were draining; it did not run',
+    'draining': 'a server or node was draining; it did not run',
     'version-stopped': 'sent to a stopped version; the request did not run',
     'not-ready': 'the node had no configuration; the request did not run',
     'not-found': 'no route of the applied configuration matches it',
