--- /dev/null
+++ b/tests/functional/test_platform_stop.py
@@ -0,0 +1,163 @@
+"""Tests of nodes that stop while they hold requests.
+
+They guard against requests that a node has read and that end without a
+response when the node stops, and against capacity that is awaited at a node
+that no longer grants it.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncGenerator
+
+import msgspec
+import pytest
+
+from bluebellslip._internal.models.identity import Address, ServiceName
+from bluebellslip._internal.proxy.body_transfers import BodyTransferLimiter
+from lib.calls import Caller, ReceivedResponse
+from lib.simulated_platform import (
+    PlatformNode,
+    SimulatedStore,
+    make_document_json,
+    make_route_json,
+    respond_signed,
+    run_nodes,
+    wait_until,
+)
+
+pytestmark = pytest.mark.anyio
+
+_CONFIG = make_document_json(
+    3,
+    make_route_json('r-read', '/read/', 'art'),
+    make_route_json(
+        'r-art',
+        '/art/',
+        'art',
+        kind='upload',
+        timeout_s=30,
+        target_latency_s=20,
+    ),
+)
+_BODY = b'x' * 60_000
+# Grace period of the stopping node, which must be longer than the time for
+# which it accepts callers.
+_GRACE_S = 4
+_HANG_TIMEOUT_S = 20
+# More than the bodies that may be in transit at the default rate of a link.
+_OCCUPIED_BYTES = 30_000_000
+
+
+@contextlib.asynccontextmanager
+async def mesh() -> AsyncGenerator[
+    tuple[PlatformNode, SimulatedStore, PlatformNode], None
+]:
+    """Run a calling node, and a node beside a server for uploads."""
+    store = SimulatedStore()
+    store.put('op', 'config', _CONFIG)
+    front = PlatformNode('front', 'store', store, respond_signed(b'store'))
+    back = PlatformNode('back', 'art', store, respond_signed(b'art'))
+    async with run_nodes(store, [front, back]):
+        yield front, store, back
+
+
+@contextlib.asynccontextmanager
+async def occupied_link(node: PlatformNode) -> AsyncGenerator[None, None]:
+    """Take up the capacity for bodies that are sent to a node."""
+    limiter = _get_limiter(node)
+    limiter._in_transit += _OCCUPIED_BYTES
+    try:
+        yield
+    finally:
+        limiter.release(_OCCUPIED_BYTES)
+
+
+def _get_limiter(node: PlatformNode) -> BodyTransferLimiter:
+    return node.node._data_plane.body_transfers
+
+
+async def wait_for_transfer(node: PlatformNode) -> None:
+    """Wait until a body waits for the link to a node."""
+
+    async def is_waiting() -> bool:
+        return bool(_get_limiter(node)._waiting)
+
+    await wait_until(is_waiting)
+
+
+async def knows_servers(node: PlatformNode, count: int) -> bool:
+    peer_table = node.node._state.peer_table
+    return len(peer_table.endpoints(ServiceName('art'))) == count
+
+
+async def stop(node: PlatformNode) -> None:
+    """Let a node stop as after SIGTERM, to the end of its grace period."""
+    node.heartbeats_stopped = True
+    bounds = msgspec.structs.replace(node.settings.bounds, grace=_GRACE_S)
+    node.node._settings = msgspec.structs.replace(node.settings, bounds=bounds)
+    await node.node._stop()
+
+
+async def upload(node: PlatformNode) -> ReceivedResponse:
+    async with asyncio.timeout(_HANG_TIMEOUT_S):
+        return await node.call('/art/1', 'u1', method='POST', body=_BODY)
+
+
+@pytest.mark.parametrize('sent', ['before', 'after'])
+async def test_upload_that_waits_for_the_link_is_answered_when_its_node_stops(
+    sent: str,
+) -> None:
+    async with mesh() as (front, _, back), occupied_link(back):
+        if sent == 'before':
+            uploading = asyncio.create_task(upload(front))
+            await wait_for_transfer(back)
+            await stop(front)
+        else:
+            stopping = asyncio.create_task(stop(front))
+            await asyncio.sleep(0.5)
+            uploading = asyncio.create_task(upload(front))
+            await stopping
+        await asyncio.sleep(0)
+        assert front.node._data_plane.callers.in_flight.count == 0
+        response = await uploading
+        assert response.status == 503
+        assert float(response.headers['retry-after']) > 0
+        assert response.headers['x-request-id'] == 'u1'
+    assert not back.server.received_requests
+
+
+async def test_upload_moves_on_when_the_node_it_waits_at_stops() -> None:
+    async with mesh() as (front, store, back), occupied_link(back):
+        uploading = asyncio.create_task(upload(front))
+        await wait_for_transfer(back)
+        other = PlatformNode('other', 'art', store, respond_signed(b'other'))
+        async with other.running():
+            await wait_until(lambda: knows_servers(front, 2))
+            stopping = asyncio.create_task(stop(back))
+            response = await uploading
+            assert (response.status, response.body) == (200, b'other')
+            assert not stopping.done()
+            await stopping
+    assert not back.server.received_requests
+
+
+async def test_request_read_after_the_listener_is_shut_down_is_refused() -> (
+    None
+):
+    async with mesh() as (front, _, back):
+        caller = await front.open_caller()
+        peer = await Caller.open(Address.from_text(back.listen.peers))
+        await caller.call('/read/1', service='shop.example', x_request_id='r1')
+        for node in (front, back):
+            for listener in node.node._listeners:
+                listener._state.shutting_down = True
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            refused = await caller.call(
+                '/read/1', service='shop.example', x_request_id='r2'
+            )
+            refused_peer = await peer.call('/read/1', service='shop.example')
+        for response in (refused, refused_peer):
+            assert response.status == 503
+            assert response.headers['connection'] == 'close'
+            assert float(response.headers['retry-after']) > 0
+    assert len(back.server.received_requests) == 1
