Know that an upload has not run while its body has not arrived

What callers saw: 502 for an upload whose connection to the node beside the server broke while it still waited there for the link; an upload must not be sent twice after that, so it was lost to its caller.

Cause: a request counted as possibly run as soon as a connection to that node was open. The node passes a long body on only once it holds all of it, or more than half a megabyte, so up to then nothing can have run. A body that was already complete, as at each retry, was moreover sent at once, without waiting for the node to ask for it, and filled narrow links with bodies that were then refused.

Change: a long body is always withheld until 100 Continue, and the attempt counts as delivered only once the node may have enough of it. Bodies under 16 kB are sent and judged as before.

test_upload_moves_on_when_the_node_it_waits_at_is_killed: 502 without the change, 200 from another server with it.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import itertools
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Final, Self
 
 from bluebellslip._internal.calls import headers as header_names
@@ -28,6 +28,10 @@
 _call_numbers = itertools.count(1)
 
 
+def _ignore_delivery() -> None:
+    """Do nothing: the exchange's owner does not track the delivery."""
+
+
 class Upload:
     """A request body that can be sent again if it fits the replay buffer."""
 
@@ -100,8 +104,12 @@
         another value are skipped. If None, the request carries a call number,
         and a response with another number is an error.
     expects_continue
-        Whether to wait for the server's 100 Continue before sending a body
-        that is not completely buffered.
+        Whether to wait for the server's 100 Continue before sending the body.
+    held_bytes
+        With ``expects_continue``: how much of the body the receiver collects
+        before it may pass the request on, unless the body is shorter.
+    on_delivery
+        Called once the receiver may have enough of the request to pass it on.
     """
 
     def __init__(
@@ -111,6 +119,8 @@
         echo: Header | None = None,
         *,
         expects_continue: bool = False,
+        held_bytes: int = 0,
+        on_delivery: Callable[[], None] = _ignore_delivery,
     ) -> None:
         self._pool = pool
         self._address = address
@@ -123,6 +133,8 @@
         self._echo = echo
         self._expects_continue = expects_continue
         self._reused = False
+        self._held_bytes = held_bytes
+        self._on_delivery = on_delivery
         self._connection: OutboundConnection | None = None
         self._sending: asyncio.Task[None] | None = None
 
@@ -175,6 +187,7 @@
         if self._call_number is not None:
             headers.append(self._call_number)
         head = build_request_head(request.method, request.target, headers)
+        self._on_delivery()
         self.connection.begin(
             head + body,
             head_only=request.method == _HEAD,
@@ -198,7 +211,7 @@
             or invalid.
         """
         body = upload.complete_body
-        if body is not None:
+        if body is not None and not self._expects_continue:
             return await self.send_buffered(request, headers, body)
         self._begin_streaming(request, headers, upload)
         return await self._receive()
@@ -228,6 +241,8 @@
             headers.append(self._call_number)
         if self._expects_continue:
             headers.append(_EXPECT_CONTINUE_HEADER)
+        else:
+            self._on_delivery()
         self.connection.begin(
             build_request_head(request.method, request.target, headers),
             head_only=request.method == _HEAD,
@@ -244,18 +259,23 @@
         if self._expects_continue:
             await connection.wait_for_continue()
         try:
-            await _copy_body(connection, upload, chunked=chunked)
+            await self._copy_body(connection, upload, chunked=chunked)
         except BluebellError as error:
             connection.fail(error)
 
-
-async def _copy_body(
-    connection: OutboundConnection, upload: Upload, *, chunked: bool
-) -> None:
-    async for chunk in upload.chunks():
-        connection.send(frame_chunk(chunk) if chunked else chunk)
+    async def _copy_body(
+        self, connection: OutboundConnection, upload: Upload, *, chunked: bool
+    ) -> None:
         await connection.drain()
-    connection.send(LAST_CHUNK if chunked else b'', last=True)
+        sent = 0
+        async for chunk in upload.chunks():
+            sent += len(chunk)
+            if sent > self._held_bytes:
+                self._on_delivery()
+            connection.send(frame_chunk(chunk) if chunked else chunk)
+            await connection.drain()
+        self._on_delivery()
+        connection.send(LAST_CHUNK if chunked else b'', last=True)
 
 
 async def relay_response(
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
@@ -26,6 +26,7 @@
 )
 from bluebellslip._internal.proxy.routed_request import (
     EXPECT_CONTINUE_BYTES,
+    HELD_BYTES,
     LOAD_HEADER,
     ROUTING_HEADER,
     AttemptOptions,
@@ -58,6 +59,11 @@
     reached: bool = False
     may_have_run: bool = False
 
+    def record_delivery(self) -> None:
+        """Record that the server's node may have passed the request on."""
+        self.reached = True
+        self.may_have_run = True
+
     @property
     def outcome(self) -> str:
         """The outcome as a single word, for the log."""
@@ -141,11 +147,13 @@
         result: AttemptResult,
     ) -> None:
         with Exchange(
-            self._peers, address, expects_continue=_is_large(routed)
+            self._peers,
+            address,
+            expects_continue=_is_large(routed),
+            held_bytes=HELD_BYTES,
+            on_delivery=result.record_delivery,
         ) as exchange:
             await self._connect(endpoint, exchange)
-            result.reached = True
-            result.may_have_run = True
             head = await self._send(endpoint, exchange, routed, options)
             self._update_load(endpoint, head)
             if header_names.ERROR in head.fields:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
@@ -19,9 +19,11 @@
 LOAD_HEADER: Final = b'bluebell-server-load'
 # Bodies of up to this many bytes are buffered, so that they can be sent again.
 MAX_REPLAY_BYTES: Final = 1 << 20
-# A body of this size or more that is not yet fully buffered is sent only after
-# the node beside the server has responded with 100 Continue, so that an earlier
-# refusal costs no bandwidth.
+# A node that receives a long body passes the request on once it holds the whole
+# body or more than this many bytes.
+HELD_BYTES: Final = MAX_REPLAY_BYTES // 2
+# A body of this size or more is sent only after the node beside the server has
+# responded with 100 Continue, so that an earlier refusal costs no bandwidth.
 EXPECT_CONTINUE_BYTES: Final = 16 * 1024
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
 
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -141,6 +141,19 @@
     assert not back.server.received_requests
 
 
+async def test_upload_moves_on_when_the_node_it_waits_at_is_killed() -> None:
+    async with mesh() as (front, store, back), occupied_link(back):
+        uploading = asyncio.create_task(upload(front))
+        await wait_for_transfer(back)
+        other = PlatformNode('other', 'art', store, respond_signed(b'other'))
+        async with other.running():
+            await wait_until(lambda: knows_servers(front, 2))
+            back.node._listeners._peers.close()
+            response = await uploading
+            assert (response.status, response.body) == (200, b'other')
+    assert not back.server.received_requests
+
+
 async def test_request_read_after_the_listener_is_shut_down_is_refused() -> (
     None
 ):
