Respond to requests that would outlast a stopping node

Cause: a request kept its own deadline when its node was told to stop. One that waited for the link or a slot of another node beyond the grace period was cancelled with the process. Only uploads wait that long: their deadline is 8 to 9.5 s, the node ends after 5.3 s.

Ruled out: dropping at the shutdown of the listener closes at 2.6 s, and a response stuck in a buffer would be in the log.

Change: at the stop the deadlines of all requests in flight, and of new ones, are shortened to 0.1 s before the node ends. That deadline goes on to servers' nodes and to servers, so what can't be served by then is refused at once. A request that has not run gets 503 with Retry-After, one that may have run 502.

--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -38,9 +38,11 @@
 PEER_ACCEPT_TIME: Final = dt.timedelta(seconds=0.7)
 # Time at the end of the grace period, reserved for the exit of the process. The
 # exit takes a tenth of a second of CPU time but gets less than half of a core
-# while the last responses are sent. Requests that outlast the rest of the grace
-# period, by default 5.2 of its 6 seconds, are cancelled.
+# while the last responses are sent.
 STOP_MARGIN: Final = dt.timedelta(seconds=0.8)
+# Time before STOP_MARGIN for the responses to requests that would outlast the
+# rest of the grace period; they end 5.1 s after the signal by default.
+LAST_RESPONSES_TIME: Final = dt.timedelta(seconds=0.1)
 # Time after the start at which a node that has a configuration reports that it
 # is ready even if it has not learned of peers and servers.
 MAX_STARTUP_WAIT: Final = dt.timedelta(seconds=1)
@@ -239,6 +241,9 @@
         self._state.beacon_source.state = NodeState.LEAVING
         self._state.beacon_protocol.request_broadcast()
         self._listeners.start_draining()
+        self._data_plane.callers.shorten_deadlines(
+            deadline - LAST_RESPONSES_TIME
+        )
         await anyio.sleep(PEER_ACCEPT_TIME.total_seconds())
         self._data_plane.server_publisher.withdraw()
         await anyio.sleep(
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -36,6 +36,7 @@
 from bluebellslip._internal.models.mesh_settings import Bounds
 from bluebellslip._internal.proxy.attempts import Attempts, RoutingContext
 from bluebellslip._internal.proxy.caller_waits import CallerWaitEstimator
+from bluebellslip._internal.proxy.request_deadlines import RequestDeadlines
 from bluebellslip._internal.proxy.responses import BufferedResponse
 from bluebellslip._internal.proxy.retry_budget import SharedRetryBudget
 from bluebellslip._internal.proxy.routed_request import (
@@ -138,6 +139,7 @@
         self._budgets: dict[ServiceName, SharedRetryBudget] = {}
         self._caller_waits = CallerWaitEstimator(context.clock)
         self._running = running
+        self._deadlines = RequestDeadlines(context.clock)
         self.in_flight = UsageCounter()
 
     def apply(self, bounds: Bounds) -> None:
@@ -146,6 +148,16 @@
             self._settings = dataclasses.replace(self._settings, bounds=bounds)
             self._budgets.clear()
 
+    def shorten_deadlines(self, latest: dt.timedelta) -> None:
+        """Respond to all requests, running or new, by a time.
+
+        Parameters
+        ----------
+        latest
+            Time on the node's clock.
+        """
+        self._deadlines.shorten(latest)
+
     async def handle(self, request: InboundRequest) -> None:
         """Respond to a request."""
         trace = RequestTrace(
@@ -263,14 +275,13 @@
         attempts = Attempts(
             self._context, routed, rule.max_attempts, budget, trace
         )
-        time_left = routed.deadline - self._context.clock.elapsed()
         try:
-            async with asyncio.timeout(time_left.total_seconds()):
+            async with self._deadlines.enforce(routed):
                 response = await attempts.run()
         except TimeoutError:
             response = None
-            error: BluebellError = DeadlineExceededError(
-                'The deadline of the request has passed.'
+            error = self._make_timeout_error(
+                routed, may_have_run=attempts.may_have_run
             )
         except BluebellError as failure:
             response = None
@@ -353,15 +364,22 @@
         jitter_factor = 1 + RETRY_AFTER_JITTER * self._random.random()
         return max(MIN_RETRY_AFTER, expected) * jitter_factor
 
+    def _make_timeout_error(
+        self, routed: RoutedRequest, *, may_have_run: bool
+    ) -> BluebellError:
+        if self._deadlines.is_shortened(routed):
+            return _make_stop_error(may_have_run=may_have_run)
+        return DeadlineExceededError('The deadline of the request has passed.')
+
     def _record_cancellation(
         self, routed: RoutedRequest, trace: RequestTrace, *, may_have_run: bool
     ) -> None:
         if routed.request.connection_closed:
             self._record_outcome(trace, 'caller-left')
             return
-        kind = ServerFailedError if may_have_run else DrainingError
-        stopped = kind('The node stopped before the request ended.')
-        self._record_outcome(trace, 'cut-off', stopped)
+        self._record_outcome(
+            trace, 'cut-off', _make_stop_error(may_have_run=may_have_run)
+        )
 
     def _record_outcome(
         self,
@@ -382,6 +400,11 @@
             logger.info('request_served', extra=trace.describe(outcome, spent))
 
 
+def _make_stop_error(*, may_have_run: bool) -> BluebellError:
+    kind = ServerFailedError if may_have_run else DrainingError
+    return kind('The node stopped before the request ended.')
+
+
 def _choose_status(error: BluebellError, *, may_have_run: bool) -> int:
     """Return the status of an error response that the node itself generates.
 
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_deadlines.py
@@ -0,0 +1,102 @@
+"""Deadlines of the callers' requests in flight.
+
+Handles the stop of a node: a request that waits for capacity may have a later
+deadline than the node itself. The stop shortens the deadlines of all requests,
+so that each of them still gets a response.
+"""
+
+import asyncio
+import datetime as dt
+from types import TracebackType
+
+from bluebellslip._internal.kernel.clock import Clock
+from bluebellslip._internal.proxy.routed_request import RoutedRequest
+
+
+class RequestDeadlines:
+    """Enforces the deadlines of requests, and shortens them at the stop.
+
+    Parameters
+    ----------
+    clock
+        The node's clock.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._latest = dt.timedelta.max
+        self._enforced: set[EnforcedDeadline] = set()
+
+    def shorten(self, latest: dt.timedelta) -> None:
+        """Let no request, running or new, last longer.
+
+        Parameters
+        ----------
+        latest
+            Time on the node's clock at which the last request ends.
+        """
+        self._latest = latest
+        for enforced in self._enforced:
+            enforced.shorten(latest)
+
+    def is_shortened(self, routed: RoutedRequest) -> bool:
+        """Return whether a request ends early because the node stops."""
+        return routed.deadline == self._latest
+
+    def enforce(self, routed: RoutedRequest) -> 'EnforcedDeadline':
+        """Return a context manager that ends at the request's deadline.
+
+        It raises ``TimeoutError``.
+        """
+        routed.deadline = min(routed.deadline, self._latest)
+        return EnforcedDeadline(routed, self._clock, self._enforced)
+
+
+class EnforcedDeadline:
+    """Context manager that raises ``TimeoutError`` at a request's deadline.
+
+    Parameters
+    ----------
+    routed
+        The request.
+    clock
+        The node's clock.
+    enforced
+        The set of open deadlines, which has this one while it is open.
+    """
+
+    def __init__(
+        self,
+        routed: RoutedRequest,
+        clock: Clock,
+        enforced: set['EnforcedDeadline'],
+    ) -> None:
+        self._routed = routed
+        self._clock = clock
+        self._enforced = enforced
+        self._timeout = asyncio.timeout_at(self._loop_deadline)
+
+    @property
+    def _loop_deadline(self) -> float:
+        time_left = self._routed.deadline - self._clock.elapsed()
+        return asyncio.get_running_loop().time() + time_left.total_seconds()
+
+    async def __aenter__(self) -> None:
+        await self._timeout.__aenter__()
+        self._enforced.add(self)
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._enforced.discard(self)
+        await self._timeout.__aexit__(kind, error, trace)
+
+    def shorten(self, latest: dt.timedelta) -> None:
+        """Move the request's deadline forward, unless it ends before."""
+        if self._timeout.expired() or self._routed.deadline <= latest:
+            return
+        self._routed.deadline = latest
+        self._timeout.reschedule(self._loop_deadline)
