Refuse waiting bodies at once when the server accepts no more work

What callers saw: uploads that waited for the link of a node that stopped, or whose server left, went on waiting there and were refused only after their body had been received, or ended with the node.

Cause: the same as for the queue of slots, which was emptied at that moment, while the queue for the link was not.

Change: whenever the gateway refuses its waiting requests, so do the bodies that wait for the link. Their nodes know that nothing has run and choose another server.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/body_transfers.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/body_transfers.py
@@ -14,7 +14,7 @@
 from collections import deque
 from typing import Final
 
-from bluebellslip._internal.exceptions import OverloadedError
+from bluebellslip._internal.exceptions import DrainingError, OverloadedError
 
 # Bodies in transit together have at most as many bytes as the link carries in
 # this time. The time is a small part of the shortest latency objectives.
@@ -64,6 +64,15 @@
         needed = dt.timedelta(seconds=self._in_transit / self._rate)
         return MIN_SLOW_AFTER + needed * SLOW_FACTOR
 
+    def refuse_waiting(self) -> None:
+        """Refuse the bodies that wait; the server accepts no more work."""
+        while self._waiting:
+            transfer = self._waiting.popleft()
+            if not transfer.granted.done():
+                transfer.granted.set_exception(
+                    DrainingError('The server accepts no new requests.')
+                )
+
     def make_transfer(
         self, size: int, max_wait: dt.timedelta
     ) -> 'BodyTransfer':
@@ -119,7 +128,7 @@
                 transfer.granted.set_result(None)
 
     def _cancel(self, transfer: '_QueuedTransfer') -> None:
-        if not transfer.granted.cancelled():
+        if transfer.was_granted:
             self.release(transfer.size)
         elif transfer in self._waiting:
             self._waiting.remove(transfer)
@@ -134,6 +143,16 @@
             asyncio.get_running_loop().create_future()
         )
 
+    @property
+    def was_granted(self) -> bool:
+        """Whether the body takes up capacity of the link."""
+        granted = self.granted
+        return (
+            granted.done()
+            and not granted.cancelled()
+            and granted.exception() is None
+        )
+
 
 class BodyTransfer:
     """The transfer of one body over the link.
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
@@ -62,6 +62,7 @@
         self._metadata_headers = metadata_headers
         self._peer_queries = peer_queries
         self.in_flight = UsageCounter()
+        gateway.on_refusal(body_transfers.refuse_waiting)
 
     async def handle(self, request: InboundRequest) -> None:
         """Respond to a request; a raised error becomes the response."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -6,7 +6,7 @@
 """
 
 import datetime as dt
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import TracebackType
 from typing import Final, Protocol, Self
 
@@ -123,6 +123,7 @@
         self._hold_times = RouteHoldTimes()
         self._running = RunningRequests()
         self._closed = False
+        self._refusal_listeners: list[Callable[[], None]] = []
         self._current_lifetime: object = None
 
     @property
@@ -179,12 +180,16 @@
     def close(self) -> None:
         """Refuse new requests from now on; running ones may finish."""
         self._closed = True
-        self._gate.refuse_all()
+        self._refuse_waiting()
+
+    def on_refusal(self, listener: Callable[[], None]) -> None:
+        """Call a listener whenever all waiting requests are refused."""
+        self._refusal_listeners.append(listener)
 
     def refuse_if_unusable(self) -> None:
-        """Refuse queued requests if the server accepts no more work."""
+        """Refuse waiting requests if the server accepts no more work."""
         if not self._server.is_usable:
-            self._gate.refuse_all()
+            self._refuse_waiting()
 
     def open(
         self, routed: RoutedRequest, options: AttemptOptions
@@ -219,6 +224,11 @@
         self._gate.resize(info.slots)
         return info
 
+    def _refuse_waiting(self) -> None:
+        self._gate.refuse_all()
+        for listener in self._refusal_listeners:
+            listener()
+
     def _find_server(
         self, routed: RoutedRequest, options: AttemptOptions
     ) -> ServerInfo:
--- a/tests/unit/test_body_transfers.py
+++ b/tests/unit/test_body_transfers.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from bluebellslip._internal.exceptions import OverloadedError
+from bluebellslip._internal.exceptions import DrainingError, OverloadedError
 from bluebellslip._internal.proxy.body_transfers import (
     TRANSFER_WINDOW,
     BodyTransferLimiter,
@@ -163,3 +163,24 @@
         await yield_to_tasks()
 
     run(scenario())
+
+
+def test_refused_body_leaves_the_capacity_of_the_link_to_others() -> None:
+    async def scenario() -> None:
+        limiter = BodyTransferLimiter(_NARROW_LINK_MBPS)
+        size = int(_BYTES_IN_WINDOW)
+        async with limiter.make_transfer(size, SECOND):
+            waiting = asyncio.create_task(_transfer(limiter, size))
+            await yield_to_tasks()
+            limiter.refuse_waiting()
+            with pytest.raises(DrainingError):
+                await waiting
+            assert limiter.in_transit == size
+        assert limiter.in_transit == 0
+
+    run(scenario())
+
+
+async def _transfer(limiter: BodyTransferLimiter, size: int) -> None:
+    async with limiter.make_transfer(size, SECOND):
+        raise AssertionError('the body was granted')
