Refuse requests that are read after the listener was shut down

What callers saw: a connection closed without a response, or reset, if their request was read after the node had stopped accepting requests. For a request that must not run twice the node of another server counted that as possibly run and responded 502.

Cause: such a request was dropped with its connection. That it has not run was known and not said.

Change: it gets 503 with Retry-After and Connection: close, from the listeners of callers and of peers; its body is read to the end, so that the response is not lost to a reset. A request behind others on its connection is still ignored: the response before it closes the connection.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -19,6 +19,7 @@
 from bluebellslip._internal.exceptions import (
     BluebellError,
     DeadlineExceededError,
+    DrainingError,
     MalformedError,
     RequestTimeoutError,
 )
@@ -44,8 +45,8 @@
 
     While ``draining``, each reply closes its connection unless another
     pipelined request follows. While ``shutting_down``, further requests are
-    ignored, so that callers send them elsewhere, and ``ignored_requests``
-    counts them.
+    refused, or ignored behind others on their connection; ``ignored_requests``
+    counts the latter.
 
     Parameters
     ----------
@@ -153,10 +154,7 @@
         if self._ignores_input:
             return
         if self._state.shutting_down:
-            self._state.ignored_requests += 1
-            self._ignores_input = True
-            if not self._in_progress:
-                self._close()
+            self._refuse_late_request(request)
             return
         if self._in_progress:
             request.reply.writer.hold()
@@ -171,6 +169,30 @@
             return
         self._start_request(request)
 
+    def _refuse_late_request(self, request: InboundRequest) -> None:
+        """Refuse a request, or ignore it behind others on its connection.
+
+        The last response before it says that the connection is closed, so its
+        caller may send it elsewhere.
+        """
+        if self._in_progress:
+            self._state.ignored_requests += 1
+            self._ignores_input = True
+            return
+        request.reply.disable_keep_alive()
+        self._in_progress.append(request)
+        request.attach_task(self._loop.create_task(self._refuse(request)))
+
+    async def _refuse(self, request: InboundRequest) -> None:
+        try:
+            self._reply_with_error(
+                request, DrainingError('The node accepts no new requests.')
+            )
+            await self._discard_remaining_body(request)
+        finally:
+            request.mark_done()
+            self._advance()
+
     def _start_request(self, request: InboundRequest) -> None:
         self._in_progress.append(request)
         request.attach_task(self._loop.create_task(self._serve(request)))
