Respond to the calls that outlast the drain of a node

What callers saw: a connection that was reset without a response, if their call was still in flight when the drain of bluebell-node reached its time limit.

Change: when the plug-in ends, calls that wait for a slot are refused as not run, the others get 502, and their replies have 0.1 s to leave. An at-most-once call, which goes on in a task of its own, gets 502 as well: whether it runs is not known by then.

test_calls_that_outlast_the_drain_get_a_response: 0 bytes read without the change, both replies with it.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -18,7 +18,6 @@
 from bluebellslip._internal.calls.streams import WriteGate
 from bluebellslip._internal.exceptions import (
     BluebellError,
-    DeadlineExceededError,
     DrainingError,
     MalformedError,
     RequestTimeoutError,
@@ -133,6 +132,12 @@
         except BluebellError as error:
             self._refuse_input(error)
 
+    def interrupt(self, error: BluebellError) -> None:
+        """Reply with an error to each request that has no complete reply."""
+        for request in self._in_progress:
+            if not request.reply.ended:
+                request.interrupt(error)
+
     def check_head_timeout(self, now: float) -> None:
         """Refuse a request whose head exceeds the head timeout.
 
@@ -211,9 +216,9 @@
         except BluebellError as error:
             self._reply_with_error(request, error)
         except asyncio.CancelledError:
-            if not request.expired:
+            if request.interruption is None:
                 raise
-            self._reply_with_error(request, _make_timeout_error())
+            self._reply_with_error(request, request.interruption)
         except Exception:
             logger.exception(
                 'A call failed with an internal error of the node.'
@@ -279,10 +284,3 @@
         writer = ReplyWriter(self.transport, self._write_gate)
         Reply(writer, self._state).refuse(error)
         self.transport.close()
-
-
-def _make_timeout_error() -> DeadlineExceededError:
-    return DeadlineExceededError(
-        'The call has timed out.',
-        hint='Allow more time, or check the load of the server.',
-    )
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
@@ -9,7 +9,7 @@
     ListenerState,
 )
 from bluebellslip._internal.calls.limits import CallerLimits
-from bluebellslip._internal.exceptions import ListenError
+from bluebellslip._internal.exceptions import BluebellError, ListenError
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.models.identity import Address
 
@@ -103,6 +103,11 @@
         for connection in tuple(self._state.connections):
             connection.transport.abort()
 
+    def interrupt(self, error: BluebellError) -> None:
+        """Reply with an error to the calls in progress."""
+        for connection in tuple(self._state.connections):
+            connection.interrupt(error)
+
     def shut_down(self) -> None:
         """Stop accepting connections and close the idle ones.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/plugin.py
@@ -1,5 +1,6 @@
 """The plug-in that serves and forwards calls."""
 
+import asyncio
 import contextlib
 import datetime as dt
 from typing import Final, Self
@@ -16,6 +17,7 @@
 from bluebellslip._internal.calls.pool import ConnectionPool
 from bluebellslip._internal.calls.prewarming import ConnectionWarmer
 from bluebellslip._internal.claims.maintenance import ClaimMaintenance
+from bluebellslip._internal.exceptions import ServerFailedError
 from bluebellslip._internal.kernel.context import Context
 from bluebellslip._internal.kernel.plugin import Plugin, Stage, plugins
 from bluebellslip._internal.kernel.services import Membership
@@ -23,6 +25,8 @@
 
 _SWEEP_INTERVAL: Final = dt.timedelta(seconds=5)
 _DRAIN_POLL_INTERVAL: Final = dt.timedelta(milliseconds=10)
+# Longest time for the replies to calls that outlast the drain.
+_LAST_REPLIES_TIME: Final = dt.timedelta(milliseconds=100)
 
 
 @plugins.register('calls')
@@ -45,13 +49,22 @@
         self._pool = ConnectionPool(counters)
         self._egress = EgressHandler(context, self._pool)
         observer = OutcomeObserver.from_context(context)
-        gate = AdmissionGate(context.clock)
+        self._gate = AdmissionGate(context.clock)
         self._claim_maintenance = ClaimMaintenance.from_context(context)
         self._at_most_once = AtMostOnceRunner(
-            context, self._pool, observer, gate, self._claim_maintenance.store
+            context,
+            self._pool,
+            observer,
+            self._gate,
+            self._claim_maintenance.store,
         )
         self._ingress = IngressHandler(
-            context, self._pool, membership, observer, gate, self._at_most_once
+            context,
+            self._pool,
+            membership,
+            observer,
+            self._gate,
+            self._at_most_once,
         )
         self._warmer = ConnectionWarmer(
             context, self._pool, self._egress.balancer
@@ -100,9 +113,12 @@
             contextlib.closing(self._egress_listener),
             contextlib.closing(self._ingress_listener),
         ):
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._claim_maintenance.run)
-                group.start_soon(self._sweep)
+            try:
+                await self._run_maintenance()
+            except asyncio.CancelledError:
+                with anyio.CancelScope(shield=True):
+                    await self._end_calls()
+                raise
 
     def leave(self) -> None:
         """Refuse new calls to the local server; it may still make calls."""
@@ -118,6 +134,23 @@
         while self._egress_pending:
             await anyio.sleep(_DRAIN_POLL_INTERVAL.total_seconds())
 
+    async def _run_maintenance(self) -> None:
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._claim_maintenance.run)
+            group.start_soon(self._sweep)
+
+    async def _end_calls(self) -> None:
+        """Respond to the calls that outlast the drain."""
+        self._gate.refuse_all()
+        with anyio.move_on_after(_LAST_REPLIES_TIME.total_seconds()):
+            # Refused calls reply before the others are interrupted.
+            await anyio.sleep(0)
+            stopped = ServerFailedError('The node stopped before the call did.')
+            self._ingress_listener.interrupt(stopped)
+            self._egress_listener.interrupt(stopped)
+            while self.calls_in_flight or self.bytes_unsent:
+                await anyio.sleep(_DRAIN_POLL_INTERVAL.total_seconds())
+
     async def _sweep(self) -> None:
         while True:
             await anyio.sleep(_SWEEP_INTERVAL.total_seconds())
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
@@ -7,6 +7,10 @@
 from bluebellslip._internal.calls.headers import Header
 from bluebellslip._internal.calls.reply import Reply
 from bluebellslip._internal.calls.streams import ReadBuffer
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    DeadlineExceededError,
+)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -15,8 +19,10 @@
 
     ``fields`` maps header names to values; of a repeated header it keeps only
     the last value. ``expired`` is set when the call times out,
-    ``connection_closed`` when its connection is closed before the reply is
-    complete, ``done`` when the node has finished processing the request.
+    ``interruption`` is the error to reply with when the serving task was
+    cancelled for one, ``connection_closed`` is set when its connection is
+    closed before the reply is complete, ``done`` when the node has finished
+    processing the request.
     """
 
     method: bytes
@@ -26,6 +32,7 @@
     body: ReadBuffer
     reply: Reply
     expired: bool = False
+    interruption: BluebellError | None = None
     connection_closed: bool = False
     done: bool = False
     _task: asyncio.Task[None] | None = None
@@ -52,6 +59,12 @@
         if self._task is not None:
             self._task.cancel()
 
+    def interrupt(self, error: BluebellError) -> None:
+        """Cancel the serving task and reply with an error."""
+        self.interruption = error
+        if self._task is not None:
+            self._task.cancel()
+
     def mark_done(self) -> None:
         """Mark the request as fully processed."""
         self.done = True
@@ -67,5 +80,9 @@
 
     def _expire(self) -> None:
         self.expired = True
-        if self._task is not None:
-            self._task.cancel()
+        self.interrupt(
+            DeadlineExceededError(
+                'The call has timed out.',
+                hint='Allow more time, or check the load of the server.',
+            )
+        )
--- a/tests/functional/test_calls_streams.py
+++ b/tests/functional/test_calls_streams.py
@@ -198,3 +198,39 @@
         response = await receiving
     caller.close()
     assert len(response.body) == sent
+
+
+@pytest.mark.anyio
+async def test_calls_that_outlast_the_drain_get_a_response() -> None:
+    """One call runs at the server, the other waits for its only slot."""
+
+    async def never_respond(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request: ReceivedRequest,
+    ) -> None:
+        await reader.read()
+
+    server = FakeServer(never_respond)
+    back = CallsNode('back')
+    back.set_backend('storefront', server.address, slots=1)
+    async with server.serving():
+        async with back.running():
+            running = await Caller.open(back.ingress)
+            running.writer.write(_GET)
+            while not server.received_requests:
+                await asyncio.sleep(0.005)
+            waiting = await Caller.open(back.ingress)
+            waiting.writer.write(_GET)
+            while back.plugin.calls_in_flight < 2:
+                await asyncio.sleep(0.005)
+            back.plugin.leave()
+            with anyio.move_on_after(0.05):
+                await back.plugin.drain()
+        refused = await waiting.receive()
+        assert refused.headers['bluebell-not-run'] == '1'
+        cut_off = await running.receive()
+        assert cut_off.headers['bluebell-error'] == 'server-failed'
+        assert 'bluebell-not-run' not in cut_off.headers
+    running.close()
+    waiting.close()
