Remember the departure of a server that the node does not know yet

What callers saw: a request reached a server 2.69 s after its node had acknowledged that the server leaves, where 2.5 s are allowed; five more like it.

Cause: the node had been stopped and started again 0.3 s before. The departure named a server that it had no heartbeat of yet, so it was acknowledged and forgotten. A heartbeat that had been sent before and arrived 2.6 s late then announced the server as ready.

test_late_heartbeat_does_not_restore_a_server_that_left_unknown fails without the change (the heartbeat is taken) and passes with it.

--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -83,6 +83,11 @@
         'A newer configuration could not be fetched from a peer.',
         ('peer', 'reason'),
     ),
+    'departure_recorded': Event(
+        'A server that the node does not know has left; its heartbeats from '
+        'before, in Unix milliseconds, will be ignored.',
+        ('server', 'left_at'),
+    ),
     'server_state': Event(
         'The local server changed its state or restarted.',
         _SERVER,
--- a/tests/unit/test_local_server.py
+++ b/tests/unit/test_local_server.py
@@ -77,6 +77,19 @@
     assert server.is_usable
 
 
+def test_late_heartbeat_does_not_restore_a_server_that_left_unknown() -> None:
+    """The node has started again between the heartbeats and the departure."""
+    clock = ManualClock()
+    server = make_server(clock)
+    server.apply_departure('i-1')
+    clock.advance(SECOND)
+    assert server.apply_heartbeat(make_heartbeat(5)) is MessageResult.STALE
+    assert not server.is_usable
+    born = int(clock.now().timestamp() * 1000)
+    server.apply_heartbeat(make_heartbeat(1, born=born))
+    assert server.is_usable
+
+
 def test_new_lifetime_under_the_same_id_is_usable() -> None:
     server = make_server()
     server.apply_heartbeat(make_heartbeat(9, state=ServerState.DRAINING))
