--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -42,7 +42,8 @@
 from bluebellslip._internal.nodes.update_dispatcher import UpdateDispatcher
 from bluebellslip._internal.proxy.attempts import RoutingContext
 from bluebellslip._internal.proxy.body_transfers import BodyTransferLimiter
-from bluebellslip._internal.proxy.egress import CallerHandler, CallerSettings
+from bluebellslip._internal.proxy.caller_settings import CallerSettings
+from bluebellslip._internal.proxy.egress import CallerHandler
 from bluebellslip._internal.proxy.forwarding import RequestForwarder
 from bluebellslip._internal.proxy.ingress import PeerHandler
 from bluebellslip._internal.proxy.peer_queries import PeerQueries
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/caller_settings.py
@@ -0,0 +1,26 @@
+"""Settings of the handler of callers' requests."""
+
+import dataclasses
+
+from bluebellslip._internal.calls.metadata_headers import MetadataHeaders
+from bluebellslip._internal.models.identity import ServiceName
+from bluebellslip._internal.models.mesh_settings import Bounds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerSettings:
+    """Settings of the handler of callers' requests.
+
+    Parameters
+    ----------
+    service
+        Service of the local server, sent to servers as the caller.
+    metadata_headers
+        Names of the headers that callers and servers use.
+    bounds
+        Limits of the deployment.
+    """
+
+    service: ServiceName
+    metadata_headers: MetadataHeaders
+    bounds: Bounds
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -12,19 +12,16 @@
 from bluebellslip._internal.calls.error_bodies import encode_error
 from bluebellslip._internal.calls.exchange import Upload
 from bluebellslip._internal.calls.headers import Header
-from bluebellslip._internal.calls.metadata_headers import MetadataHeaders
 from bluebellslip._internal.calls.request import InboundRequest
 from bluebellslip._internal.calls.usage import UsageCounter
 from bluebellslip._internal.exceptions import (
     BluebellError,
     DeadlineExceededError,
-    DrainingError,
     ErrorKind,
     MalformedError,
     NotFoundError,
     NotReadyError,
     OverloadedError,
-    ServerFailedError,
     TooLargeError,
 )
 from bluebellslip._internal.kernel.counters import Counters
@@ -35,8 +32,12 @@
 from bluebellslip._internal.models.mesh import RouteRule
 from bluebellslip._internal.models.mesh_settings import Bounds
 from bluebellslip._internal.proxy.attempts import Attempts, RoutingContext
+from bluebellslip._internal.proxy.caller_settings import CallerSettings
 from bluebellslip._internal.proxy.caller_waits import CallerWaitEstimator
-from bluebellslip._internal.proxy.request_deadlines import RequestDeadlines
+from bluebellslip._internal.proxy.request_deadlines import (
+    RequestDeadlines,
+    make_stop_error,
+)
 from bluebellslip._internal.proxy.responses import BufferedResponse
 from bluebellslip._internal.proxy.retry_budget import SharedRetryBudget
 from bluebellslip._internal.proxy.routed_request import (
@@ -78,25 +79,6 @@
 ))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerSettings:
-    """Settings of the handler of callers' requests.
-
-    Parameters
-    ----------
-    service
-        Service of the local server, sent to servers as the caller.
-    metadata_headers
-        Names of the headers that callers and servers use.
-    bounds
-        Limits of the deployment.
-    """
-
-    service: ServiceName
-    metadata_headers: MetadataHeaders
-    bounds: Bounds
-
-
 class CallerHandler:
     """Handles requests of clients and of the local server.
 
@@ -368,7 +350,7 @@
         self, routed: RoutedRequest, *, may_have_run: bool
     ) -> BluebellError:
         if self._deadlines.is_shortened(routed):
-            return _make_stop_error(may_have_run=may_have_run)
+            return make_stop_error(may_have_run=may_have_run)
         return DeadlineExceededError('The deadline of the request has passed.')
 
     def _record_cancellation(
@@ -378,7 +360,7 @@
             self._record_outcome(trace, 'caller-left')
             return
         self._record_outcome(
-            trace, 'cut-off', _make_stop_error(may_have_run=may_have_run)
+            trace, 'cut-off', make_stop_error(may_have_run=may_have_run)
         )
 
     def _record_outcome(
@@ -400,11 +382,6 @@
             logger.info('request_served', extra=trace.describe(outcome, spent))
 
 
-def _make_stop_error(*, may_have_run: bool) -> BluebellError:
-    kind = ServerFailedError if may_have_run else DrainingError
-    return kind('The node stopped before the request ended.')
-
-
 def _choose_status(error: BluebellError, *, may_have_run: bool) -> int:
     """Return the status of an error response that the node itself generates.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_deadlines.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_deadlines.py
@@ -9,6 +9,11 @@
 import datetime as dt
 from types import TracebackType
 
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    DrainingError,
+    ServerFailedError,
+)
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.proxy.routed_request import RoutedRequest
 
@@ -100,3 +105,9 @@
             return
         self._routed.deadline = latest
         self._timeout.reschedule(self._loop_deadline)
+
+
+def make_stop_error(*, may_have_run: bool) -> BluebellError:
+    """Return the error for a request that ends because the node stops."""
+    kind = ServerFailedError if may_have_run else DrainingError
+    return kind('The node stopped before the request ended.')
