Recover what the store loses when it comes back from an older copy

Cause: in a drill the store may come back from a copy some seconds old. It gives out versions again, so that a node went on from a feed position under which the store has other rows and missed a configuration; its registration and the end of a roll-out stayed lost; an order that was written again under another version counted as a new one, and a completed roll-out would run again; a condition on a version matched a row that another node had written.

Ruled out: resetting the known versions in each component, since a version alone doesn't tell from which copy it is, neither in a late response nor in a beacon.

Change: the adapter reads the era of each response in one place and combines it with each version to a revision, which rises in any case. A position of another era is answered as lost history, a condition of another era is not sent, a response from before a change counts as lost. A missing era means no change; an invalid or fallen one is logged. On a change a node registers again, spread over 5 s. An order of the same target and duration under a later era is the same roll-out, so that its state, findings and counts stay; the state is stored again if the store lacks it or has an earlier one. An order that was replaced and comes back with the copy is ignored, and one that the copy lacks is kept until it is written again.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/http_client.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/http_client.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import datetime as dt
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 from bluebellslip._internal.calls.framing import build_request_head
@@ -43,10 +43,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClientResponse:
-    """Status and complete body of a response."""
+    """Status and complete body of a response, and its headers by name."""
 
     status: int
     body: bytes
+    fields: Mapping[bytes, bytes] = dataclasses.field(default_factory=dict)
 
 
 async def send_request(
@@ -79,7 +80,9 @@
             response = await connection.response()
             connection.body.limit_to(_MAX_RESPONSE_BYTES)
             return ClientResponse(
-                response.status, await connection.body.read_all()
+                response.status,
+                await connection.body.read_all(),
+                response.fields,
             )
     finally:
         pool.release(address, connection)
--- a/packages/bluebellslip/src/bluebellslip/_internal/control/discovery.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/discovery.py
@@ -20,6 +20,9 @@
 STANDBY_POLL_INTERVAL: Final = dt.timedelta(seconds=120)
 # Without a live peer, the store is the only way to find other nodes.
 ISOLATED_POLL_INTERVAL: Final = dt.timedelta(seconds=2)
+# Over this time the nodes of a mesh register again after the store has lost
+# data: 1,500 nodes then write 300 rows a second.
+REGISTRATION_SPREAD: Final = dt.timedelta(seconds=5)
 _MIN_RETRY_BOUND: Final = dt.timedelta(milliseconds=200)
 _MAX_RETRY_BOUND: Final = dt.timedelta(seconds=1)
 
@@ -62,8 +65,14 @@
             random_source, _MIN_RETRY_BOUND, _MAX_RETRY_BOUND
         )
         self._is_registered = False
+        self._registers_again = asyncio.Event()
         self.has_read_nodes = False
 
+    def register_again(self) -> None:
+        """Register the node again soon, since the store may have lost it."""
+        self._is_registered = False
+        self._registers_again.set()
+
     async def run(self) -> None:
         """Register the node, then poll for other nodes until cancelled.
 
@@ -78,8 +87,19 @@
                 await asyncio.sleep(self._jitter.next_wait().total_seconds())
                 continue
             self._jitter.reset()
-            pause = jitter(self._poll_interval(), self._random)
-            await asyncio.sleep(pause.total_seconds())
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait for the next poll, or for the turn to register again."""
+        pause = jitter(self._poll_interval(), self._random)
+        try:
+            async with asyncio.timeout(pause.total_seconds()):
+                await self._registers_again.wait()
+        except TimeoutError:
+            return
+        self._registers_again.clear()
+        spread = REGISTRATION_SPREAD * self._random.random()
+        await asyncio.sleep(spread.total_seconds())
 
     def _poll_interval(self) -> dt.timedelta:
         if self._has_no_live_peers():
@@ -92,7 +112,15 @@
 
     async def _poll(self) -> None:
         if not self._is_registered:
-            await self._store.register_node(self._registration)
+            # A restore during the call sets the flag back.
             self._is_registered = True
+            await self._register()
         self._on_nodes_read(await self._store.read_nodes())
         self.has_read_nodes = True
+
+    async def _register(self) -> None:
+        try:
+            await self._store.register_node(self._registration)
+        except BluebellError:
+            self._is_registered = False
+            raise
--- a/packages/bluebellslip/src/bluebellslip/_internal/control/ports.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/ports.py
@@ -1,12 +1,16 @@
 """Interface to the platform's store, implemented by a platform's adapter.
 
-Every method raises ``PlatformDownError`` when the call failed without effect,
+Revisions and positions are those of ``models/store_revisions.py``: they rise
+even when the store comes back from an older copy of its data.
+
+Every call raises ``PlatformDownError`` when the call failed without effect,
 ``PlatformOutcomeUnknownError`` when a failed write may have taken effect, and
 ``PlatformGarbledError`` when the response is invalid.
 """
 
 import dataclasses
 import datetime as dt
+from collections.abc import Callable
 from typing import Protocol
 
 from bluebellslip._internal.exceptions import BluebellError
@@ -97,6 +101,13 @@
 class ControlStore(Protocol):
     """The part of the platform's store that nodes use."""
 
+    def on_restore(self, listener: Callable[[int], None]) -> None:
+        """Call a listener when the store came back from an older copy.
+
+        The listener receives the era that begins with it. What this node
+        wrote since the copy was made is gone.
+        """
+
     async def read_desired_state(self) -> DesiredStateUpdate:
         """Return the complete desired state."""
 
@@ -118,7 +129,8 @@
         Raises
         ------
         HistoryLostError
-            When the store no longer knows all changes since the position.
+            When the store no longer knows all changes since the position, or
+            the position is from an earlier era.
         """
 
     async def read_statuses(self) -> tuple[RolloutStatus, ...]:
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -248,20 +248,23 @@
             update_dispatcher.apply_desired_state,
         )
         update_dispatcher.attach_watcher(watcher)
+        discovery = PeerDiscovery(
+            adapter.store,
+            NodeRegistration(
+                NodeId(settings.node),
+                Address.from_text(settings.listen.beacons),
+                settings.failure_domain,
+            ),
+            random,
+            state.beacon_protocol.add_registered,
+            state.peer_table.has_no_live_peers,
+            lambda: state.watcher_selection.should_watch_store,
+        )
+        adapter.store.on_restore(state.rollout_tracker.apply_restore)
+        adapter.store.on_restore(lambda _: discovery.register_again())
         return cls(
             watcher=watcher,
-            discovery=PeerDiscovery(
-                adapter.store,
-                NodeRegistration(
-                    NodeId(settings.node),
-                    Address.from_text(settings.listen.beacons),
-                    settings.failure_domain,
-                ),
-                random,
-                state.beacon_protocol.add_registered,
-                state.peer_table.has_no_live_peers,
-                lambda: state.watcher_selection.should_watch_store,
-            ),
+            discovery=discovery,
             coordinator=RolloutCoordinator(
                 environment.clock,
                 state.rollout_tracker,
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/update_dispatcher.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/update_dispatcher.py
@@ -12,6 +12,7 @@
 from bluebellslip._internal.mesh.holder import ConfigHolder
 from bluebellslip._internal.mesh.table import RoutingTable
 from bluebellslip._internal.models.identity import ServiceName
+from bluebellslip._internal.models.store_revisions import get_era
 from bluebellslip._internal.rollouts.tracker import Rollout, RolloutTracker
 
 # How long peers may have a newer configuration than this node before its
@@ -68,6 +69,8 @@
         config = update.config
         has_changes = config is not None and self._holder.offer(config, 'store')
         for order in update.rollouts:
+            if self._rollout_tracker.is_outdated(order):
+                continue
             tracked = self._rollout_tracker.find(order.service)
             if tracked is None or tracked.order.revision < order.revision:
                 has_changes = True
@@ -84,13 +87,15 @@
     ) -> tuple[ServiceName, ...]:
         if not update.is_snapshot:
             return update.withdrawn
-        # Orders newer than the snapshot, reported by peers, are kept.
+        # Orders newer than the snapshot, reported by peers, are kept, and so
+        # are those that the store lost; the operators write them again.
         ordered_services = {order.service for order in update.rollouts}
         return tuple(
             rollout.order.service
             for rollout in self._rollout_tracker.rollouts
             if rollout.order.service not in ordered_services
             and rollout.order.revision <= update.position
+            and get_era(rollout.order.revision) == get_era(update.position)
         )
 
     def apply_beacon(self, beacon: Beacon) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/coordinator.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/coordinator.py
@@ -92,6 +92,9 @@
         self._tracker.mark_statuses_known()
 
     async def _reconcile(self, rollout: Rollout) -> None:
+        if not self._tracker.is_order_current(rollout):
+            # The store has lost the order; the operators write it again.
+            return
         if not rollout.is_status_known:
             await self.read_statuses()
             self._on_status_change()
@@ -117,13 +120,15 @@
 
     def _find_next_state(self, rollout: Rollout) -> RolloutState | None:
         """Return the state to write next, or none."""
+        stored = rollout.stored_state
         if not rollout.is_running:
-            return None
+            # A store that came back from an older copy may lack the end.
+            is_end_stored = stored is not None and stored.is_final
+            return None if is_end_stored else rollout.state
         state = _FINAL_STATES.get(self._tracker.decide(rollout))
         if state is not None:
             return state
-        is_recorded = rollout.status_revision > rollout.order.revision
-        return None if is_recorded else RolloutState.RUNNING
+        return RolloutState.RUNNING if stored is None else None
 
     def _may_write(self, rollout: Rollout, state: RolloutState) -> bool:
         now = self._clock.elapsed()
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/tracker.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/tracker.py
@@ -19,10 +19,15 @@
     RolloutState,
     RolloutStatus,
 )
+from bluebellslip._internal.models.store_revisions import get_era
 from bluebellslip._internal.rollouts.canary_analysis import (
     Finding,
     detect_bad_version,
 )
+from bluebellslip._internal.rollouts.order_history import (
+    OrderHistory,
+    is_stored_again,
+)
 from bluebellslip._internal.rollouts.outcome_counts import (
     CountSource,
     RolloutOutcomeCounts,
@@ -55,6 +60,9 @@
         The latest known state.
     status_revision
         Revision of the stored status; 0 if none is known.
+    stored_state
+        The state that the store has for this order, as far as is known; none
+        if it has none.
     is_status_known
         Whether the stored status was read, by this node or by a peer.
     is_bad
@@ -72,6 +80,7 @@
     ordered_at: dt.timedelta
     state: RolloutState = RolloutState.RUNNING
     status_revision: int = 0
+    stored_state: RolloutState | None = None
     is_status_known: bool = False
     is_bad: bool = False
     counts: RolloutOutcomeCounts = dataclasses.field(
@@ -92,6 +101,16 @@
             return False
         return self.is_bad or self.state is RolloutState.ROLLED_BACK
 
+    def renew_order(self, order: RolloutOrder) -> None:
+        """Replace the order by the same one under a revision of a later era.
+
+        What is known of the roll-out stays; what the store has is unknown.
+        """
+        self.order = order
+        self.status_revision = 0
+        self.stored_state = None
+        self.is_status_known = False
+
 
 class RolloutTracker:
     """Tracks the roll-outs of all services.
@@ -127,6 +146,8 @@
         self._rollouts: dict[ServiceName, Rollout] = {}
         self._listeners: list[Callable[[Rollout], None]] = []
         self._withdrawn: dict[str, int] = {}
+        self._store_era = 0
+        self._history = OrderHistory()
         # Whether this node, or a peer that reports to it, has read all orders.
         self.is_loaded = False
 
@@ -174,26 +195,48 @@
             if current.order.revision == order.revision:
                 current.ordered_at = min(current.ordered_at, now - age)
             return current
+        if current is not None and is_stored_again(current.order, order):
+            current.renew_order(order)
+            return current
+        if current is not None:
+            self._history.add(current.order)
         rollout = Rollout(order, now - age)
         self._rollouts[order.service] = rollout
         logger.info('rollout_ordered', extra=build_log_fields(rollout))
         return rollout
 
+    def is_outdated(self, order: RolloutOrder) -> bool:
+        """Return whether an order was replaced before the store lost data."""
+        return self._history.has_restored(order)
+
     def withdraw(self, service: ServiceName) -> None:
         """Remove a deleted order, and ignore it in beacons from now on."""
         rollout = self._rollouts.pop(service, None)
         if rollout is not None:
             self._withdrawn[service] = rollout.order.revision
+            self._history.add(rollout.order)
             logger.info('rollout_withdrawn', extra={'service': service})
 
+    def apply_restore(self, era: int) -> None:
+        """Note that the store came back from an older copy."""
+        self._store_era = era
+
+    def is_order_current(self, rollout: Rollout) -> bool:
+        """Return whether the order was read since the store last came back."""
+        return get_era(rollout.order.revision) >= self._store_era
+
     def apply_status(self, status: RolloutStatus) -> None:
         """Apply a status read from the store."""
         rollout = self._rollouts.get(status.service)
         if rollout is None or status.revision <= rollout.status_revision:
             return
+        # Across eras, revisions do not tell whose status it is.
+        if get_era(status.revision) > get_era(rollout.order.revision):
+            return
         rollout.status_revision = status.revision
         # A status older than the order belongs to an earlier order.
         if status.revision > rollout.order.revision:
+            rollout.stored_state = status.state
             self._apply_state(rollout, status.state)
 
     def mark_statuses_known(self) -> None:
@@ -263,23 +306,27 @@
     def _apply_reported_rollout(
         self, beacon: Beacon, reported: RolloutBeacon
     ) -> None:
-        rollout = self.add_order(
-            RolloutOrder(
-                ServiceName(reported.service),
-                VersionName(reported.target),
-                reported.duration_ms * _MILLISECOND,
-                reported.revision,
-            ),
-            reported.age_ms * _MILLISECOND,
+        order = RolloutOrder(
+            ServiceName(reported.service),
+            VersionName(reported.target),
+            reported.duration_ms * _MILLISECOND,
+            reported.revision,
         )
+        if self.is_outdated(order):
+            return
+        rollout = self.add_order(order, reported.age_ms * _MILLISECOND)
         if rollout.order.revision != reported.revision:
             return
-        rollout.is_status_known = (
-            rollout.is_status_known or reported.is_status_known
-        )
-        if reported.status_revision > rollout.status_revision:
+        rollout.is_status_known |= reported.is_status_known
+        state = _STATES[reported.state]
+        is_newer = reported.status_revision > rollout.status_revision
+        if is_newer:
             rollout.status_revision = reported.status_revision
-            self._apply_state(rollout, _STATES[reported.state])
+            if reported.status_revision > reported.revision:
+                rollout.stored_state = state
+        # A store that lost data may have an older status than the peer knows.
+        if is_newer or state.is_final:
+            self._apply_state(rollout, state)
         if reported.is_bad:
             self._mark_bad(rollout, 'peer', None)
         if reported.routes:
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -62,6 +62,14 @@
         'again in full.',
         ('at',),
     ),
+    'store_restored': Event(
+        'The store came back from an older copy; its later data are lost.',
+        ('era', 'earlier'),
+    ),
+    'store_era_ignored': Event(
+        'The store reported an era that is invalid or fell.',
+        ('found', 'era'),
+    ),
     'entry_failed': Event(
         'The node could not register itself or read the other nodes.',
         ('reason',),
--- a/tests/lib/simulated_platform.py
+++ b/tests/lib/simulated_platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import contextlib
+import dataclasses
 import json
 from collections.abc import AsyncGenerator, Awaitable, Callable, Sequence
 from random import Random
@@ -35,13 +36,22 @@
 JsonObject = dict[str, Any]
 
 
+@dataclasses.dataclass(frozen=True)
+class StoreCopy:
+    """The rows of a store at one of its versions."""
+
+    version: int
+    rows: dict[tuple[str, str], tuple[int, str | None]]
+
+
 class SimulatedStore:
     """Serves rows over HTTP; ``mode`` makes it fail.
 
     ``mode`` is one of ``up``, ``refusing`` (503), ``silent`` (no response
     for 60 s) and ``losing`` (writes take effect, but the connection is closed
     without a response). A ``rows-feed`` request whose ``after`` is less than
-    ``oldest_version`` gets a 410.
+    ``oldest_version``, or more than the newest version, gets a 410.
+    ``era`` is sent with every response, unless it is None.
     """
 
     def __init__(self) -> None:
@@ -52,6 +62,8 @@
         self._version = 0
         self._changed = asyncio.Event()
         self.oldest_version = 0
+        self.era: int | None = 1
+        self.written_states: list[str] = []
 
     @contextlib.asynccontextmanager
     async def serving(self) -> AsyncGenerator['SimulatedStore', None]:
@@ -75,11 +87,28 @@
         found: JsonObject = json.loads(base64.b64decode(row[1]))
         return found
 
+    def copy(self) -> 'StoreCopy':
+        return StoreCopy(self._version, dict(self._rows))
+
+    def restore(self, copy: 'StoreCopy') -> None:
+        """Come back from an older copy; what was written since is lost."""
+        self._version = copy.version
+        self._rows = dict(copy.rows)
+        self.era = (self.era or 0) + 1
+        self._notify()
+
+    @property
+    def version(self) -> int:
+        return self._version
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _write(self, table: str, key: str, text: str | None) -> int:
         self._version += 1
         self._rows[table, key] = (self._version, text)
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._notify()
         return self._version
 
     async def _serve(
@@ -100,12 +129,17 @@
                     break
                 text = json.dumps(response).encode()
                 writer.write(
-                    b'HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n%b'
-                    % (status, len(text), text)
+                    b'HTTP/1.1 %d X\r\n%bcontent-length: %d\r\n\r\n%b'
+                    % (status, self._encode_era(), len(text), text)
                 )
                 await writer.drain()
         writer.close()
 
+    def _encode_era(self) -> bytes:
+        if self.era is None:
+            return b''
+        return b'Store-Era: %d\r\n' % self.era
+
     async def _respond(
         self, target: str, body: bytes
     ) -> tuple[int, JsonObject]:
@@ -125,12 +159,17 @@
         if name == 'rows-get':
             return 200, self._list_rows(query['table'], 0)
         after = int(query['after'])
-        if after < self.oldest_version:
+        if not self.oldest_version <= after <= self._version:
             return 410, {'error': 'gone'}
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query['wait_ms']) / 1000):
-                while not self._list_rows(query['table'], after)['rows']:
+                while (
+                    after <= self._version
+                    and not self._list_rows(query['table'], after)['rows']
+                ):
                     await self._changed.wait()
+        if after > self._version:
+            return 410, {'error': 'gone'}
         return 200, self._list_rows(query['table'], after)
 
     def _transact(self, body: JsonObject) -> tuple[int, JsonObject]:
@@ -143,6 +182,9 @@
                 return 412, {'rows': rows, 'ver': self._version}
         for row in body['upserts']:
             self._write(row['table'], row['key'], row['value'])
+            if row['table'] == 'status':
+                status = json.loads(base64.b64decode(row['value']))
+                self.written_states.append(status['state'])
         for row_key in body['remove']:
             self._write(row_key['table'], row_key['key'], None)
         return 200, {'ver': self._version, 'now_s': 1.5}
