--- a/packages/bluebellslip/src/bluebellslip/_internal/control/discovery.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/discovery.py
@@ -65,14 +65,32 @@
             random_source, _MIN_RETRY_BOUND, _MAX_RETRY_BOUND
         )
         self._is_registered = False
+        self._era = 0
         self._registers_again = asyncio.Event()
         self.has_read_nodes = False
 
-    def register_again(self) -> None:
-        """Register the node again soon, since the store may have lost it."""
+    def apply_restore(self, era: int) -> None:
+        """Register the node again soon, since the store may have lost it.
+
+        Parameters
+        ----------
+        era
+            The store's era that began with the restore.
+        """
+        if era <= self._era:
+            return
+        self._era = era
         self._is_registered = False
         self._registers_again.set()
 
+    def apply_peer_era(self, era: int) -> None:
+        """Register again if a peer's beacon has a later era of the store.
+
+        A node that knows no era yet learns the latest when it registers.
+        """
+        if 0 < self._store.era < era:
+            self.apply_restore(era)
+
     async def run(self) -> None:
         """Register the node, then poll for other nodes until cancelled.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/control/ports.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/ports.py
@@ -101,6 +101,10 @@
 class ControlStore(Protocol):
     """The part of the platform's store that nodes use."""
 
+    @property
+    def era(self) -> int:
+        """Rises when the store comes back from an older copy; 0 if unknown."""
+
     def on_restore(self, listener: Callable[[int], None]) -> None:
         """Call a listener when the store came back from an older copy.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
@@ -45,6 +45,7 @@
         self.state = NodeState.SERVING
         self.read_revision: Callable[[], int] = int
         self.can_reach_store: Callable[[], bool] = bool
+        self.read_store_era: Callable[[], int] = int
         self.read_server: Callable[[], ServerBeacon | None] = lambda: None
         self.read_rollouts: Callable[[], tuple[RolloutBeacon, ...]] = tuple
 
@@ -241,4 +242,5 @@
             can_reach_store=source.can_reach_store(),
             server=source.read_server(),
             rollouts=source.read_rollouts(),
+            store_era=source.read_store_era(),
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
@@ -103,7 +103,8 @@
     and beacons on ``beacons_address``. ``revision`` is that of its active
     configuration, 0 before the first. ``wants_reply`` is set when the node has
     just discovered the recipient, ``can_reach_store`` when its latest request
-    to the store for the desired state succeeded.
+    to the store for the desired state succeeded. ``store_era`` is the latest
+    era of the store that the node knows, 0 if none.
     """
 
     node: str
@@ -120,6 +121,7 @@
     can_reach_store: bool = False
     server: ServerBeacon | None = None
     rollouts: tuple[RolloutBeacon, ...] = ()
+    store_era: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -261,7 +261,14 @@
             lambda: state.watcher_selection.should_watch_store,
         )
         adapter.store.on_restore(state.rollout_tracker.apply_restore)
-        adapter.store.on_restore(lambda _: discovery.register_again())
+        adapter.store.on_restore(discovery.apply_restore)
+        adapter.store.on_restore(
+            lambda era: state.beacon_protocol.request_broadcast()
+        )
+        state.beacon_source.read_store_era = lambda: adapter.store.era
+        state.beacon_protocol.on_beacon(
+            lambda beacon: discovery.apply_peer_era(beacon.store_era)
+        )
         return cls(
             watcher=watcher,
             discovery=discovery,
--- a/tests/functional/test_platform_restore.py
+++ b/tests/functional/test_platform_restore.py
@@ -72,6 +72,12 @@
     return store.read('bluebell-nodes', node.name) is not None
 
 
+async def are_registered(
+    store: SimulatedStore, nodes: list[PlatformNode]
+) -> bool:
+    return all([await is_registered(store, node) for node in nodes])
+
+
 def write_to_version(store: SimulatedStore, version: int) -> None:
     while store.version < version:
         store.put('servers', 'other', {})
@@ -124,6 +130,20 @@
         await wait_until(lambda: is_registered(store, node))
 
 
+async def test_node_on_standby_registers_again_by_a_beacon() -> None:
+    """Two nodes of a failure domain watch the store, the third does not."""
+    store = SimulatedStore()
+    write_config(store, 1, '/a/')
+    nodes = [make_node(store, number) for number in range(3)]
+    copy = store.copy()
+    async with run_nodes(store, nodes):
+        # A node that starts polls the store more often for up to 3 s.
+        await asyncio.sleep(4)
+        store.restore(copy)
+        await wait_until(lambda: are_registered(store, nodes))
+    assert store.requested_names.count('rows-tx') == 2 * len(nodes)
+
+
 async def complete_rollout(store: SimulatedStore, node: PlatformNode) -> None:
     for number in range(60):
         await node.call('/a/1', f'id{number}')
