Answer the requests that an incomplete or invalid one follows

What callers saw: a connection closed without a response while servers ran the requests on it, when more than eight were pipelined and the head of a further one was cut between two reads, or when invalid input followed.

Invalid input did the same.

Change: the time of a head does not run while the node has paused reading, and input that is refused behind running requests only ends the reading; the connection is closed after their responses.

test_partial_head_behind_pipelined_requests_does_not_abort_them and test_invalid_input_behind_a_request_leaves_its_response: 0 bytes read without the change, all responses with it.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -86,6 +86,7 @@
         self._in_progress: deque[InboundRequest] = deque()
         self._waiting: deque[InboundRequest] = deque()
         self._ignores_input = False
+        self._closes_after_replies = False
         self._paused = False
 
     @property
@@ -146,6 +147,10 @@
         now
             Loop time in seconds.
         """
+        if self._paused:
+            # The rest of the head can't arrive before reading resumes.
+            self._reader.restart_head_timer(now)
+            return
         limit = self._state.limits.head_timeout
         started = self._reader.head_started_at
         if limit is None or started is None or self._ignores_input:
@@ -249,7 +254,8 @@
             if not self._in_progress:
                 waiting.reply.writer.release()
             self._start_request(waiting)
-        if self._state.shutting_down and not self._in_progress:
+        closes = self._closes_after_replies or self._state.shutting_down
+        if closes and not self._in_progress:
             self._close()
         elif self._paused and not self._waiting:
             self._paused = False
@@ -279,7 +285,7 @@
             return
         self._counters.add('calls_refused', kind=error.kind.value)
         if self._in_progress:
-            self.transport.abort()
+            self._closes_after_replies = True
             return
         writer = ReplyWriter(self.transport, self._write_gate)
         Reply(writer, self._state).refuse(error)
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
@@ -78,6 +78,11 @@
         """Loop time in seconds at which an incomplete head began, or None."""
         return self._head_started_at
 
+    def restart_head_timer(self, now: float) -> None:
+        """Let the time of an incomplete head begin at a loop time."""
+        if self._head_started_at is not None:
+            self._head_started_at = now
+
     def feed(self, chunk: bytes) -> None:
         """Parse input.
 
--- a/tests/functional/test_platform_calls.py
+++ b/tests/functional/test_platform_calls.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import copy
 import json
 from collections.abc import AsyncGenerator
 
@@ -16,6 +17,7 @@
 
 from bluebellslip._internal.exceptions import BluebellError, ErrorKind
 from bluebellslip._internal.models.identity import Address
+from bluebellslip._internal.nodes.listeners import MAX_PIPELINED_REQUESTS
 from bluebellslip._internal.proxy.egress import _choose_status
 from lib.calls import Caller, ReceivedRequest, RequestHandler
 from lib.simulated_platform import (
@@ -49,6 +51,10 @@
 )
 
 
+async def has_revision(node: PlatformNode, revision: int) -> bool:
+    return node.node._state.holder.revision == revision
+
+
 @contextlib.asynccontextmanager
 async def mesh(
     *handlers: RequestHandler, slots: int = 4
@@ -436,6 +442,43 @@
     assert received <= 10
 
 
+async def test_partial_head_behind_pipelined_requests_does_not_abort_them() -> (
+    None
+):
+    """The node itself pauses reading, so the rest of the head can't arrive."""
+    config = copy.deepcopy(_CONFIG)
+    config['limits']['header_timeout_s'] = 0.2
+    responder = respond_signed(b'hello', delay=1.5)
+    async with mesh(responder, slots=12) as (store, front, _):
+        store.put('op', 'config', config | {'version': 4})
+        await wait_until(lambda: has_revision(front, 4))
+        caller = await front.open_caller()
+        for number in range(MAX_PIPELINED_REQUESTS + 1):
+            caller.writer.write(
+                b'GET /long/1 HTTP/1.1\r\nhost: shop.example\r\n'
+                b'x-request-id: p%d\r\n\r\n' % number
+            )
+        caller.writer.write(b'GET /long/1 HTTP/1.1\r\nhost: shop')
+        for number in range(MAX_PIPELINED_REQUESTS + 1):
+            response = await caller.receive()
+            assert response.status == 200
+            assert response.headers['x-request-id'] == f'p{number}'
+        caller.close()
+
+
+async def test_invalid_input_behind_a_request_leaves_its_response() -> None:
+    async with mesh(respond_signed(b'hello', delay=0.5)) as (_, front, _):
+        caller = await front.open_caller()
+        caller.writer.write(
+            b'GET /read/1 HTTP/1.1\r\nhost: shop.example\r\n'
+            b'x-request-id: r1\r\n\r\nno request at all\r\n\r\n'
+        )
+        response = await caller.receive()
+        assert (response.status, response.body) == (200, b'hello')
+        assert await caller.reader.read() == b''
+        caller.close()
+
+
 @pytest.mark.parametrize('kind', list(ErrorKind))
 def test_not_run_statuses_are_used_only_if_nothing_may_have_run(
     kind: ErrorKind,
