Keep servers out of the cutoff of a stopping node

What callers saw: 502 for requests that servers would have answered, and then fewer requests at these servers; in a roll-out the same would have counted as evidence against a version.

Cause: the shortened deadline of a stopping node went on to servers.

Change: a request now has a cutoff beside its deadline. The node ends it, and queues and servers are chosen, by the cutoff; nodes tell it to each other.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
@@ -172,7 +172,7 @@
             untried=len(self._list_untried()),
             servers_reached=len(self._reached),
             max_servers=self._max_servers,
-            time_left=routed.deadline - self._context.clock.elapsed(),
+            time_left=routed.cutoff - self._context.clock.elapsed(),
             mean_hold_time=compute_mean_hold_time(endpoints, routed.route),
         )
 
@@ -235,7 +235,7 @@
             route=route,
             kilobytes=size / _KILOBYTE,
             time_to_objective=self._routed.objective - now,
-            time_to_deadline=self._routed.deadline - now,
+            time_to_deadline=self._routed.cutoff - now,
         )
 
     async def _attempt(self, choice: ServerChoice) -> AttemptResult:
@@ -244,7 +244,7 @@
         options = AttemptOptions(
             endpoint.lifetime, choice.max_wait, self._for_target
         )
-        time_left = self._routed.deadline - clock.elapsed()
+        time_left = self._routed.cutoff - clock.elapsed()
         trace = AttemptTrace.from_endpoint(
             endpoint, min(choice.max_wait, time_left), clock.elapsed()
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -224,6 +224,7 @@
             runs=rule.runs,
             priority=rule.priority,
             deadline=deadline,
+            cutoff=deadline,
             objective=objective,
             caller=self._settings.service,
             depth=depth,
@@ -277,7 +278,8 @@
             self._count_outgoing(routed, failed=False)
             self._send_response(routed, response, trace)
             return
-        self._count_outgoing(routed, failed=True)
+        if not self._deadlines.is_shortened(routed):
+            self._count_outgoing(routed, failed=True)
         self._send_error(
             routed.request, error, trace, may_have_run=attempts.may_have_run
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_deadlines.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_deadlines.py
@@ -1,8 +1,9 @@
 """Deadlines of the callers' requests in flight.
 
 Handles the stop of a node: a request that waits for capacity may have a later
-deadline than the node itself. The stop shortens the deadlines of all requests,
-so that each of them still gets a response.
+deadline than the node itself. The stop sets an earlier cutoff for all requests,
+so that each of them still gets a response. Servers keep the deadlines of the
+callers: what they stop at the cutoff would count as their failures.
 """
 
 import asyncio
@@ -19,7 +20,7 @@
 
 
 class RequestDeadlines:
-    """Enforces the deadlines of requests, and shortens them at the stop.
+    """Enforces the cutoffs of requests: their deadlines, or the node's stop.
 
     Parameters
     ----------
@@ -46,19 +47,19 @@
 
     def is_shortened(self, routed: RoutedRequest) -> bool:
         """Return whether a request ends early because the node stops."""
-        return routed.deadline == self._latest
+        return routed.cutoff == self._latest
 
     def enforce(self, routed: RoutedRequest) -> 'EnforcedDeadline':
-        """Return a context manager that ends at the request's deadline.
+        """Return a context manager that ends at the request's cutoff.
 
         It raises ``TimeoutError``.
         """
-        routed.deadline = min(routed.deadline, self._latest)
+        routed.cutoff = min(routed.cutoff, self._latest)
         return EnforcedDeadline(routed, self._clock, self._enforced)
 
 
 class EnforcedDeadline:
-    """Context manager that raises ``TimeoutError`` at a request's deadline.
+    """Context manager that raises ``TimeoutError`` at a request's cutoff.
 
     Parameters
     ----------
@@ -83,7 +84,7 @@
 
     @property
     def _loop_deadline(self) -> float:
-        time_left = self._routed.deadline - self._clock.elapsed()
+        time_left = self._routed.cutoff - self._clock.elapsed()
         return asyncio.get_running_loop().time() + time_left.total_seconds()
 
     async def __aenter__(self) -> None:
@@ -100,10 +101,10 @@
         await self._timeout.__aexit__(kind, error, trace)
 
     def shorten(self, latest: dt.timedelta) -> None:
-        """Move the request's deadline forward, unless it ends before."""
-        if self._timeout.expired() or self._routed.deadline <= latest:
+        """End the request earlier, unless it ends before."""
+        if self._timeout.expired() or self._routed.cutoff <= latest:
             return
-        self._routed.deadline = latest
+        self._routed.cutoff = latest
         self._timeout.reschedule(self._loop_deadline)
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
@@ -64,7 +64,10 @@
     priority
         Priority under load; smaller values go first.
     deadline
-        Time on this node's clock at which it is abandoned.
+        Time on this node's clock at which its caller abandons it.
+    cutoff
+        Time on this node's clock at which it ends, not after the deadline; it
+        is earlier if the node that got it from its caller stops before.
     objective
         Time on this node's clock until which its response has its full value.
     caller
@@ -81,6 +84,7 @@
     runs: ExecutionSemantics
     priority: int
     deadline: dt.timedelta
+    cutoff: dt.timedelta
     objective: dt.timedelta
     caller: str
     depth: int = 0
@@ -114,6 +118,7 @@
     """Header with the routing data of a request.
 
     Times are in milliseconds; ``born`` is the Unix time of the server's start.
+    Without ``cutoff_left`` the request ends at its deadline.
     """
 
     service: str
@@ -128,6 +133,7 @@
     max_wait: float
     for_target: bool
     depth: int
+    cutoff_left: float | None = None
 
 
 _encoder = msgspec.json.Encoder()
@@ -139,6 +145,7 @@
 ) -> bytes:
     """Return the value of the routing header of a request to another node."""
     time_left = routed.deadline - now
+    cutoff_left = routed.cutoff - now
     return _encoder.encode(
         _RoutingHeader(
             service=routed.service,
@@ -150,9 +157,10 @@
             caller=routed.caller,
             born=options.lifetime.born,
             server=options.lifetime.server,
-            max_wait=min(options.max_wait, time_left) / _MILLISECOND,
+            max_wait=min(options.max_wait, cutoff_left) / _MILLISECOND,
             for_target=options.for_target,
             depth=routed.depth,
+            cutoff_left=cutoff_left / _MILLISECOND,
         )
     )
 
@@ -179,6 +187,11 @@
             When the routing header is missing or malformed.
         """
         header = _read_header(request.fields)
+        cutoff_left = (
+            header.time_left
+            if header.cutoff_left is None
+            else header.cutoff_left
+        )
         routed = RoutedRequest(
             request=request,
             upload=Upload(request, MAX_REPLAY_BYTES),
@@ -190,6 +203,7 @@
             else ExecutionSemantics.ONCE,
             priority=header.priority,
             deadline=now + header.time_left * _MILLISECOND,
+            cutoff=now + cutoff_left * _MILLISECOND,
             objective=now + header.objective_left * _MILLISECOND,
             caller=header.caller,
             depth=header.depth,
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -377,7 +377,7 @@
         return Ticket(
             priority=routed.priority,
             depth=routed.depth,
-            deadline=routed.deadline,
+            deadline=routed.cutoff,
             objective=routed.objective,
             max_wait=self._options.max_wait,
         )
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -13,11 +13,18 @@
 import pytest
 
 from bluebellslip._internal.models.identity import Address, ServiceName
+from bluebellslip._internal.nodes.mesh_node import CALLER_ACCEPT_TIME
 from bluebellslip._internal.proxy.body_transfers import BodyTransferLimiter
-from lib.calls import Caller, ReceivedResponse
+from lib.calls import (
+    Caller,
+    ReceivedRequest,
+    ReceivedResponse,
+    RequestHandler,
+)
 from lib.simulated_platform import (
     PlatformNode,
     SimulatedStore,
+    encode_signed_response,
     make_document_json,
     make_route_json,
     respond_signed,
@@ -49,14 +56,14 @@
 
 
 @contextlib.asynccontextmanager
-async def mesh() -> AsyncGenerator[
-    tuple[PlatformNode, SimulatedStore, PlatformNode], None
-]:
+async def mesh(
+    handler: RequestHandler | None = None,
+) -> AsyncGenerator[tuple[PlatformNode, SimulatedStore, PlatformNode], None]:
     """Run a calling node, and a node beside a server for uploads."""
     store = SimulatedStore()
     store.put('op', 'config', _CONFIG)
     front = PlatformNode('front', 'store', store, respond_signed(b'store'))
-    back = PlatformNode('back', 'art', store, respond_signed(b'art'))
+    back = PlatformNode('back', 'art', store, handler or respond_signed(b'art'))
     async with run_nodes(store, [front, back]):
         yield front, store, back
 
@@ -90,6 +97,14 @@
     return len(peer_table.endpoints(ServiceName('art'))) == count
 
 
+async def is_idle(node: PlatformNode) -> bool:
+    return not node.node._data_plane.peers.in_flight.count
+
+
+async def is_receiving(node: PlatformNode) -> bool:
+    return _get_limiter(node).in_transit > 0
+
+
 async def stop(node: PlatformNode) -> None:
     """Let a node stop as after SIGTERM, to the end of its grace period."""
     node.heartbeats_stopped = True
@@ -154,6 +169,28 @@
     assert not back.server.received_requests
 
 
+async def test_cutoff_of_a_stopping_node_is_no_failure_of_the_server() -> None:
+    """The server honours the deadline it is told, and responds after it."""
+
+    async def outlast(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request: ReceivedRequest,
+    ) -> None:
+        deadline_s = int(request.headers['x-deadline-ms']) / 1000
+        await asyncio.sleep(min(deadline_s, _GRACE_S + 1))
+        writer.write(encode_signed_response(request, b'late', 504))
+
+    async with mesh(outlast) as (front, _, back):
+        stopping = asyncio.create_task(stop(front))
+        await asyncio.sleep(0.5)
+        response = await upload(front)
+        assert response.status == 502
+        await stopping
+        await wait_until(lambda: is_idle(back))
+        assert back.node._data_plane.gateway.failure_rate == 0
+
+
 async def test_request_read_after_the_listener_is_shut_down_is_refused() -> (
     None
 ):
