Say so when a request has not run anywhere

What callers saw: 502 for an upload whose node beside the server was lost while it waited there, if no other server was left; a caller must not repeat it then.

Cause: the status was chosen by the kind of error, and only a passed deadline was turned into 503 when nothing could have run.

Change: the loss of a server or of its node is treated the same, with Retry-After. That nothing has run is known since a body counts as delivered only once it has arrived.

test_request_that_has_not_run_anywhere_gets_503: 502 without the change.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -68,6 +68,11 @@
 _JSON: Final = (b'content-type', b'application/json')
 # Statuses that assure a caller that its request did not run.
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
+# Errors that may come before or after a server ran the request.
+_FAILURES_ON_THE_WAY: Final = frozenset((
+    ErrorKind.DEADLINE_EXCEEDED,
+    ErrorKind.SERVER_FAILED,
+))
 # Errors after which the caller may retry at this node.
 _RETRYABLE_ERRORS: Final = frozenset((
     ErrorKind.OVERLOADED,
@@ -75,7 +80,7 @@
     ErrorKind.VERSION_STOPPED,
     ErrorKind.NO_SERVER,
     ErrorKind.NOT_READY,
-    ErrorKind.DEADLINE_EXCEEDED,
+    *_FAILURES_ON_THE_WAY,
 ))
 
 
@@ -387,10 +392,11 @@
 def _choose_status(error: BluebellError, *, may_have_run: bool) -> int:
     """Return the status of an error response that the node itself generates.
 
-    503 guarantees that the request did not run and never will, so a deadline
-    that passed before any server could run the request counts as overload.
+    503 guarantees that the request did not run and never will. A failure before
+    any server could run the request, such as a passed deadline or the loss of
+    the node that it waited at, counts as overload.
     """
-    if error.kind is ErrorKind.DEADLINE_EXCEEDED and not may_have_run:
+    if error.kind in _FAILURES_ON_THE_WAY and not may_have_run:
         return ERROR_RESPONSES[OverloadedError.kind].status
     status = ERROR_RESPONSES[error.kind].status
     if may_have_run and status in _NOT_RUN_STATUSES:
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -191,6 +191,17 @@
         assert back.node._data_plane.gateway.failure_rate == 0
 
 
+async def test_request_that_has_not_run_anywhere_gets_503() -> None:
+    async with mesh() as (front, _, back), occupied_link(back):
+        uploading = asyncio.create_task(upload(front))
+        await wait_for_transfer(back)
+        back.node._listeners._peers.close()
+        response = await uploading
+        assert response.status == 503
+        assert float(response.headers['retry-after']) > 0
+    assert not back.server.received_requests
+
+
 async def test_request_read_after_the_listener_is_shut_down_is_refused() -> (
     None
 ):
