Wait for the bodies that a stopping node receives

What callers saw: a connection that ended with the node beside a server, while the body of their upload was on its way there.

Cause: a stopping node waited for the slots of its server, and not for requests that had none yet; it ended 2.7 s after the signal with the transfer open.

Change: it waits for all requests of other nodes, up to the end of its grace period. These are refused as not run once their body has arrived.

test_stopping_node_waits_for_the_bodies_it_receives: the stop is over before the body is sent without the change.

--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -201,7 +201,7 @@
     @property
     def _is_busy(self) -> bool:
         running = self._data_plane.callers.in_flight.count
-        running += self._data_plane.gateway.gate.in_use
+        running += self._data_plane.peers.in_flight.count
         return bool(running or self._listeners.unsent_bytes)
 
     async def _open(self) -> None:
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -202,6 +202,29 @@
     assert not back.server.received_requests
 
 
+async def test_stopping_node_waits_for_the_bodies_it_receives() -> None:
+    """The caller of the front node is slow to send its body."""
+    async with mesh() as (front, _, back):
+        caller = await front.open_caller()
+        caller.writer.write(
+            b'POST /art/1 HTTP/1.1\r\nhost: shop.example\r\n'
+            b'x-request-id: u1\r\ncontent-length: 60000\r\n\r\n'
+        )
+        caller.writer.write(_BODY[:1000])
+        await wait_until(lambda: is_receiving(back))
+        stopping = asyncio.create_task(stop(back))
+        await asyncio.sleep(CALLER_ACCEPT_TIME.total_seconds() + 0.3)
+        assert not stopping.done()
+        caller.writer.write(_BODY[1000:])
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            response = await caller.receive()
+        assert response.status == 503
+        await stopping
+        assert back.node._remainder.peers == 0
+        caller.close()
+    assert not back.server.received_requests
+
+
 async def test_request_read_after_the_listener_is_shut_down_is_refused() -> (
     None
 ):
