--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -254,13 +254,18 @@
             if not self._in_progress:
                 waiting.reply.writer.release()
             self._start_request(waiting)
-        closes = self._closes_after_replies or self._state.shutting_down
-        if closes and not self._in_progress:
+        if self._is_finished:
             self._close()
         elif self._paused and not self._waiting:
             self._paused = False
             self.transport.resume_reading()
 
+    @property
+    def _is_finished(self) -> bool:
+        if self._in_progress:
+            return False
+        return self._closes_after_replies or self._state.shutting_down
+
     @property
     def _has_room(self) -> bool:
         return len(self._in_progress) < self._state.limits.max_pipelined
