Wait for all listeners of a node in the platform tests

Cause: PlatformNode.running waited until the callers' listener accepted connections and then sent a heartbeat to the servers' listener, which is opened later. If it was not open yet, the test failed with ConnectionRefusedError, for instance the test that a roll-out is started by one node at a small share.

Ruled out: a fault of the node, which opens its listeners one after the other and reports readiness only when asked at one of them.

--- a/tests/lib/simulated_platform.py
+++ b/tests/lib/simulated_platform.py
@@ -5,6 +5,7 @@
 import contextlib
 import json
 from collections.abc import AsyncGenerator, Awaitable, Callable, Sequence
+from functools import partial
 from random import Random
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -290,11 +291,25 @@
         self._sequence = 0
         self.heartbeats_stopped = False
 
+    @property
+    def _listen_addresses(self) -> list[Address]:
+        """All addresses at which the node accepts connections."""
+        listen = self.listen
+        texts = (
+            listen.callers,
+            listen.peers,
+            listen.health,
+            listen.servers,
+            listen.metrics,
+        )
+        return [Address.from_text(text) for text in texts if text is not None]
+
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncGenerator['PlatformNode', None]:
         async with self.server.serving(), anyio.create_task_group() as group:
             group.start_soon(self.node.run)
-            await wait_until(self._is_listening)
+            for address in self._listen_addresses:
+                await wait_until(partial(is_listening, address))
             await self.send_heartbeat()
             group.start_soon(self._send_heartbeats)
             try:
@@ -358,11 +373,12 @@
         finally:
             caller.close()
 
-    async def _is_listening(self) -> bool:
-        with contextlib.suppress(OSError):
-            (await self.open_caller()).close()
-            return True
-        return False
+
+async def is_listening(address: Address) -> bool:
+    with contextlib.suppress(OSError):
+        (await Caller.open(address)).close()
+        return True
+    return False
 
 
 async def wait_until(
