Add a seeded soak of node processes that stop under load

Cause: callers lost uploads when nodes got SIGTERM in series under load, and no test runs node processes of the users' platform: the tests of calls run nodes in their own process and stop none of them while requests wait.

Change: bench.soak, or make soak, runs 4 to 8 node processes on loopback against the store and servers of the tests. The seed fixes services, slots, requests, SIGTERM in series or together, restarts, SIGHUP with changed settings and new configurations.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 STAMP := $(VENV)/.installed
 PACKAGES := packages/bluebellslip packages/bluebellslip-node packages/bluebellslip-cli packages/bluebellslip-lab platform
 SOURCES := packages platform tests bench
+SEEDS := 1-4
 
-.PHONY: setup compile test lint types format demo bench rollouts capacity check
+.PHONY: setup compile test lint types format demo bench rollouts soak capacity check
 
 setup: $(STAMP)
 
@@ -46,5 +47,8 @@
 rollouts: setup
 	PYTHONPATH=tests $(PYTHON) -m bench.rollouts
 
+soak: compile
+	PYTHONPATH=tests $(PYTHON) -m bench.soak --seeds $(SEEDS)
+
 capacity: setup
 	$(PYTHON) -m bench.capacity
--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,190 @@
+"""A soak of real node processes that are stopped and changed under load.
+
+Run as ``PYTHONPATH=tests python -m bench.soak --seed N``. Store and servers
+are those of the tests and run in this process. A seed fixes all choices; the
+course of a run also depends on the machine.
+"""
+
+import argparse
+import collections
+import contextlib
+import datetime as dt
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from random import Random
+from typing import Final
+
+import anyio
+
+from bench.results import OUTPUT_DIRECTORY
+from bench.soak_checks import HistoryChecker, Rules
+from bench.soak_nodes import RunContext, SoakNode
+from bench.soak_plan import GRACE, Action, Event, SoakPlan, make_config
+from bench.soak_records import Finding, History
+from bench.soak_traffic import RecordingServer, SoakClient
+from bluebellslip._internal.kernel.clock import SystemClock
+from lib.simulated_platform import SimulatedStore
+
+CLIENTS_PER_NODE: Final = 4
+_POLL_INTERVAL_S: Final = 0.1
+
+
+class Soak:
+    """One run.
+
+    Parameters
+    ----------
+    plan
+        The choices of the run.
+    directory
+        Directory of settings files and logs.
+    kill_after
+        Time from SIGTERM to SIGKILL.
+    """
+
+    def __init__(
+        self,
+        plan: SoakPlan,
+        directory: Path,
+        kill_after: dt.timedelta = GRACE,
+    ) -> None:
+        self.history = History(SystemClock())
+        self._plan = plan
+        self._random = Random(f'run-{plan.seed}')
+        self._context = RunContext(
+            self.history, directory, self._random, kill_after
+        )
+        self._store = SimulatedStore()
+        self._version = 0
+        self._nodes = [
+            SoakNode(
+                node,
+                self._context,
+                self._store,
+                RecordingServer(node.name, self.history).handle,
+            )
+            for node in plan.nodes
+        ]
+
+    async def run(self) -> None:
+        """Run nodes, callers and faults, then stop everything."""
+        self._context.directory.mkdir(parents=True, exist_ok=True)
+        self._configure()
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(self._store.serving())
+            for node in self._nodes:
+                await stack.enter_async_context(node.running())
+            for starting in self._nodes:
+                await starting.wait_ready()
+            await self._run_traffic()
+            async with anyio.create_task_group() as group:
+                for stopping in self._nodes:
+                    group.start_soon(stopping.stop)
+            await self._wait_for_servers()
+            # Ends the store's reads that still wait for a change.
+            self._configure()
+            await anyio.sleep(_POLL_INTERVAL_S)
+
+    def summarize(self, findings: Sequence[Finding]) -> str:
+        """Return a line with the counts of the run."""
+        ends = collections.Counter(
+            request.outcome for request in self.history.requests
+        )
+        counts = ', '.join(f'{ends[end]} {end}' for end in sorted(ends))
+        return (
+            f'seed {self._plan.seed}: {ends.total()} requests: {counts}; '
+            f'{len(self.history.stops)} stops; {len(findings)} findings'
+        )
+
+    async def _run_traffic(self) -> None:
+        clients = [
+            SoakClient(
+                f'{self._plan.seed}-{node.name}-{number}',
+                node.name,
+                node.address,
+                self.history,
+            )
+            for node in self._nodes
+            for number in range(CLIENTS_PER_NODE)
+        ]
+        async with anyio.create_task_group() as group:
+            for client in clients:
+                group.start_soon(client.run)
+            await self._run_events()
+            for stopping in clients:
+                stopping.stop()
+
+    async def _wait_for_servers(self) -> None:
+        """Wait until no server is at work."""
+        while any(run.ended > self.history.now for run in self.history.runs):
+            await anyio.sleep(_POLL_INTERVAL_S)
+
+    async def _run_events(self) -> None:
+        begun = anyio.current_time()
+        async with anyio.create_task_group() as group:
+            for event in self._plan.events:
+                await anyio.sleep_until(begun + event.at_s)
+                group.start_soon(self._apply, event)
+            await anyio.sleep_until(begun + self._plan.seconds)
+
+    async def _apply(self, event: Event) -> None:
+        node = self._nodes[event.node]
+        if event.action is Action.STOP:
+            await node.restart(event.pause_s)
+        elif event.action is Action.RELOAD:
+            await node.reload()
+        else:
+            self._configure()
+
+    def _configure(self) -> None:
+        self._version += self._random.randint(1, 5)
+        config = make_config(self._random, self._version)
+        self._store.put('op', 'config', config)
+
+
+def run_seed(seed: int, node_count: int, seconds: float, logs: Path) -> int:
+    """Run one seed, print its findings and return their number."""
+    plan = SoakPlan.from_seed(seed, node_count, seconds)
+    soak = Soak(plan, logs / f'seed-{seed}')
+    anyio.run(soak.run)
+    findings = HistoryChecker(soak.history, Rules()).check()
+    for finding in findings:
+        print(finding.format(seed))
+    print(soak.summarize(findings), flush=True)
+    return len(findings)
+
+
+def parse_seeds(text: str) -> range:
+    """Return the seeds of ``N`` or ``FIRST-LAST``."""
+    first, _, last = text.partition('-')
+    return range(int(first), int(last or first) + 1)
+
+
+def main() -> None:
+    """Run the seeds of the command line; exit with 1 after any finding."""
+    parser = argparse.ArgumentParser(prog='python -m bench.soak')
+    parser.add_argument(
+        '--seed',
+        '--seeds',
+        type=parse_seeds,
+        required=True,
+        dest='seeds',
+        metavar='N or FIRST-LAST',
+    )
+    parser.add_argument('--nodes', type=int, choices=range(4, 9), default=6)
+    parser.add_argument('--seconds', type=float, default=30)
+    parser.add_argument('--logs', type=Path, default=OUTPUT_DIRECTORY / 'soak')
+    options = parser.parse_args()
+    # The processes are ended on SIGTERM too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    found = sum(
+        run_seed(seed, options.nodes, options.seconds, options.logs)
+        for seed in options.seeds
+    )
+    sys.exit(int(found > 0))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/soak_nodes.py
@@ -0,0 +1,207 @@
+"""A node process of a soak, and the server beside it."""
+
+import asyncio
+import contextlib
+import dataclasses
+import datetime as dt
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncGenerator
+from pathlib import Path
+from random import Random
+from typing import Final
+
+import anyio
+import msgspec
+
+from bench.soak_plan import GRACE, NodePlan, choose_link_mbps
+from bench.soak_records import History, Stop
+from bluebellslip._internal.models.identity import Address
+from bluebellslip_platform.entry import SETTINGS_VARIABLE
+from lib.calls import RequestHandler
+from lib.simulated_platform import PlatformNode, SimulatedStore
+
+_HEARTBEAT_S: Final = 0.5
+_POLL_INTERVAL_S: Final = 0.02
+# Long enough to catch hangs only.
+_START_TIMEOUT_S: Final = 60
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunContext:
+    """What the nodes of a run share.
+
+    Parameters
+    ----------
+    history
+        Records stops and findings.
+    directory
+        Directory of settings files and logs.
+    random_source
+        Chooses settings.
+    kill_after
+        Time from SIGTERM to SIGKILL.
+    """
+
+    history: History
+    directory: Path
+    random_source: Random
+    kill_after: dt.timedelta = GRACE
+
+
+class SoakNode:
+    """A node in a process of its own; its server stays in this process.
+
+    Parameters
+    ----------
+    plan
+        Name and server of the node.
+    context
+        What the nodes share.
+    store
+        The platform's store.
+    handler
+        Responds to the server's requests.
+    """
+
+    def __init__(
+        self,
+        plan: NodePlan,
+        context: RunContext,
+        store: SimulatedStore,
+        handler: RequestHandler,
+    ) -> None:
+        self._context = context
+        self._platform_node = PlatformNode(
+            plan.name,
+            plan.service,
+            store,
+            handler,
+            domain=plan.domain,
+            slots=plan.slots,
+        )
+        self._file = context.directory / f'{plan.name}.json'
+        self._log_path = context.directory / f'{plan.name}.log'
+        self._log_path.unlink(missing_ok=True)
+        self._process: subprocess.Popen[bytes] | None = None
+        self._ready = asyncio.Event()
+        self._stopping = False
+
+    @property
+    def name(self) -> str:
+        """The node's name."""
+        return self._platform_node.name
+
+    @property
+    def address(self) -> Address:
+        """The callers' address."""
+        return Address.from_text(self._platform_node.listen.callers)
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncGenerator['SoakNode', None]:
+        """Run the server and the process; kill the process at the end."""
+        async with (
+            self._platform_node.server.serving(),
+            anyio.create_task_group() as group,
+        ):
+            try:
+                self._start()
+                group.start_soon(self._send_heartbeats)
+                yield self
+            finally:
+                self._kill()
+                group.cancel_scope.cancel()
+
+    async def wait_ready(self) -> None:
+        """Wait until the node has been ready since its start."""
+        with anyio.fail_after(_START_TIMEOUT_S):
+            await self._ready.wait()
+
+    async def stop(self) -> None:
+        """Send SIGTERM, and SIGKILL if the process outlives its grace."""
+        await self.wait_ready()
+        process = self._process
+        if process is None or self._stopping:
+            return
+        self._stopping = True
+        self._ready.clear()
+        history = self._context.history
+        stop = Stop(self.name, history.now)
+        history.stops.append(stop)
+        process.terminate()
+        with anyio.move_on_after(self._context.kill_after.total_seconds()):
+            while process.poll() is None:
+                await anyio.sleep(_POLL_INTERVAL_S)
+        if process.poll() is None:
+            history.report(self.name, 'did not exit within its grace period')
+        elif process.returncode:
+            history.report(
+                self.name, f'exited with {process.returncode} after SIGTERM'
+            )
+        self._kill()
+        stop.exited = history.now
+
+    async def restart(self, pause_s: float) -> None:
+        """Stop the process and start another."""
+        await self.stop()
+        await anyio.sleep(pause_s)
+        self._start()
+
+    async def reload(self) -> None:
+        """Change the settings and send SIGHUP."""
+        await self.wait_ready()
+        if self._process is not None and not self._stopping:
+            self._write_settings()
+            self._process.send_signal(signal.SIGHUP)
+
+    def _start(self) -> None:
+        self._write_settings()
+        self._stopping = False
+        with self._log_path.open('ab') as log:
+            self._process = subprocess.Popen(
+                [sys.executable, '-m', 'bluebellslip_platform'],
+                env=os.environ | {SETTINGS_VARIABLE: str(self._file)},
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+
+    def _write_settings(self) -> None:
+        settings = msgspec.structs.replace(
+            self._platform_node.settings,
+            heartbeat=_HEARTBEAT_S,
+            link_mbps=choose_link_mbps(self._context.random_source),
+        )
+        self._file.write_bytes(msgspec.json.encode(settings))
+
+    def _kill(self) -> None:
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                async with asyncio.timeout(_HEARTBEAT_S):
+                    await self._platform_node.send_heartbeat()
+                    await self._check_ready()
+            self._check_running()
+            await anyio.sleep(_HEARTBEAT_S if self._ready.is_set() else 0.1)
+
+    async def _check_ready(self) -> None:
+        status = await self._platform_node.get_ready_status()
+        if status == 200 and not self._stopping:
+            self._ready.set()
+
+    def _check_running(self) -> None:
+        process = self._process
+        if self._stopping or process is None or process.poll() is None:
+            return
+        self._context.history.report(
+            self.name, f'ended by itself with {process.returncode}'
+        )
+        self._ready.clear()
+        self._start()
--- /dev/null
+++ b/bench/soak_traffic.py
@@ -0,0 +1,196 @@
+"""Callers and servers of a soak."""
+
+import asyncio
+import contextlib
+import datetime as dt
+import zlib
+from random import Random
+from typing import Final
+
+import anyio
+
+from bench.soak_plan import PROFILES, make_prefix
+from bench.soak_records import (
+    History,
+    Request,
+    RequestEnd,
+    RouteKind,
+    ServerRun,
+)
+from bluebellslip._internal.models.identity import Address
+from lib.calls import (
+    Caller,
+    ReceivedRequest,
+    ReceivedResponse,
+)
+from lib.simulated_platform import encode_signed_response
+
+_MAX_PAUSE_S: Final = 0.3
+_RECONNECT_S: Final = 0.05
+# Callers wait for this long past their deadline.
+_PATIENCE_S: Final = 3
+
+
+def describe_body(request_id: str, body: bytes) -> bytes:
+    """Return the response of a server to a request."""
+    return f'{request_id} {len(body)} {zlib.crc32(body)}'.encode()
+
+
+class RecordingServer:
+    """Runs the requests of the server beside a node, and records each run.
+
+    Parameters
+    ----------
+    node
+        Name of the node.
+    history
+        Records the runs.
+    """
+
+    def __init__(self, node: str, history: History) -> None:
+        self._node = node
+        self._history = history
+
+    async def handle(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request: ReceivedRequest,
+    ) -> None:
+        """Work on a request for a time that depends on its id, and respond."""
+        request_id = request.headers.get('x-request-id', '')
+        kind = RouteKind(request.request_line.split('/')[1])
+        run = ServerRun(request_id, self._node, self._history.now)
+        self._history.runs.append(run)
+        await anyio.sleep(Random(request_id).uniform(*PROFILES[kind].run_s))
+        run.ended = self._history.now
+        body = describe_body(request_id, request.body)
+        writer.write(encode_signed_response(request, body))
+
+
+class _RecordingCaller(Caller):
+    """A connection that records when the last byte of ``request`` was sent."""
+
+    request: Request | None = None
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        history: History,
+    ) -> None:
+        super().__init__(reader, writer)
+        self._history = history
+        # Draining then waits until everything is written.
+        writer.transport.set_write_buffer_limits(high=0)
+
+    async def receive(self) -> ReceivedResponse:
+        """Wait until the request is sent, then receive its response."""
+        await self.writer.drain()
+        if self.request is not None:
+            self.request.sent = self._history.now
+        return await super().receive()
+
+
+class SoakClient:
+    """Sends one request after another over kept-alive connections.
+
+    Parameters
+    ----------
+    name
+        Name in the ids of its requests.
+    node
+        Name of the node.
+    address
+        The callers' address of the node.
+    history
+        Records the requests.
+    """
+
+    def __init__(
+        self, name: str, node: str, address: Address, history: History
+    ) -> None:
+        self._name = name
+        self._node = node
+        self._address = address
+        self._history = history
+        self._random = Random(name)
+        self._number = 0
+        self._stopped = False
+
+    def stop(self) -> None:
+        """End after the current request."""
+        self._stopped = True
+
+    async def run(self) -> None:
+        """Send requests until stopped."""
+        while not self._stopped:
+            with contextlib.suppress(OSError):
+                await self._use_connection()
+            await anyio.sleep(_RECONNECT_S)
+
+    async def _use_connection(self) -> None:
+        streams = await asyncio.open_connection(
+            self._address.host, self._address.port
+        )
+        caller = _RecordingCaller(*streams, self._history)
+        with contextlib.closing(caller):
+            while not self._stopped and not caller.reader.at_eof():
+                request = self._make_request()
+                await self._send(caller, request)
+                if not _is_reusable(request):
+                    break
+                await anyio.sleep(self._choose_pause_s(request))
+
+    def _choose_pause_s(self, request: Request) -> float:
+        pause_s = self._random.uniform(0, _MAX_PAUSE_S)
+        if request.response is None:
+            return pause_s
+        return pause_s + float(request.response.headers.get('retry-after', 0))
+
+    def _make_request(self) -> Request:
+        self._number += 1
+        weights = [profile.weight for profile in PROFILES.values()]
+        kind = self._random.choices(list(PROFILES), weights)[0]
+        profile = PROFILES[kind]
+        size = self._random.randint(*profile.body_bytes)
+        limit_s = self._random.uniform(*profile.deadline_s)
+        request = Request(
+            f'{self._name}-{self._number}',
+            self._node,
+            kind,
+            self._random.randbytes(size),
+            dt.timedelta(seconds=limit_s),
+            self._history.now,
+        )
+        self._history.requests.append(request)
+        return request
+
+    async def _send(self, caller: _RecordingCaller, request: Request) -> None:
+        caller.request = request
+        limit_s = request.limit.total_seconds()
+        try:
+            async with asyncio.timeout(limit_s + _PATIENCE_S):
+                request.response = await caller.call(
+                    f'{make_prefix(request.kind)}{request.request_id}',
+                    method='POST' if request.body else 'GET',
+                    service='shop.example',
+                    body=request.body,
+                    x_request_id=request.request_id,
+                    x_deadline_ms=str(round(limit_s * 1000)),
+                )
+            request.end = RequestEnd.ANSWERED
+        except asyncio.IncompleteReadError:
+            request.end = RequestEnd.CLOSED
+        except TimeoutError:
+            request.end = RequestEnd.ABANDONED
+        except OSError:
+            request.end = RequestEnd.RESET
+        request.ended = self._history.now
+
+
+def _is_reusable(request: Request) -> bool:
+    response = request.response
+    return (
+        response is not None and response.headers.get('connection') != 'close'
+    )
--- /dev/null
+++ b/tests/functional/test_drain_soak.py
@@ -0,0 +1,50 @@
+"""A short soak: node processes that stop in series under load.
+
+It guards against requests that a stopping node has read and then drops, that
+run twice, or that are refused although they ran. No bound on time decides: a
+process may take as long as it needs to exit, and a lost request is told from
+one that crosses the close by seconds.
+"""
+
+import datetime as dt
+from pathlib import Path
+
+import pytest
+from bench.soak import Soak
+from bench.soak_checks import HistoryChecker, Rules
+from bench.soak_plan import SoakPlan
+from bench.soak_records import RouteKind
+
+pytestmark = pytest.mark.anyio
+
+_SEED = 1
+_NODES = 4
+_SECONDS = 8
+# Long enough to catch hangs only.
+_KILL_AFTER = dt.timedelta(seconds=60)
+# Requests cross a close within milliseconds, also on a busy machine within
+# this time.
+_RULES = Rules(
+    lost_slack=dt.timedelta(seconds=2), accept_time=dt.timedelta(seconds=5)
+)
+
+
+async def test_no_request_is_lost_when_nodes_stop_in_series(
+    tmp_path: Path,
+) -> None:
+    plan = SoakPlan.from_seed(_SEED, _NODES, _SECONDS)
+    soak = Soak(plan, tmp_path, _KILL_AFTER)
+    await soak.run()
+    history = soak.history
+    findings = HistoryChecker(history, _RULES).check()
+    lines = [finding.format(_SEED) for finding in findings]
+    assert not lines
+    interrupted_uploads = [
+        request
+        for request in history.requests
+        for stop in history.stops
+        if request.kind is RouteKind.UPLOAD
+        and stop.node == request.node
+        and request.begun < stop.at < request.ended
+    ]
+    assert interrupted_uploads
--- a/tests/lib/simulated_platform.py
+++ b/tests/lib/simulated_platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import contextlib
+import functools
 import json
 from collections.abc import AsyncGenerator, Awaitable, Callable, Sequence
 from random import Random
@@ -13,7 +14,7 @@
 
 from bluebellslip._internal.kernel.clock import SystemClock
 from bluebellslip._internal.kernel.counters import InMemoryCounters
-from bluebellslip._internal.models.identity import Address
+from bluebellslip._internal.models.identity import Address, ServiceName
 from bluebellslip._internal.models.mesh_settings import (
     Bounds,
     MeshListen,
@@ -388,7 +389,7 @@
         for node in nodes:
             await stack.enter_async_context(node.running())
         for node in nodes:
-            await wait_until(lambda node=node: _is_ready(node, nodes))
+            await wait_until(functools.partial(_is_ready, node, nodes))
         yield
 
 
@@ -397,7 +398,7 @@
     known = {
         endpoint.node
         for other in nodes
-        for endpoint in state.peer_table.endpoints(other.service)
+        for endpoint in state.peer_table.endpoints(ServiceName(other.service))
     }
     return (
         known == {other.name for other in nodes}
--- /dev/null
+++ b/tests/unit/test_soak_checks.py
@@ -0,0 +1,177 @@
+"""Tests of the soak's checks on made-up histories.
+
+They guard against a soak that passes because it checks nothing, and against
+findings that the platform's rules excuse.
+"""
+
+import datetime as dt
+
+import pytest
+from bench.soak_checks import HistoryChecker, Rules
+from bench.soak_plan import SoakPlan
+from bench.soak_records import (
+    History,
+    Request,
+    RequestEnd,
+    RouteKind,
+    ServerRun,
+    Stop,
+)
+from bench.soak_traffic import describe_body
+
+from bluebellslip._internal.kernel.clock import ManualClock
+from lib.calls import ReceivedResponse
+
+_BODY = b'a body'
+_SIGNED = {'x-request-id': 'r1', 'x-server-signature': 's'}
+
+
+def _seconds(count: float) -> dt.timedelta:
+    return dt.timedelta(seconds=count)
+
+
+def _make_request(
+    end: RequestEnd, sent: float, ended: float, kind: RouteKind
+) -> Request:
+    return Request(
+        request_id='r1',
+        node='front',
+        kind=kind,
+        body=_BODY,
+        limit=_seconds(20),
+        begun=_seconds(sent),
+        sent=_seconds(sent),
+        ended=_seconds(ended),
+        end=end,
+    )
+
+
+def _check(
+    request: Request,
+    runs: tuple[tuple[float, float], ...] = (),
+    stops: tuple[tuple[str, float], ...] = (),
+) -> list[str]:
+    history = History(ManualClock())
+    history.requests.append(request)
+    history.runs += [
+        ServerRun('r1', 'back', _seconds(started), _seconds(ended))
+        for started, ended in runs
+    ]
+    history.stops += [
+        Stop(node, _seconds(at), _seconds(at + 5.4)) for node, at in stops
+    ]
+    return [
+        finding.text for finding in HistoryChecker(history, Rules()).check()
+    ]
+
+
+def _check_closed(
+    sent: float,
+    ended: float,
+    runs: tuple[tuple[float, float], ...] = (),
+    stops: tuple[tuple[str, float], ...] = (('front', 10),),
+    end: RequestEnd = RequestEnd.CLOSED,
+) -> list[str]:
+    request = _make_request(end, sent, ended, RouteKind.UPLOAD)
+    return _check(request, runs, stops)
+
+
+def _check_response(
+    status: int,
+    headers: dict[str, str],
+    body: bytes,
+    runs: tuple[tuple[float, float], ...] = ((1.1, 1.2),),
+    stops: tuple[tuple[str, float], ...] = (),
+) -> list[str]:
+    request = _make_request(RequestEnd.ANSWERED, 1, 2, RouteKind.UPLOAD)
+    request.response = ReceivedResponse(status, headers, body)
+    return _check(request, runs, stops)
+
+
+def test_read_request_that_waited_and_got_no_response_is_lost() -> None:
+    text = (
+        'upload: connection ended without a response 3.30 s after it was '
+        'sent, 5.30 s after SIGTERM, not passed on'
+    )
+    assert _check_closed(12, 15.3) == [text]
+    assert _check_closed(12, 15.3, stops=())
+
+
+def test_request_that_crosses_the_close_is_not_lost() -> None:
+    assert not _check_closed(12, 12.2)
+    assert _check_closed(12, 12.2, runs=((12.1, 12.4),))
+
+
+def test_reset_request_is_lost_only_if_it_was_passed_on() -> None:
+    assert not _check_closed(12, 14.9, end=RequestEnd.RESET)
+    assert _check_closed(12, 14.9, runs=((14, 16),), end=RequestEnd.RESET)
+
+
+def test_request_that_reached_its_time_limit_is_not_lost() -> None:
+    assert not _check_closed(12, 32)
+
+
+@pytest.mark.parametrize('node', ['front', 'back'])
+def test_work_in_the_last_sixth_of_the_grace_period_is_excused(
+    node: str,
+) -> None:
+    runs = ((13.0, 17.0),)
+    assert not _check_closed(13, 15.3, runs, ((node, 10),))
+    assert _check_closed(13.1, 15.3, runs, ((node, 10),))
+    assert _check_closed(13, 14.9, runs, ((node, 10),))
+    assert _check_closed(13, 15.3, ((13.0, 14.9),), ((node, 10),))
+    assert _check_closed(13, 15.3, runs, (('other', 10),))
+
+
+def test_response_in_place_of_a_working_server_is_a_loss() -> None:
+    runs = ((1.1, 9.0),)
+    assert _check_response(502, {}, b'', runs, (('back', 0.5),))
+    assert not _check_response(502, {}, b'', runs)
+    assert not _check_response(502, _SIGNED, b'', runs, (('back', 0.5),))
+
+
+def test_whole_response_of_the_server_passes() -> None:
+    assert not _check_response(200, _SIGNED, describe_body('r1', _BODY))
+
+
+@pytest.mark.parametrize(
+    ('headers', 'body'),
+    [
+        ({**_SIGNED, 'x-request-id': 'r2'}, describe_body('r1', _BODY)),
+        ({'x-request-id': 'r1'}, describe_body('r1', _BODY)),
+        (_SIGNED, describe_body('r2', _BODY)),
+        (_SIGNED, describe_body('r1', _BODY[1:])),
+    ],
+)
+def test_response_to_another_request_is_found(
+    headers: dict[str, str], body: bytes
+) -> None:
+    assert len(_check_response(200, headers, body)) == 1
+
+
+@pytest.mark.parametrize('status', [408, 421, 429, 503])
+def test_refused_request_that_ran_is_found(status: int) -> None:
+    assert _check_response(status, {}, b'')
+    assert _check_response(status, {}, b'', runs=((5, 6),))
+    assert not _check_response(status, {}, b'', runs=())
+
+
+def test_only_safe_requests_may_run_twice() -> None:
+    runs = ((1.1, 1.2), (1.3, 1.4))
+    body = describe_body('r1', _BODY)
+    for kind in RouteKind:
+        request = _make_request(RequestEnd.ANSWERED, 1, 2, kind)
+        request.response = ReceivedResponse(200, _SIGNED, body)
+        assert bool(_check(request, runs)) == (kind is not RouteKind.SAFE)
+
+
+def test_run_that_nobody_asked_for_is_found() -> None:
+    request = _make_request(RequestEnd.RESET, 1, 2, RouteKind.SAFE)
+    request.request_id = 'r2'
+    assert _check(request, ((1.1, 1.2),)) == ['run although no caller sent it']
+
+
+def test_seed_fixes_the_plan() -> None:
+    plan = SoakPlan.from_seed(5, 6, 30)
+    assert plan == SoakPlan.from_seed(5, 6, 30)
+    assert plan != SoakPlan.from_seed(6, 6, 30)
