--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -17,23 +17,24 @@
 from bluebellslip._internal.exceptions import (
     BluebellError,
     DeadlineExceededError,
-    ErrorKind,
     MalformedError,
     NotFoundError,
     NotReadyError,
-    OverloadedError,
     TooLargeError,
 )
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.mesh.holder import ConfigHolder
 from bluebellslip._internal.mesh.table import RoutingTable
-from bluebellslip._internal.models.error_responses import ERROR_RESPONSES
 from bluebellslip._internal.models.identity import ServiceName
 from bluebellslip._internal.models.mesh import RouteRule
 from bluebellslip._internal.models.mesh_settings import Bounds
 from bluebellslip._internal.proxy.attempts import Attempts, RoutingContext
 from bluebellslip._internal.proxy.caller_settings import CallerSettings
 from bluebellslip._internal.proxy.caller_waits import CallerWaitEstimator
+from bluebellslip._internal.proxy.error_statuses import (
+    RETRYABLE_ERRORS,
+    choose_status,
+)
 from bluebellslip._internal.proxy.request_deadlines import (
     RequestDeadlines,
     make_stop_error,
@@ -66,22 +67,6 @@
 # extension, so that callers refused together don't all retry at the same time.
 RETRY_AFTER_JITTER: Final = 1.0
 _JSON: Final = (b'content-type', b'application/json')
-# Statuses that assure a caller that its request did not run.
-_NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
-# Errors that may come before or after a server ran the request.
-_FAILURES_ON_THE_WAY: Final = frozenset((
-    ErrorKind.DEADLINE_EXCEEDED,
-    ErrorKind.SERVER_FAILED,
-))
-# Errors after which the caller may retry at this node.
-_RETRYABLE_ERRORS: Final = frozenset((
-    ErrorKind.OVERLOADED,
-    ErrorKind.DRAINING,
-    ErrorKind.VERSION_STOPPED,
-    ErrorKind.NO_SERVER,
-    ErrorKind.NOT_READY,
-    *_FAILURES_ON_THE_WAY,
-))
 
 
 class CallerHandler:
@@ -326,7 +311,7 @@
             self._record_outcome(trace, 'broken-off', error)
             return
         self._caller_waits.record_error()
-        status = _choose_status(error, may_have_run=may_have_run)
+        status = choose_status(error, may_have_run=may_have_run)
         fields: list[Header] = [_JSON]
         request_id = self._read_id(request)
         if request_id:
@@ -334,7 +319,7 @@
                 self._settings.metadata_headers.request_id,
                 request_id,
             ))
-        if not may_have_run and error.kind in _RETRYABLE_ERRORS:
+        if not may_have_run and error.kind in RETRYABLE_ERRORS:
             after = self._choose_retry_after(trace.service)
             fields.append((
                 header_names.RETRY_AFTER,
@@ -389,21 +374,6 @@
             logger.info('request_served', extra=trace.describe(outcome, spent))
 
 
-def _choose_status(error: BluebellError, *, may_have_run: bool) -> int:
-    """Return the status of an error response that the node itself generates.
-
-    503 guarantees that the request did not run and never will. A failure before
-    any server could run the request, such as a passed deadline or the loss of
-    the node that it waited at, counts as overload.
-    """
-    if error.kind in _FAILURES_ON_THE_WAY and not may_have_run:
-        return ERROR_RESPONSES[OverloadedError.kind].status
-    status = ERROR_RESPONSES[error.kind].status
-    if may_have_run and status in _NOT_RUN_STATUSES:
-        return ERROR_RESPONSES[ErrorKind.SERVER_FAILED].status
-    return status
-
-
 def _choose_length(length: int | None, body: bytes, method: bytes) -> int:
     """Return the Content-Length to send; for HEAD, that of the server."""
     if method == b'HEAD' and length is not None:
--- a/tests/functional/test_platform_calls.py
+++ b/tests/functional/test_platform_calls.py
@@ -18,7 +18,7 @@
 from bluebellslip._internal.exceptions import BluebellError, ErrorKind
 from bluebellslip._internal.models.identity import Address
 from bluebellslip._internal.nodes.listeners import MAX_PIPELINED_REQUESTS
-from bluebellslip._internal.proxy.egress import _choose_status
+from bluebellslip._internal.proxy.error_statuses import choose_status
 from lib.calls import Caller, ReceivedRequest, RequestHandler
 from lib.simulated_platform import (
     PlatformNode,
@@ -485,4 +485,4 @@
 ) -> None:
     error = BluebellError('x')
     error.kind = kind  # type: ignore[misc]
-    assert _choose_status(error, may_have_run=True) not in {408, 421, 429, 503}
+    assert choose_status(error, may_have_run=True) not in {408, 421, 429, 503}
