--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -241,9 +241,7 @@
         self._state.beacon_source.state = NodeState.LEAVING
         self._state.beacon_protocol.request_broadcast()
         self._listeners.start_draining()
-        self._data_plane.callers.shorten_deadlines(
-            deadline - LAST_RESPONSES_TIME
-        )
+        self._data_plane.callers.set_cutoff(deadline - LAST_RESPONSES_TIME)
         await anyio.sleep(PEER_ACCEPT_TIME.total_seconds())
         self._data_plane.server_publisher.withdraw()
         await anyio.sleep(
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -35,8 +35,8 @@
     RETRYABLE_ERRORS,
     choose_status,
 )
-from bluebellslip._internal.proxy.request_deadlines import (
-    RequestDeadlines,
+from bluebellslip._internal.proxy.request_cutoffs import (
+    RequestCutoffs,
     make_stop_error,
 )
 from bluebellslip._internal.proxy.responses import BufferedResponse
@@ -111,7 +111,7 @@
         self._budgets: dict[ServiceName, SharedRetryBudget] = {}
         self._caller_waits = CallerWaitEstimator(context.clock)
         self._running = running
-        self._deadlines = RequestDeadlines(context.clock)
+        self._cutoffs = RequestCutoffs(context.clock)
         self.in_flight = UsageCounter()
 
     def apply(self, bounds: Bounds) -> None:
@@ -120,7 +120,7 @@
             self._settings = dataclasses.replace(self._settings, bounds=bounds)
             self._budgets.clear()
 
-    def shorten_deadlines(self, latest: dt.timedelta) -> None:
+    def set_cutoff(self, latest: dt.timedelta) -> None:
         """Respond to all requests, running or new, by a time.
 
         Parameters
@@ -128,7 +128,7 @@
         latest
             Time on the node's clock.
         """
-        self._deadlines.shorten(latest)
+        self._cutoffs.shorten(latest)
 
     async def handle(self, request: InboundRequest) -> None:
         """Respond to a request."""
@@ -249,7 +249,7 @@
             self._context, routed, rule.max_attempts, budget, trace
         )
         try:
-            async with self._deadlines.enforce(routed):
+            async with self._cutoffs.enforce(routed):
                 response = await attempts.run()
         except TimeoutError:
             response = None
@@ -268,7 +268,7 @@
             self._count_outgoing(routed, failed=False)
             self._send_response(routed, response, trace)
             return
-        if not self._deadlines.is_shortened(routed):
+        if not self._cutoffs.ends_early(routed):
             self._count_outgoing(routed, failed=True)
         self._send_error(
             routed.request, error, trace, may_have_run=attempts.may_have_run
@@ -341,7 +341,7 @@
     def _make_timeout_error(
         self, routed: RoutedRequest, *, may_have_run: bool
     ) -> BluebellError:
-        if self._deadlines.is_shortened(routed):
+        if self._cutoffs.ends_early(routed):
             return make_stop_error(may_have_run=may_have_run)
         return DeadlineExceededError('The deadline of the request has passed.')
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_deadlines.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_cutoffs.py
@@ -1,4 +1,4 @@
-"""Deadlines of the callers' requests in flight.
+"""Cutoffs of the callers' requests in flight.
 
 Handles the stop of a node: a request that waits for capacity may have a later
 deadline than the node itself. The stop sets an earlier cutoff for all requests,
@@ -19,7 +19,7 @@
 from bluebellslip._internal.proxy.routed_request import RoutedRequest
 
 
-class RequestDeadlines:
+class RequestCutoffs:
     """Enforces the cutoffs of requests: their deadlines, or the node's stop.
 
     Parameters
@@ -31,7 +31,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._latest = dt.timedelta.max
-        self._enforced: set[EnforcedDeadline] = set()
+        self._enforced: set[EnforcedCutoff] = set()
 
     def shorten(self, latest: dt.timedelta) -> None:
         """Let no request, running or new, last longer.
@@ -45,20 +45,20 @@
         for enforced in self._enforced:
             enforced.shorten(latest)
 
-    def is_shortened(self, routed: RoutedRequest) -> bool:
+    def ends_early(self, routed: RoutedRequest) -> bool:
         """Return whether a request ends early because the node stops."""
         return routed.cutoff == self._latest
 
-    def enforce(self, routed: RoutedRequest) -> 'EnforcedDeadline':
+    def enforce(self, routed: RoutedRequest) -> 'EnforcedCutoff':
         """Return a context manager that ends at the request's cutoff.
 
         It raises ``TimeoutError``.
         """
         routed.cutoff = min(routed.cutoff, self._latest)
-        return EnforcedDeadline(routed, self._clock, self._enforced)
+        return EnforcedCutoff(routed, self._clock, self._enforced)
 
 
-class EnforcedDeadline:
+class EnforcedCutoff:
     """Context manager that raises ``TimeoutError`` at a request's cutoff.
 
     Parameters
@@ -68,22 +68,22 @@
     clock
         The node's clock.
     enforced
-        The set of open deadlines, which has this one while it is open.
+        The set of open cutoffs, which has this one while it is open.
     """
 
     def __init__(
         self,
         routed: RoutedRequest,
         clock: Clock,
-        enforced: set['EnforcedDeadline'],
+        enforced: set['EnforcedCutoff'],
     ) -> None:
         self._routed = routed
         self._clock = clock
         self._enforced = enforced
-        self._timeout = asyncio.timeout_at(self._loop_deadline)
+        self._timeout = asyncio.timeout_at(self._loop_cutoff)
 
     @property
-    def _loop_deadline(self) -> float:
+    def _loop_cutoff(self) -> float:
         time_left = self._routed.cutoff - self._clock.elapsed()
         return asyncio.get_running_loop().time() + time_left.total_seconds()
 
@@ -105,7 +105,7 @@
         if self._timeout.expired() or self._routed.cutoff <= latest:
             return
         self._routed.cutoff = latest
-        self._timeout.reschedule(self._loop_deadline)
+        self._timeout.reschedule(self._loop_cutoff)
 
 
 def make_stop_error(*, may_have_run: bool) -> BluebellError:
