Log requests that a node ignores, and say who closed a connection

The log does not tell apart a caller that left from a node that closed the connection, and has no line for a request that arrives on a connection being closed.

A request that the node cancels itself has the outcome connection-closed; request_ignored names each request that is neither served nor refused, and node_stopped counts the connections that were closed while idle. No decision changes.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -8,6 +8,7 @@
 import contextlib
 import logging
 from collections import deque
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from bluebellslip._internal.calls.limits import CallerLimits
@@ -39,13 +40,19 @@
         """Serve a request; exceptions become error responses."""
 
 
+def _ignore_unread(request: InboundRequest) -> None:
+    """Do nothing."""
+
+
 class ListenerState:
     """State shared by the connections of one listener.
 
     While ``draining``, each reply closes its connection unless another
     pipelined request follows. While ``shutting_down``, further requests are
     refused, or ignored behind others on their connection; ``ignored_requests``
-    counts the latter.
+    counts the latter and all others that arrive on a connection that is being
+    closed. ``closed_idle`` counts the connections that were closed while no
+    request was in progress.
 
     Parameters
     ----------
@@ -57,8 +64,15 @@
         self.draining = False
         self.shutting_down = False
         self.ignored_requests = 0
+        self.closed_idle = 0
         self.limits = limits
         self.connections: set[InboundConnection] = set()
+        self.on_ignored: Callable[[InboundRequest], None] = _ignore_unread
+
+    def ignore(self, request: InboundRequest) -> None:
+        """Count a request that is neither served nor refused."""
+        self.ignored_requests += 1
+        self.on_ignored(request)
 
 
 class InboundConnection(asyncio.Protocol):
@@ -162,6 +176,7 @@
 
     def _accept_request(self, request: InboundRequest) -> None:
         if self._ignores_input:
+            self._state.ignore(request)
             return
         if self._state.shutting_down:
             self._refuse_late_request(request)
@@ -186,7 +201,7 @@
         caller may send it elsewhere.
         """
         if self._in_progress:
-            self._state.ignored_requests += 1
+            self._state.ignore(request)
             self._ignores_input = True
             return
         request.reply.disable_keep_alive()
@@ -272,9 +287,11 @@
 
     def _close(self) -> None:
         self._ignores_input = True
+        for waiting in self._waiting:
+            self._state.ignore(waiting)
         self._waiting.clear()
         for request in self._in_progress:
-            request.cancel()
+            request.cancel(by_node=True)
         self.transport.close()
 
     def _reply_with_error(
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
@@ -1,6 +1,7 @@
 """A listening socket and its connections."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from bluebellslip._internal.calls.inbound import (
@@ -9,6 +10,7 @@
     ListenerState,
 )
 from bluebellslip._internal.calls.limits import CallerLimits
+from bluebellslip._internal.calls.request import InboundRequest
 from bluebellslip._internal.exceptions import BluebellError, ListenError
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.models.identity import Address
@@ -55,9 +57,14 @@
 
     @property
     def ignored_requests(self) -> int:
-        """Number of requests ignored after ``shut_down``."""
+        """Number of requests that were neither served nor refused."""
         return self._state.ignored_requests
 
+    @property
+    def closed_idle(self) -> int:
+        """Number of connections that ``shut_down`` closed while idle."""
+        return self._state.closed_idle
+
     async def open(self) -> None:
         """Start listening.
 
@@ -85,6 +92,10 @@
         """Address that the listener listens on."""
         return self._address
 
+    def on_ignored(self, listener: Callable[[InboundRequest], None]) -> None:
+        """Call a listener with each request that is not responded to."""
+        self._state.on_ignored = listener
+
     def set_limits(self, limits: CallerLimits) -> None:
         """Replace the limits of new and open connections."""
         self._state.limits = limits
@@ -118,6 +129,7 @@
             self._server.close()
         for connection in tuple(self._state.connections):
             if connection.idle_since is not None:
+                self._state.closed_idle += 1
                 connection.transport.close()
 
     def close_idle(self) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
@@ -21,8 +21,9 @@
     the last value. ``expired`` is set when the call times out,
     ``interruption`` is the error to reply with when the serving task was
     cancelled for one, ``connection_closed`` is set when its connection is
-    closed before the reply is complete, ``done`` when the node has finished
-    processing the request.
+    closed before the reply is complete, ``closed_by_node`` if it was not the
+    caller who closed it, ``done`` when the node has finished processing the
+    request.
     """
 
     method: bytes
@@ -34,6 +35,7 @@
     expired: bool = False
     interruption: BluebellError | None = None
     connection_closed: bool = False
+    closed_by_node: bool = False
     done: bool = False
     _task: asyncio.Task[None] | None = None
     _timer: asyncio.TimerHandle | None = None
@@ -53,9 +55,16 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(seconds, self._expire)
 
-    def cancel(self) -> None:
-        """Stop serving the request, since its connection is closed."""
+    def cancel(self, *, by_node: bool = False) -> None:
+        """Stop serving the request, since its connection is closed.
+
+        Parameters
+        ----------
+        by_node
+            Whether this node closed the connection, not the caller.
+        """
         self.connection_closed = True
+        self.closed_by_node = by_node
         if self._task is not None:
             self._task.cancel()
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/listeners.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/listeners.py
@@ -35,13 +35,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Handlers:
-    """The handlers of the listening addresses."""
+    """The handlers of the listening addresses.
+
+    ``record_ignored`` records the requests of callers that get no response.
+    """
 
     callers: Handler
     peers: Handler
     health: Handler
     servers: Handler
     metrics: Handler
+    record_ignored: Callable[[InboundRequest], None]
 
 
 class MetricsHandler:
@@ -81,6 +85,7 @@
         self._callers = self._make(
             listen.callers, handlers.callers, _CALLER_LIMITS
         )
+        self._callers.on_ignored(handlers.record_ignored)
         self._peers = self._make(listen.peers, handlers.peers, _PEER_LIMITS)
         self._others = [
             self._make(listen.health, handlers.health),
@@ -101,9 +106,14 @@
 
     @property
     def ignored_requests(self) -> int:
-        """Number of requests ignored after ``shut_down``."""
+        """Number of requests that were neither served nor refused."""
         return sum(listener.ignored_requests for listener in self)
 
+    @property
+    def closed_idle(self) -> int:
+        """Number of callers' connections that were closed while idle."""
+        return self._callers.closed_idle
+
     async def open(self) -> None:
         """Start listening on all addresses.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -50,6 +50,7 @@
 from bluebellslip._internal.proxy.response_sizes import ResponseSizes
 from bluebellslip._internal.proxy.server_gateway import ServerGateway
 from bluebellslip._internal.proxy.server_selection import ServerSelector
+from bluebellslip._internal.proxy.trace import IgnoredRequestRecorder
 from bluebellslip._internal.rollouts.coordinator import RolloutCoordinator
 from bluebellslip._internal.rollouts.outcome_recorder import (
     VersionOutcomeRecorder,
@@ -324,6 +325,9 @@
         health=adapter.make_health_handler(node),
         servers=adapter.make_server_handler(node),
         metrics=MetricsHandler(environment.read_metrics),
+        record_ignored=IgnoredRequestRecorder(
+            adapter.metadata_headers, environment.counters
+        ),
     )
     return ListenerSet(settings.listen, handlers, environment.counters)
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -77,7 +77,9 @@
     peers
         Requests of other nodes without a complete response.
     ignored
-        Requests that arrived after the listeners were shut down.
+        Requests that arrived on a connection that was being closed.
+    closed_idle
+        Connections of callers closed while no request was in progress.
     unsent_bytes
         Bytes of responses not yet sent to a socket.
     """
@@ -85,6 +87,7 @@
     callers: int = 0
     peers: int = 0
     ignored: int = 0
+    closed_idle: int = 0
     unsent_bytes: int = 0
 
 
@@ -262,6 +265,7 @@
             callers=self._data_plane.callers.in_flight.count,
             peers=self._data_plane.peers.in_flight.count,
             ignored=self._listeners.ignored_requests,
+            closed_idle=self._listeners.closed_idle,
             unsent_bytes=self._listeners.unsent_bytes,
         )
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -17,6 +17,7 @@
 from bluebellslip._internal.exceptions import (
     BluebellError,
     DeadlineExceededError,
+    DrainingError,
     MalformedError,
     NotFoundError,
     NotReadyError,
@@ -348,12 +349,19 @@
     def _record_cancellation(
         self, routed: RoutedRequest, trace: RequestTrace, *, may_have_run: bool
     ) -> None:
-        if routed.request.connection_closed:
+        request = routed.request
+        if request.closed_by_node:
+            self._record_outcome(
+                trace,
+                'connection-closed',
+                DrainingError('An earlier response closed the connection.'),
+            )
+        elif request.connection_closed:
             self._record_outcome(trace, 'caller-left')
-            return
-        self._record_outcome(
-            trace, 'cut-off', make_stop_error(may_have_run=may_have_run)
-        )
+        else:
+            self._record_outcome(
+                trace, 'cut-off', make_stop_error(may_have_run=may_have_run)
+            )
 
     def _record_outcome(
         self,
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/trace.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/trace.py
@@ -2,10 +2,16 @@
 
 import dataclasses
 import datetime as dt
+import logging
 import zlib
 from typing import Final
 
+from bluebellslip._internal.calls.metadata_headers import MetadataHeaders
+from bluebellslip._internal.calls.request import InboundRequest
 from bluebellslip._internal.fleet.peer_table import Endpoint
+from bluebellslip._internal.kernel.counters import Counters
+
+logger = logging.getLogger(__name__)
 
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
 # One in this many requests is logged even if it was served at the first
@@ -145,3 +151,35 @@
                 attempt.describe(self.started) for attempt in self.attempts
             ],
         }
+
+
+class IgnoredRequestRecorder:
+    """Records the requests of callers that get no response.
+
+    They arrive on a connection that the node is closing.
+
+    Parameters
+    ----------
+    metadata_headers
+        Names of the headers that callers use.
+    counters
+        Counts the requests.
+    """
+
+    def __init__(
+        self, metadata_headers: MetadataHeaders, counters: Counters
+    ) -> None:
+        self._metadata_headers = metadata_headers
+        self._counters = counters
+
+    def __call__(self, request: InboundRequest) -> None:
+        """Record a request."""
+        self._counters.add('requests_ignored')
+        request_id = request.fields.get(self._metadata_headers.request_id, b'')
+        logger.info(
+            'request_ignored',
+            extra={
+                'request': request_id.decode('latin-1'),
+                'target': request.target.decode('latin-1'),
+            },
+        )
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -46,9 +46,10 @@
     ),
     'node_stopped': Event(
         'The node has stopped, with this work undone: requests of callers and '
-        'of other nodes without a complete response, requests that arrived '
-        'after the listeners were shut down, bytes of responses not sent.',
-        ('callers', 'peers', 'ignored', 'unsent_bytes'),
+        'of other nodes without a complete response, requests that arrived on '
+        'a connection being closed, connections of callers closed while idle, '
+        'bytes of responses not sent.',
+        ('callers', 'peers', 'ignored', 'closed_idle', 'unsent_bytes'),
     ),
     'node_failed': Event(
         'The node cannot start or continue.', ('kind', 'reason')
@@ -124,6 +125,11 @@
         'A request got an error response from the node, or no response.',
         (*_REQUEST, 'reason', 'detail'),
     ),
+    'request_ignored': Event(
+        'A request arrived on a connection that the node was closing; it was '
+        'not run, and its caller got no response.',
+        ('request', 'target'),
+    ),
     'visit_failed': Event(
         'A request from a peer got no response from the local server.',
         (
