Show how closing a connection loses requests and responses

* a pipelined request is started behind a response that announces the close, and cancelled when that response is sent;
* a response is reset when input follows it, or while the body of its request is still being received;
* connections that wait to be accepted are reset when the node stops listening.

--- /dev/null
+++ b/tests/functional/test_caller_connections.py
@@ -0,0 +1,173 @@
+"""Tests of connections that a listener closes while callers still send.
+
+They guard against requests that are started and then cancelled by the close,
+and against responses that are lost because the close resets the connection.
+"""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncGenerator
+
+import pytest
+
+from bluebellslip._internal.calls.inbound import ListenerState
+from bluebellslip._internal.calls.limits import CallerLimits
+from bluebellslip._internal.calls.listener import Listener
+from bluebellslip._internal.calls.request import InboundRequest
+from bluebellslip._internal.kernel.counters import InMemoryCounters
+from lib.calls import Caller, find_free_address
+from lib.simulated_platform import wait_until
+
+pytestmark = pytest.mark.anyio
+
+_HANG_TIMEOUT_S = 10
+_PIPELINED = CallerLimits(max_pipelined=8)
+# More than the send and receive buffers of the sockets hold.
+_LARGE_BYTES = 16 << 20
+_RECEIVE_BUFFER_BYTES = 16 << 10
+
+
+class ScriptedHandler:
+    """Responds to each request once the test allows its target."""
+
+    def __init__(self) -> None:
+        self.started: list[str] = []
+        self.cancelled: list[str] = []
+        self.bodies: dict[str, bytes] = {}
+        self._allowed: dict[str, asyncio.Event] = {}
+
+    def allow(self, target: str) -> None:
+        self._allowed.setdefault(target, asyncio.Event()).set()
+
+    async def has_started(self, target: str) -> bool:
+        return target in self.started
+
+    async def handle(self, request: InboundRequest) -> None:
+        target = request.target.decode()
+        self.started.append(target)
+        try:
+            await self._allowed.setdefault(target, asyncio.Event()).wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(target)
+            raise
+        body = self.bodies.get(target, target.encode())
+        request.reply.start(200, [], len(body))
+        request.reply.finish(body)
+
+
+@contextlib.asynccontextmanager
+async def listening(
+    handler: ScriptedHandler, limits: CallerLimits = _PIPELINED
+) -> AsyncGenerator[Listener, None]:
+    listener = Listener(
+        find_free_address(), handler, InMemoryCounters(), limits
+    )
+    await listener.open()
+    try:
+        yield listener
+    finally:
+        listener.close()
+
+
+def encode_get(target: str) -> bytes:
+    return f'GET {target} HTTP/1.1\r\nhost: shop\r\n\r\n'.encode()
+
+
+def get_state(listener: Listener) -> ListenerState:
+    return listener._state
+
+
+async def test_request_behind_a_closing_response_is_not_started() -> None:
+    """Its caller may send it again only if it did not run."""
+    handler = ScriptedHandler()
+    async with listening(handler) as listener:
+        caller = await Caller.open(listener.address)
+        caller.writer.write(encode_get('/1'))
+        await wait_until(lambda: handler.has_started('/1'))
+        listener.start_draining()
+        handler.allow('/2')
+        caller.writer.write(encode_get('/2'))
+        await wait_until(lambda: handler.has_started('/2'))
+        caller.writer.write(encode_get('/3'))
+        await asyncio.sleep(0.1)
+        handler.allow('/1')
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            first = await caller.receive()
+            second = await caller.receive()
+            assert await caller.reader.read() == b''
+        caller.close()
+    assert (first.body, second.body) == (b'/1', b'/2')
+    assert second.headers['connection'] == 'close'
+    assert handler.started == ['/1', '/2']
+    assert not handler.cancelled
+
+
+async def test_response_is_not_lost_when_input_follows_it() -> None:
+    """Closing a socket with unread input would discard its unsent output."""
+    handler = ScriptedHandler()
+    handler.bodies['/1'] = b'x' * _LARGE_BYTES
+    async with listening(handler) as listener:
+        caller = await open_slow_caller(listener)
+        caller.writer.write(encode_get('/1'))
+        await wait_until(lambda: handler.has_started('/1'))
+        listener.start_draining()
+        handler.allow('/1')
+        await asyncio.sleep(0.1)
+        caller.writer.write(encode_get('/2'))
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            response = await caller.receive()
+        caller.close()
+    assert len(response.body) == _LARGE_BYTES
+    assert handler.started == ['/1']
+
+
+async def open_slow_caller(listener: Listener) -> Caller:
+    """Open a connection with a small receive buffer."""
+    connection = socket.socket()
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+    )
+    connection.setblocking(False)
+    address = (listener.address.host, listener.address.port)
+    await asyncio.get_running_loop().sock_connect(connection, address)
+    return Caller(*await asyncio.open_connection(sock=connection, limit=1024))
+
+
+async def test_refusal_is_not_lost_while_the_body_is_still_sent() -> None:
+    """The caller reads the response only once it has sent all."""
+    handler = ScriptedHandler()
+    handler.bodies['/1'] = b'x' * _LARGE_BYTES
+    handler.allow('/1')
+    async with listening(handler) as listener:
+        caller = await open_slow_caller(listener)
+        caller.writer.write(
+            b'POST /1 HTTP/1.1\r\nhost: shop\r\ncontent-length: 4000\r\n\r\n'
+        )
+        for _ in range(30):
+            caller.writer.write(b'x' * 100)
+            await asyncio.sleep(0.1)
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            response = await caller.receive()
+        caller.close()
+    assert len(response.body) == _LARGE_BYTES
+
+
+async def test_request_on_an_accepted_connection_is_answered() -> None:
+    """The connection waits in the listener's queue when it shuts down."""
+    handler = ScriptedHandler()
+    async with listening(handler) as listener:
+        connection = socket.create_connection((
+            listener.address.host,
+            listener.address.port,
+        ))
+        connection.sendall(encode_get('/1'))
+        # The event loop has not run since, so nothing was accepted.
+        listener.shut_down()
+        reader, writer = await asyncio.open_connection(sock=connection)
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            response = await Caller(reader, writer).receive()
+        writer.close()
+    assert response.status == 503
+    assert response.headers['connection'] == 'close'
+    assert not handler.started
