Don't start requests behind a response that closes their connection

Callers saw the connection close without a response to pipelined requests, up to 2 s after the signal of a stopping node, although the requests had been passed on to servers.

Cause: a node that drains announces the close in a response if no request follows it at that moment. While that response is held back behind an earlier one, a further request could arrive. It was started, and cancelled once the closing response was sent.

The test failed before: the third request was started.

Such a request is now ignored, as one that crosses the close: the caller was told of it in the response before, so it may send the request again, and it has not run.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -178,6 +178,10 @@
         if self._ignores_input:
             self._state.ignore(request)
             return
+        if self._in_progress and self._in_progress[-1].closes_connection:
+            self._ignores_input = True
+            self._state.ignore(request)
+            return
         if self._state.shutting_down:
             self._refuse_late_request(request)
             return
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/reply.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/reply.py
@@ -165,9 +165,9 @@
         return self._ended
 
     @property
-    def reusable(self) -> bool:
-        """Whether the reply is complete and the connection may be reused."""
-        return self._ended and self._keep_alive
+    def keeps_alive(self) -> bool:
+        """Whether the connection stays open after the reply."""
+        return self._keep_alive
 
     def disable_keep_alive(self) -> None:
         """Close the connection after the reply."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
@@ -44,7 +44,13 @@
     @property
     def reusable(self) -> bool:
         """Whether the connection may serve another request."""
-        return self.reply.reusable and self.body.complete
+        reply = self.reply
+        return reply.ended and reply.keeps_alive and self.body.complete
+
+    @property
+    def closes_connection(self) -> bool:
+        """Whether the caller was told that the connection will be closed."""
+        return self.reply.started and not self.reply.keeps_alive
 
     def attach_task(self, task: asyncio.Task[None]) -> None:
         """Set the task that serves the request."""
