Read what callers send until they have the response that closes their connection

Callers lost responses that their node had written: they saw a reset connection.

Cause: the node closed the socket as soon as the response was written. If input was unread then, or came before the response had arrived, the kernel reset the connection and discarded the rest of the response: behind a pipelined request, and 2 s after a refusal whose body was still being sent, as over a narrow link.

Now only the sending direction is closed at first. Input is read and dropped until the caller closes too, has been silent for 2 s, or 30 s have passed. Requests that cross the close are read, so request_ignored names them as well.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -12,6 +12,7 @@
 from typing import Final, Protocol
 
 from bluebellslip._internal.calls.limits import CallerLimits
+from bluebellslip._internal.calls.lingering import LingeringClose
 from bluebellslip._internal.calls.reply import Reply, ReplyWriter
 from bluebellslip._internal.calls.request import InboundRequest
 from bluebellslip._internal.calls.request_reader import RequestReader
@@ -99,14 +100,20 @@
         self._write_gate = WriteGate()
         self._in_progress: deque[InboundRequest] = deque()
         self._waiting: deque[InboundRequest] = deque()
-        self._ignores_input = False
+        self._ignores_requests = False
+        self._has_invalid_input = False
         self._closes_after_replies = False
         self._paused = False
 
     @property
     def idle_since(self) -> float | None:
-        """Loop time of the last input in seconds; None while serving."""
-        return None if self._in_progress else self._last_read
+        """Loop time of the last input in seconds.
+
+        None while requests are served and while the connection is closed.
+        """
+        if self._in_progress or self._close.has_begun:
+            return None
+        return self._last_read
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the connection."""
@@ -117,12 +124,14 @@
         self._reader = RequestReader(
             self.transport, self._write_gate, self._state, self._accept_request
         )
+        self._close = LingeringClose(self.transport)
         self._last_read = self._loop.time()
         self._state.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the requests of a caller that disconnected."""
         self._state.connections.discard(self)
+        self._close.stop()
         self._write_gate.open()
         self._waiting.clear()
         self._reader.fail(MalformedError('The caller disconnected.'))
@@ -139,9 +148,10 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse input."""
-        if self._ignores_input:
-            return
         self._last_read = self._loop.time()
+        self._close.record_input()
+        if self._has_invalid_input:
+            return
         try:
             self._reader.feed(chunk)
         except BluebellError as error:
@@ -167,20 +177,35 @@
             return
         limit = self._state.limits.head_timeout
         started = self._reader.head_started_at
-        if limit is None or started is None or self._ignores_input:
+        if limit is None or started is None or self._ignores_requests:
             return
         if now - started > limit.total_seconds():
             self._refuse_input(
                 RequestTimeoutError('The request head took too long.')
             )
 
+    def close(self) -> None:
+        """Close the connection once all responses on it have arrived."""
+        self._ignores_requests = True
+        for waiting in self._waiting:
+            self._ignore(waiting)
+        self._waiting.clear()
+        for request in self._in_progress:
+            request.cancel(by_node=True)
+            request.body.drop()
+        self._close.begin()
+
+    def _ignore(self, request: InboundRequest) -> None:
+        self._ignores_requests = True
+        request.body.drop()
+        self._state.ignore(request)
+
     def _accept_request(self, request: InboundRequest) -> None:
-        if self._ignores_input:
-            self._state.ignore(request)
+        if self._ignores_requests:
+            self._ignore(request)
             return
         if self._in_progress and self._in_progress[-1].closes_connection:
-            self._ignores_input = True
-            self._state.ignore(request)
+            self._ignore(request)
             return
         if self._state.shutting_down:
             self._refuse_late_request(request)
@@ -205,8 +230,7 @@
         caller may send it elsewhere.
         """
         if self._in_progress:
-            self._state.ignore(request)
-            self._ignores_input = True
+            self._ignore(request)
             return
         request.reply.disable_keep_alive()
         self._in_progress.append(request)
@@ -261,10 +285,12 @@
 
     def _advance(self) -> None:
         """Release replies that are next in order and start waiting requests."""
+        if self._close.has_begun:
+            return
         while self._in_progress and self._in_progress[0].done:
             request = self._in_progress.popleft()
             if not request.reusable:
-                self._close()
+                self.close()
                 return
             if self._in_progress:
                 self._in_progress[0].reply.writer.release()
@@ -274,7 +300,7 @@
                 waiting.reply.writer.release()
             self._start_request(waiting)
         if self._is_finished:
-            self._close()
+            self.close()
         elif self._paused and not self._waiting:
             self._paused = False
             self.transport.resume_reading()
@@ -289,24 +315,18 @@
     def _has_room(self) -> bool:
         return len(self._in_progress) < self._state.limits.max_pipelined
 
-    def _close(self) -> None:
-        self._ignores_input = True
-        for waiting in self._waiting:
-            self._state.ignore(waiting)
-        self._waiting.clear()
-        for request in self._in_progress:
-            request.cancel(by_node=True)
-        self.transport.close()
-
     def _reply_with_error(
         self, request: InboundRequest, error: BluebellError
     ) -> None:
         self._counters.add('calls_refused', kind=error.kind.value)
-        if not self.transport.is_closing():
+        if not (self._close.has_begun or self.transport.is_closing()):
             request.reply.refuse(error)
 
     def _refuse_input(self, error: BluebellError) -> None:
-        self._ignores_input = True
+        self._has_invalid_input = True
+        if self._ignores_requests:
+            return
+        self._ignores_requests = True
         if self._reader.fail(error):
             return
         self._counters.add('calls_refused', kind=error.kind.value)
@@ -315,4 +335,4 @@
             return
         writer = ReplyWriter(self.transport, self._write_gate)
         Reply(writer, self._state).refuse(error)
-        self.transport.close()
+        self.close()
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/lingering.py
@@ -0,0 +1,72 @@
+"""Closes connections without losing the responses sent on them.
+
+Closing a socket that has unread input resets the connection, which discards
+output that has not arrived yet. So only the sending direction is closed at
+first; input is read and dropped until the caller closes the connection too.
+"""
+
+import asyncio
+import contextlib
+from typing import Final
+
+# A caller that has sent nothing for this long after the close gets no more time
+# to close the connection.
+IDLE_LINGER_S: Final = 2.0
+# Longest time for which the input of a closed connection is read and dropped.
+MAX_LINGER_S: Final = 30.0
+
+
+class LingeringClose:
+    """The close of one connection.
+
+    Parameters
+    ----------
+    transport
+        The connection's transport.
+    """
+
+    def __init__(self, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        self._loop = asyncio.get_running_loop()
+        self._timer: asyncio.TimerHandle | None = None
+        self._last_input: float = 0
+        self._latest: float = 0
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the connection is being closed."""
+        return self._timer is not None
+
+    def begin(self) -> None:
+        """Close the sending direction once the pending output is sent."""
+        if self.has_begun:
+            return
+        self._last_input = self._loop.time()
+        self._latest = self._last_input + MAX_LINGER_S
+        # The caller may have reset the connection already.
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+        self._transport.resume_reading()
+        self._wait()
+
+    def record_input(self) -> None:
+        """Give the caller more time, since it is still sending."""
+        self._last_input = self._loop.time()
+
+    def stop(self) -> None:
+        """Stop waiting; the connection is closed."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _wait(self) -> None:
+        end = min(self._last_input + IDLE_LINGER_S, self._latest)
+        self._timer = self._loop.call_at(end, self._check)
+
+    def _check(self) -> None:
+        now = self._loop.time()
+        if now >= self._latest:
+            self._transport.abort()
+        elif now - self._last_input >= IDLE_LINGER_S:
+            self._transport.close()
+        else:
+            self._wait()
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
@@ -130,7 +130,7 @@
         for connection in tuple(self._state.connections):
             if connection.idle_since is not None:
                 self._state.closed_idle += 1
-                connection.transport.close()
+                connection.close()
 
     def close_idle(self) -> None:
         """Close idle connections and refuse heads that take too long."""
@@ -140,7 +140,7 @@
             connection.check_head_timeout(now)
             since = connection.idle_since
             if since is not None and since < cutoff:
-                connection.transport.abort()
+                connection.close()
 
     def _make_connection(self) -> InboundConnection:
         return InboundConnection(self._handler, self._counters, self._state)
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/streams.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/streams.py
@@ -7,7 +7,6 @@
 from bluebellslip._internal.exceptions import BluebellError, TooLargeError
 
 HIGH_WATER_BYTES: Final = 64 * 1024
-LOW_WATER_BYTES: Final = 16 * 1024
 
 
 class ReadBuffer:
@@ -94,9 +93,16 @@
         taken = b''.join(self._chunks)
         self._chunks.clear()
         self._size = 0
-        self._resume()
+        if self._paused:
+            self._paused = False
+            self._transport.resume_reading()
         return taken
 
+    def drop(self) -> None:
+        """Discard what is buffered and all that follows."""
+        self._discards = True
+        self.take()
+
     async def discard(self) -> None:
         """Read to the end and discard everything.
 
@@ -105,8 +111,7 @@
         BluebellError
             When the body ends early or has exceeded its limit.
         """
-        self._discards = True
-        self.take()
+        self.drop()
         await self.read()
 
     async def read(self) -> bytes:
@@ -141,11 +146,6 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
-    def _resume(self) -> None:
-        if self._paused and self._size <= LOW_WATER_BYTES:
-            self._paused = False
-            self._transport.resume_reading()
-
     def _check_limit(self) -> None:
         if self._limit is not None and self._total > self._limit:
             self._error = TooLargeError(
