Accept the connections that wait when a node stops listening

Callers saw their connection reset with a request on it when their node stopped listening, 2.6 s after its signal.

Cause: closing a listening socket resets the connections that the kernel has established but the process has not accepted yet. On an instance with half of a core the event loop lags behind, so there are some.

The socket now accepts what waits in its queue before it is closed; requests on these connections are refused like all others after the shutdown.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
@@ -10,12 +10,12 @@
     ListenerState,
 )
 from bluebellslip._internal.calls.limits import CallerLimits
+from bluebellslip._internal.calls.listening_socket import ListeningSocket
 from bluebellslip._internal.calls.request import InboundRequest
-from bluebellslip._internal.exceptions import BluebellError, ListenError
+from bluebellslip._internal.exceptions import BluebellError
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.models.identity import Address
 
-_BACKLOG: Final = 1024
 _DEFAULT_LIMITS: Final = CallerLimits()
 
 
@@ -45,7 +45,7 @@
         self._handler = handler
         self._counters = counters
         self._state = ListenerState(limits)
-        self._server: asyncio.Server | None = None
+        self._socket = ListeningSocket(address, self._make_connection)
 
     @property
     def unsent_bytes(self) -> int:
@@ -73,19 +73,7 @@
         ListenError
             When the address can't be bound.
         """
-        loop = asyncio.get_running_loop()
-        try:
-            self._server = await loop.create_server(
-                self._make_connection,
-                self._address.host,
-                self._address.port,
-                backlog=_BACKLOG,
-            )
-        except OSError as error:
-            raise ListenError(
-                'Cannot listen on an address.',
-                context={'address': str(self._address), 'found': str(error)},
-            ) from error
+        await self._socket.open()
 
     @property
     def address(self) -> Address:
@@ -109,8 +97,7 @@
 
     def close(self) -> None:
         """Stop listening and abort the remaining connections."""
-        if self._server is not None:
-            self._server.close()
+        self._socket.close()
         for connection in tuple(self._state.connections):
             connection.transport.abort()
 
@@ -125,8 +112,7 @@
         Data already written is still sent; a reset would lose it.
         """
         self._state.shutting_down = True
-        if self._server is not None:
-            self._server.close()
+        self._socket.close()
         for connection in tuple(self._state.connections):
             if connection.idle_since is not None:
                 self._state.closed_idle += 1
