Keep log lines of requests without a response from being left out

Among those left out may be requests that ended without a response, the ones that matter most.

These lines, which name the outcome, now have a limit of their own, and request_ignored counts against it; it had none.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/trace.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/trace.py
@@ -181,5 +181,6 @@
             extra={
                 'request': request_id.decode('latin-1'),
                 'target': request.target.decode('latin-1'),
+                'outcome': 'ignored',
             },
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -128,7 +128,7 @@
     'request_ignored': Event(
         'A request arrived on a connection that the node was closing; it was '
         'not run, and its caller got no response.',
-        ('request', 'target'),
+        ('request', 'target', 'outcome'),
     ),
     'visit_failed': Event(
         'A request from a peer got no response from the local server.',
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/stdout_logs.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/stdout_logs.py
@@ -11,6 +11,7 @@
 import os
 import stat
 import sys
+from collections import Counter
 from typing import Final
 
 from pythonjsonlogger.json import JsonFormatter
@@ -19,10 +20,19 @@
 
 REQUEST_EVENTS: Final = frozenset((
     'request_failed',
+    'request_ignored',
     'request_served',
     'visit_failed',
     'visit_served',
 ))
+# Outcomes of requests whose callers got no response. Their lines have a limit of
+# their own, so that no flood of refusals hides them.
+UNANSWERED_OUTCOMES: Final = frozenset((
+    'broken-off',
+    'connection-closed',
+    'cut-off',
+    'ignored',
+))
 # A line costs about fifty microseconds, so this rate uses 0.5 % of a core.
 MAX_REQUEST_LINES_PER_SECOND: Final = 100
 # Bytes buffered for a slow reader before lines are dropped.
@@ -47,7 +57,7 @@
         self._clock = clock
         self._pending = bytearray()
         self._current_second = 0
-        self._request_lines = 0
+        self._line_counts: Counter[bool] = Counter()
         self._omitted = 0
         self._dropped = 0
 
@@ -55,10 +65,12 @@
         """Write a line, or count it if it is over the rate limit."""
         self._update_rate_window()
         if record.getMessage() in REQUEST_EVENTS:
-            if self._request_lines >= MAX_REQUEST_LINES_PER_SECOND:
+            outcome = getattr(record, 'outcome', '')
+            is_unanswered = outcome in UNANSWERED_OUTCOMES
+            if self._line_counts[is_unanswered] >= MAX_REQUEST_LINES_PER_SECOND:
                 self._omitted += 1
                 return
-            self._request_lines += 1
+            self._line_counts[is_unanswered] += 1
         self._write(self.format(record))
 
     def _update_rate_window(self) -> None:
@@ -66,7 +78,7 @@
         if second == self._current_second:
             return
         self._current_second = second
-        self._request_lines = 0
+        self._line_counts.clear()
         if self._omitted or self._dropped:
             summary = logging.makeLogRecord({
                 'levelname': 'WARNING',
--- a/tests/unit/test_logs_and_metrics.py
+++ b/tests/unit/test_logs_and_metrics.py
@@ -85,6 +85,19 @@
     assert lines[-3:] == ['config_applied', 'lines_left_out', 'node_leaving']
 
 
+def test_request_without_a_response_is_logged_in_a_flood_of_refusals() -> None:
+    read, write = os.pipe()
+    handler = NonBlockingHandler(write, ManualClock())
+    for _ in range(MAX_REQUEST_LINES_PER_SECOND * 2):
+        handler.emit(make_record('request_failed', outcome='503'))
+    for _ in range(MAX_REQUEST_LINES_PER_SECOND * 2):
+        handler.emit(make_record('request_ignored', outcome='ignored'))
+    os.close(write)
+    lines = os.fdopen(read).read().splitlines()
+    assert lines.count('request_failed') == MAX_REQUEST_LINES_PER_SECOND
+    assert lines.count('request_ignored') == MAX_REQUEST_LINES_PER_SECOND
+
+
 def test_stalled_reader_does_not_block_logging() -> None:
     read, write = os.pipe()
     fcntl.fcntl(write, fcntl.F_SETPIPE_SZ, 4096)
