--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/stdout_logs.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/stdout_logs.py
@@ -25,8 +25,8 @@
     'visit_failed',
     'visit_served',
 ))
-# Outcomes of requests whose callers got no response. Their lines have a limit of
-# their own, so that no flood of refusals hides them.
+# Outcomes of requests whose callers got no response. Their lines have a limit
+# of their own, so that no flood of refusals hides them.
 UNANSWERED_OUTCOMES: Final = frozenset((
     'broken-off',
     'connection-closed',
