Log a caller that left as such for all its requests

Of several requests on one connection that its caller had closed, only the first was logged as caller-left, the others as connection-closed: the end of the first one closes the connection once more. The test failed before.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
@@ -69,8 +69,8 @@
         by_node
             Whether this node closed the connection, not the caller.
         """
+        self.closed_by_node = by_node and not self.connection_closed
         self.connection_closed = True
-        self.closed_by_node = by_node
         if self._task is not None:
             self._task.cancel()
 
--- a/tests/functional/test_caller_connections.py
+++ b/tests/functional/test_caller_connections.py
@@ -32,6 +32,7 @@
     """Responds to each request once the test allows its target."""
 
     def __init__(self) -> None:
+        self.requests: list[InboundRequest] = []
         self.started: list[str] = []
         self.cancelled: list[str] = []
         self.bodies: dict[str, bytes] = {}
@@ -43,8 +44,12 @@
     async def has_started(self, target: str) -> bool:
         return target in self.started
 
+    async def has_cancelled(self, target: str) -> bool:
+        return target in self.cancelled
+
     async def handle(self, request: InboundRequest) -> None:
         target = request.target.decode()
+        self.requests.append(request)
         self.started.append(target)
         try:
             await self._allowed.setdefault(target, asyncio.Event()).wait()
@@ -103,6 +108,22 @@
     assert not handler.cancelled
 
 
+async def test_caller_that_left_did_not_have_its_connection_closed() -> None:
+    """The log says so, also of its further requests on the connection."""
+    handler = ScriptedHandler()
+    async with listening(handler) as listener:
+        caller = await Caller.open(listener.address)
+        caller.writer.write(encode_get('/1') + encode_get('/2'))
+        await wait_until(lambda: handler.has_started('/2'))
+        caller.close()
+        await wait_until(lambda: handler.has_cancelled('/2'))
+    assert [request.connection_closed for request in handler.requests] == [
+        True,
+        True,
+    ]
+    assert not any(request.closed_by_node for request in handler.requests)
+
+
 async def test_response_is_not_lost_when_input_follows_it() -> None:
     """Closing a socket with unread input would discard its unsent output."""
     handler = ScriptedHandler()
