Refuse a request that starts after the cutoff of its node

What callers saw: 502 for a pipelined request that a stopping node started after its cutoff, behind others on its connection, although it has not run.

Cause: a timeout in the past ends its task only once the task waits for something. By then the first attempt has been written to an open connection, so the request counted as possibly run, and the other node might run it.

Change: the cutoff is checked before the first attempt; nothing is sent, so the response is 503 with Retry-After.

test_request_that_starts_after_the_cutoff_makes_no_attempt: 502 without the change, 503 with it, and the server gets nothing.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_cutoffs.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_cutoffs.py
@@ -52,7 +52,7 @@
     def enforce(self, routed: RoutedRequest) -> 'EnforcedCutoff':
         """Return a context manager that ends at the request's cutoff.
 
-        It raises ``TimeoutError``.
+        It raises ``TimeoutError``, at its start if the cutoff has passed.
         """
         routed.cutoff = min(routed.cutoff, self._latest)
         return EnforcedCutoff(routed, self._clock, self._enforced)
@@ -88,6 +88,10 @@
         return asyncio.get_running_loop().time() + time_left.total_seconds()
 
     async def __aenter__(self) -> None:
+        if self._routed.cutoff <= self._clock.elapsed():
+            # The timeout itself would only end it once it waits for something,
+            # after it was sent.
+            raise TimeoutError
         await self._timeout.__aenter__()
         self._enforced.add(self)
 
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import datetime as dt
 from collections.abc import AsyncGenerator
 
 import msgspec
@@ -57,13 +58,15 @@
 
 @contextlib.asynccontextmanager
 async def mesh(
-    handler: RequestHandler | None = None,
+    handler: RequestHandler | None = None, slots: int = 4
 ) -> AsyncGenerator[tuple[PlatformNode, SimulatedStore, PlatformNode], None]:
     """Run a calling node, and a node beside a server for uploads."""
     store = SimulatedStore()
     store.put('op', 'config', _CONFIG)
     front = PlatformNode('front', 'store', store, respond_signed(b'store'))
-    back = PlatformNode('back', 'art', store, handler or respond_signed(b'art'))
+    back = PlatformNode(
+        'back', 'art', store, handler or respond_signed(b'art'), slots=slots
+    )
     async with run_nodes(store, [front, back]):
         yield front, store, back
 
@@ -113,9 +116,11 @@
     await node.node._stop()
 
 
-async def upload(node: PlatformNode) -> ReceivedResponse:
+async def upload(
+    node: PlatformNode, request_id: str = 'u1', body: bytes = _BODY
+) -> ReceivedResponse:
     async with asyncio.timeout(_HANG_TIMEOUT_S):
-        return await node.call('/art/1', 'u1', method='POST', body=_BODY)
+        return await node.call('/art/1', request_id, method='POST', body=body)
 
 
 @pytest.mark.parametrize('sent', ['before', 'after'])
@@ -141,6 +146,18 @@
     assert not back.server.received_requests
 
 
+async def test_request_that_starts_after_the_cutoff_makes_no_attempt() -> None:
+    async with mesh() as (front, _, back):
+        assert (await front.call('/read/1', 'r1')).status == 200
+        now = front.node._clock.elapsed()
+        front.node._data_plane.callers.set_cutoff(now - dt.timedelta(seconds=1))
+        response = await front.call('/read/1', 'r2')
+        assert response.status == 503
+        assert float(response.headers['retry-after']) > 0
+        await wait_until(lambda: is_idle(back))
+    assert len(back.server.received_requests) == 1
+
+
 async def test_upload_moves_on_when_the_node_it_waits_at_stops() -> None:
     async with mesh() as (front, store, back), occupied_link(back):
         uploading = asyncio.create_task(upload(front))
