Pass no request on after the cutoff of its node

What callers saw: an upload that got 502 when its node stopped was still passed on to a server afterwards, by the node at which it had waited, and ran there until the end of its connection arrived.

Cause: the node beside the server used the cutoff for its queue only. A request that got a free slot, as after a body that came late over a narrow link, was passed on without a look at the time. The end of its connection does not help, since it arrives behind the bytes that were sent before it.

Change: the cutoff is checked right before the request is passed on. The caller's node does not send a request elsewhere that was refused because its time is over.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_rules.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_rules.py
@@ -68,6 +68,8 @@
         return False
     if not attempt.replayable or not attempt.untried:
         return False
+    if attempt.time_left <= dt.timedelta():
+        return False
     if not attempt.reached:
         return True
     if attempt.servers_reached >= attempt.max_servers:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -387,10 +387,22 @@
             None if self._routed.is_repeatable else NON_IDEMPOTENT_MAX_IDLE_S
         )
         exchange = await self._connect(info, max_idle_s)
+        self._check_cutoff()
         self.sent = True
         self._gateway.running.begin(self._routed.request_id)
         return await self._send(info, exchange)
 
+    def _check_cutoff(self) -> None:
+        """Check that the caller's node still waits for the request.
+
+        Its body may have arrived late, and the end of a connection arrives
+        only after the data on it.
+        """
+        if self._gateway.clock.elapsed() >= self._routed.cutoff:
+            raise OverloadedError(
+                'The request was not started before its cutoff.'
+            )
+
     async def _connect(
         self, info: ServerInfo, max_idle_s: float | None
     ) -> Exchange:
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -146,6 +146,30 @@
     assert not back.server.received_requests
 
 
+async def test_request_is_not_passed_on_after_the_cutoff_of_its_node() -> None:
+    """The node beside the server gets it late, as from a narrow link."""
+    async with mesh() as (front, _, back):
+        endpoints = front.node._state.peer_table.endpoints(ServiceName('art'))
+        lifetime = endpoints[0].lifetime
+        routing = (
+            '["art","r-art",false,1,30000,20000,"store",'
+            f'{lifetime.born},"{lifetime.server}",30000,false,0,-1]'
+        )
+        peer = await Caller.open(Address.from_text(back.listen.peers))
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            response = await peer.call(
+                '/art/1',
+                method='POST',
+                body=b'x',
+                x_request_id='u1',
+                bluebell_work=routing,
+            )
+        peer.close()
+        assert response.status == 503
+        assert response.headers['bluebell-not-run'] == '1'
+    assert not back.server.received_requests
+
+
 async def test_request_that_starts_after_the_cutoff_makes_no_attempt() -> None:
     async with mesh() as (front, _, back):
         assert (await front.call('/read/1', 'r1')).status == 200
