Withdraw requests that wait at other nodes before the cutoff

What callers saw: 502 at the cutoff of their stopping node, 5.1 s after its signal, for a request that waited at another node and had not run. After a 502 the caller of a request that must not run twice may not send it again.

Cause: once a request was sent, only the other node knew whether it had been passed on, and nobody asked.

Change: half a second before the cutoff, the stopping node sends each node at which it has open attempts their request ids, and makes no further attempts. The other node refuses those that wait there for the link, their body, a slot or a connection. The refusal is the usual response to the attempt and says "not run", so the 503 is true: a request that is refused in a wait is not passed on, also if the wait ends in the same moment. Requests that were passed on are left alone. If the query or the refusal is lost, the request gets 502 as before; this is logged. Requests without an id can't be withdrawn.

--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -51,6 +51,11 @@
 from bluebellslip._internal.proxy.server_gateway import ServerGateway
 from bluebellslip._internal.proxy.server_selection import ServerSelector
 from bluebellslip._internal.proxy.trace import IgnoredRequestRecorder
+from bluebellslip._internal.proxy.withdrawals import (
+    WITHDRAWAL_QUERY,
+    OpenAttempts,
+    WithdrawalHandler,
+)
 from bluebellslip._internal.rollouts.coordinator import RolloutCoordinator
 from bluebellslip._internal.rollouts.outcome_recorder import (
     VersionOutcomeRecorder,
@@ -135,6 +140,7 @@
     callers: CallerHandler
     peers: PeerHandler
     body_transfers: BodyTransferLimiter
+    open_attempts: OpenAttempts
     peer_config: PeerConfigSync
 
     @classmethod
@@ -175,8 +181,7 @@
             environment.random,
             state.watches_store,
         )
-        peer_queries = PeerQueries()
-        peer_queries.register(CONFIG_QUERY, peer_config.handle_query)
+        open_attempts = OpenAttempts(peer_pool)
         return cls(
             gateway=gateway,
             server_publisher=LocalServerPublisher(
@@ -198,7 +203,9 @@
                     clock=clock,
                     peer_table=state.peer_table,
                     server_selector=server_selector,
-                    forwarder=RequestForwarder(clock, peer_pool, gateway),
+                    forwarder=RequestForwarder(
+                        clock, peer_pool, gateway, open_attempts
+                    ),
                     versions=version_selector,
                     sizes=ResponseSizes(),
                 ),
@@ -209,13 +216,27 @@
                 OutgoingRequestCounter(state.server, outcome_recorder),
             ),
             peers=PeerHandler(
-                gateway, adapter.metadata_headers, peer_queries, body_transfers
+                gateway,
+                adapter.metadata_headers,
+                _make_peer_queries(peer_config, gateway),
+                body_transfers,
             ),
             body_transfers=body_transfers,
+            open_attempts=open_attempts,
             peer_config=peer_config,
         )
 
 
+def _make_peer_queries(
+    peer_config: PeerConfigSync, gateway: ServerGateway
+) -> PeerQueries:
+    queries = PeerQueries()
+    queries.register(CONFIG_QUERY, peer_config.handle_query)
+    withdrawal_handler = WithdrawalHandler(gateway.waits)
+    queries.register(WITHDRAWAL_QUERY, withdrawal_handler.handle)
+    return queries
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ControlPlane:
     """The components that read and write the platform's store."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -43,6 +43,9 @@
 # Time before STOP_MARGIN for the responses to requests that would outlast the
 # rest of the grace period; they end 5.1 s after the signal by default.
 LAST_RESPONSES_TIME: Final = dt.timedelta(seconds=0.1)
+# Time before the cutoff at which requests that wait at other nodes are
+# withdrawn, for the query and the refusals on links with full queues.
+WITHDRAWAL_TIME: Final = dt.timedelta(milliseconds=500)
 # Time after the start at which a node that has a configuration reports that it
 # is ready even if it has not learned of peers and servers.
 MAX_STARTUP_WAIT: Final = dt.timedelta(seconds=1)
@@ -244,7 +247,23 @@
         self._state.beacon_source.state = NodeState.LEAVING
         self._state.beacon_protocol.request_broadcast()
         self._listeners.start_draining()
-        self._data_plane.callers.set_cutoff(deadline - LAST_RESPONSES_TIME)
+        cutoff = deadline - LAST_RESPONSES_TIME
+        self._data_plane.callers.set_cutoff(cutoff)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._withdraw_attempts, cutoff - WITHDRAWAL_TIME)
+            await self._drain(deadline)
+            group.cancel_scope.cancel()
+        await anyio.sleep(_LINGER_S)
+        self._remainder = self._count_unfinished()
+        self._state.beacon_protocol.close()
+
+    async def _withdraw_attempts(self, start: dt.timedelta) -> None:
+        time_left = start - self._clock.elapsed()
+        await anyio.sleep(max(0, time_left.total_seconds()))
+        await self._data_plane.open_attempts.withdraw()
+
+    async def _drain(self, deadline: dt.timedelta) -> None:
+        """Refuse new work step by step and wait for the rest, until a time."""
         await anyio.sleep(PEER_ACCEPT_TIME.total_seconds())
         self._data_plane.server_publisher.withdraw()
         await anyio.sleep(
@@ -256,9 +275,6 @@
         while self._is_busy and self._clock.elapsed() < deadline:
             await anyio.sleep(_POLL_INTERVAL_S)
             self._listeners.shut_down()
-        await anyio.sleep(_LINGER_S)
-        self._remainder = self._count_unfinished()
-        self._state.beacon_protocol.close()
 
     def _count_unfinished(self) -> UnfinishedWork:
         return UnfinishedWork(
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
@@ -19,6 +19,7 @@
     AttemptResult,
     RequestForwarder,
 )
+from bluebellslip._internal.proxy.request_cutoffs import make_stop_error
 from bluebellslip._internal.proxy.response_sizes import ResponseSizes
 from bluebellslip._internal.proxy.responses import BufferedResponse
 from bluebellslip._internal.proxy.retry_budget import SharedRetryBudget
@@ -181,6 +182,8 @@
 
     def _list_untried(self) -> list[Endpoint]:
         """Return the servers that may still be tried."""
+        if self._context.forwarder.stopped:
+            return []
         service = self._routed.service
         known = self._context.peer_table.endpoints(service)
         if len(self._refused) >= limit_refusals(len(known)):
@@ -208,6 +211,8 @@
 
     def _make_refusal(self) -> BluebellError:
         """Return the error for a request without a server to try."""
+        if self._context.forwarder.stopped:
+            return make_stop_error(may_have_run=False)
         service = self._routed.service
         known = len(self._context.peer_table.endpoints(service))
         context = {
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
@@ -41,6 +41,7 @@
     mark_unreachable,
 )
 from bluebellslip._internal.proxy.silence import SilenceTimeout
+from bluebellslip._internal.proxy.withdrawals import OpenAttempts
 
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
 
@@ -85,15 +86,27 @@
         Connections to other nodes.
     gateway
         Access to the local server.
+    open_attempts
+        Tracks the requests that are sent to other nodes.
     """
 
     def __init__(
-        self, clock: Clock, peers: ConnectionPool, gateway: ServerGateway
+        self,
+        clock: Clock,
+        peers: ConnectionPool,
+        gateway: ServerGateway,
+        open_attempts: OpenAttempts,
     ) -> None:
+        self._open_attempts = open_attempts
         self._clock = clock
         self._peers = peers
         self._gateway = gateway
 
+    @property
+    def stopped(self) -> bool:
+        """Whether no more requests are sent to servers."""
+        return self._open_attempts.withdrawn
+
     async def forward(
         self,
         endpoint: Endpoint,
@@ -112,10 +125,11 @@
         if endpoint.address is None:
             await self._forward_to_local_server(routed, options, result)
             return
-        async with SilenceTimeout(endpoint, routed):
-            await self._forward_to_peer(
-                endpoint, endpoint.address, routed, options, result
-            )
+        with self._open_attempts.track(endpoint.address, routed.request_id):
+            async with SilenceTimeout(endpoint, routed):
+                await self._forward_to_peer(
+                    endpoint, endpoint.address, routed, options, result
+                )
 
     async def _forward_to_local_server(
         self,
@@ -154,6 +168,7 @@
             on_delivery=result.record_delivery,
         ) as exchange:
             await self._connect(endpoint, exchange)
+            self._open_attempts.check()
             head = await self._send(endpoint, exchange, routed, options)
             self._update_load(endpoint, head)
             if header_names.ERROR in head.fields:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
@@ -113,8 +113,10 @@
         if size < EXPECT_CONTINUE_BYTES:
             return
         server_call.check_capacity()
-        async with self._body_transfers.make_transfer(
-            size, peer_request.options.max_wait
+        max_wait = peer_request.options.max_wait
+        async with (
+            server_call.wait(),
+            self._body_transfers.make_transfer(size, max_wait),
         ):
             await peer_request.routed.upload.buffer()
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -43,6 +43,7 @@
     ServerLoad,
 )
 from bluebellslip._internal.proxy.running_requests import RunningRequests
+from bluebellslip._internal.proxy.server_waits import ServerWait, ServerWaits
 
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
 _MIN_SERVER_ERROR: Final = 500
@@ -122,6 +123,7 @@
         self._failure_rate = 0.0
         self._hold_times = RouteHoldTimes()
         self._running = RunningRequests()
+        self._waits = ServerWaits()
         self._closed = False
         self._refusal_listeners: list[Callable[[], None]] = []
         self._current_lifetime: object = None
@@ -146,6 +148,11 @@
         """The requests that the server is running."""
         return self._running
 
+    @property
+    def waits(self) -> ServerWaits:
+        """The requests that wait to be passed on to the server."""
+        return self._waits
+
     @property
     def gate(self) -> AdmissionGate:
         """The server's slots."""
@@ -346,15 +353,20 @@
         BluebellError
             ``sent`` and ``not_run`` say whether the request may have run.
         """
-        routed = self._routed
-        self._gateway.check(routed, self._options)
-        self._ticket = await self._gateway.gate.admit(self._make_ticket())
-        self._info = self._gateway.check(routed, self._options)
-        self._started = self._gateway.clock.elapsed()
-        head = await self._forward(self._info)
+        async with self.wait():
+            info = await self._take_slot()
+            exchange = await self._connect(info)
+            self._check_cutoff()
+        self.sent = True
+        self._gateway.running.begin(self._routed.request_id)
+        head = await self._send(info, exchange)
         self._classify(head)
         return head
 
+    def wait(self) -> ServerWait:
+        """Return a wait before the request is passed on to the server."""
+        return self._gateway.waits.begin(self._routed)
+
     def check_capacity(self) -> None:
         """Check that the server is expected to have a slot in time.
 
@@ -382,15 +394,14 @@
             max_wait=self._options.max_wait,
         )
 
-    async def _forward(self, info: ServerInfo) -> ResponseHead:
-        max_idle_s = (
-            None if self._routed.is_repeatable else NON_IDEMPOTENT_MAX_IDLE_S
-        )
-        exchange = await self._connect(info, max_idle_s)
-        self._check_cutoff()
-        self.sent = True
-        self._gateway.running.begin(self._routed.request_id)
-        return await self._send(info, exchange)
+    async def _take_slot(self) -> ServerInfo:
+        """Wait for a slot and return the server that it belongs to."""
+        gateway = self._gateway
+        gateway.check(self._routed, self._options)
+        self._ticket = await gateway.gate.admit(self._make_ticket())
+        self._info = gateway.check(self._routed, self._options)
+        self._started = gateway.clock.elapsed()
+        return self._info
 
     def _check_cutoff(self) -> None:
         """Check that the caller's node still waits for the request.
@@ -403,9 +414,10 @@
                 'The request was not started before its cutoff.'
             )
 
-    async def _connect(
-        self, info: ServerInfo, max_idle_s: float | None
-    ) -> Exchange:
+    async def _connect(self, info: ServerInfo) -> Exchange:
+        max_idle_s = (
+            None if self._routed.is_repeatable else NON_IDEMPOTENT_MAX_IDLE_S
+        )
         echo = (
             self._gateway.metadata_headers.request_id,
             self._routed.request_id,
--- /dev/null
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_waits.py
@@ -0,0 +1,90 @@
+"""Requests that wait until they are passed on to the local server.
+
+Handles requests that must not go on waiting: the node of a caller stops and
+withdraws them. A request that was passed on waits no more, so it is never
+refused here.
+"""
+
+import asyncio
+from collections.abc import Callable, Collection
+from types import TracebackType
+from typing import Self
+
+from bluebellslip._internal.exceptions import BluebellError
+from bluebellslip._internal.proxy.routed_request import RoutedRequest
+
+
+class ServerWaits:
+    """The waits of all requests to the local server."""
+
+    def __init__(self) -> None:
+        self._open: set[ServerWait] = set()
+
+    def begin(self, routed: RoutedRequest) -> 'ServerWait':
+        """Return the wait of a request, to be used as a context manager."""
+        return ServerWait(routed, self._open)
+
+    def refuse(
+        self,
+        request_ids: Collection[bytes],
+        make_error: Callable[[], BluebellError],
+    ) -> None:
+        """Refuse the waiting requests that have one of these ids."""
+        for wait in tuple(self._open):
+            if wait.request_id in request_ids:
+                wait.refuse(make_error())
+
+
+class ServerWait:
+    """A wait of one request: for its body, a slot or a connection.
+
+    A context manager that raises the error of ``refuse``. Whatever follows it
+    without another wait is only reached by a request that was not refused.
+
+    Parameters
+    ----------
+    routed
+        The request.
+    open_waits
+        The set of all waits, which has this one while it is open.
+    """
+
+    def __init__(
+        self, routed: RoutedRequest, open_waits: set['ServerWait']
+    ) -> None:
+        self._routed = routed
+        self._open_waits = open_waits
+        self._refusal: BluebellError | None = None
+        self._timeout = asyncio.timeout(None)
+
+    @property
+    def request_id(self) -> bytes:
+        """The id that the request's caller sent; empty if none."""
+        return self._routed.request_id
+
+    async def __aenter__(self) -> Self:
+        await self._timeout.__aenter__()
+        self._open_waits.add(self)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._open_waits.discard(self)
+        try:
+            await self._timeout.__aexit__(kind, error, trace)
+        except TimeoutError:
+            if self._refusal is None:
+                raise
+            raise self._refusal from None
+        if kind is None and self._refusal is not None:
+            raise self._refusal
+
+    def refuse(self, error: BluebellError) -> None:
+        """End the wait with an error, unless it was refused before."""
+        if self._refusal is None:
+            self._refusal = error
+            self._timeout.reschedule(asyncio.get_running_loop().time())
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -44,6 +44,16 @@
     'node_leaving': Event(
         'The node was asked to stop and is draining.', ('grace_s',)
     ),
+    'attempts_withdrawn': Event(
+        'The node is about to stop and withdraws the requests that it has sent '
+        'to other nodes, unless they are at a server.',
+        ('peers', 'attempts'),
+    ),
+    'withdrawal_failed': Event(
+        'Another node did not confirm a withdrawal; requests that wait there '
+        'get 502, since they may run.',
+        ('address', 'attempts', 'reason'),
+    ),
     'node_stopped': Event(
         'The node has stopped, with this work undone: requests of callers and '
         'of other nodes without a complete response, requests that arrived on '
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -95,6 +95,38 @@
     await wait_until(is_waiting)
 
 
+async def wait_for_slot(node: PlatformNode) -> None:
+    """Wait until a request waits for a slot of the server beside a node."""
+
+    async def is_waiting() -> bool:
+        return node.node._data_plane.gateway.gate.waiting > 0
+
+    await wait_until(is_waiting)
+
+
+async def wait_for_requests(node: PlatformNode, count: int) -> None:
+    """Wait until the server beside a node has received some requests."""
+
+    async def has_received() -> bool:
+        return len(node.server.received_requests) == count
+
+    await wait_until(has_received)
+
+
+def hold_until(event: asyncio.Event) -> RequestHandler:
+    """Return a handler that responds once an event is set."""
+
+    async def handler(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request: ReceivedRequest,
+    ) -> None:
+        await event.wait()
+        writer.write(encode_signed_response(request, b'art'))
+
+    return handler
+
+
 async def knows_servers(node: PlatformNode, count: int) -> bool:
     peer_table = node.node._state.peer_table
     return len(peer_table.endpoints(ServiceName('art'))) == count
@@ -146,6 +178,60 @@
     assert not back.server.received_requests
 
 
+@pytest.mark.parametrize('size', [len(_BODY), 1000])
+async def test_request_that_waits_for_a_slot_elsewhere_is_refused_at_the_cutoff(
+    size: int,
+) -> None:
+    released = asyncio.Event()
+    async with mesh(hold_until(released), slots=1) as (front, _, back):
+        running = asyncio.create_task(upload(back, 'b1'))
+        await wait_for_requests(back, 1)
+        waiting = asyncio.create_task(upload(front, body=_BODY[:size]))
+        await wait_for_slot(back)
+        await stop(front)
+        response = await waiting
+        released.set()
+        assert response.status == 503
+        assert float(response.headers['retry-after']) > 0
+        assert (await running).status == 200
+        await wait_until(lambda: is_idle(back))
+    assert len(back.server.received_requests) == 1
+
+
+async def test_withdrawn_attempts_leave_running_requests_alone() -> None:
+    released = asyncio.Event()
+    async with mesh(hold_until(released), slots=1) as (front, _, back):
+        running = asyncio.create_task(upload(front, 'u1'))
+        await wait_for_requests(back, 1)
+        waiting = asyncio.create_task(upload(front, 'u2'))
+        await wait_for_slot(back)
+        await front.node._data_plane.open_attempts.withdraw()
+        assert (await waiting).status == 503
+        released.set()
+        assert (await running).status == 200
+        assert (await upload(front, 'u3')).status == 503
+        await wait_until(lambda: is_idle(back))
+    assert len(back.server.received_requests) == 1
+
+
+async def test_withdrawn_upload_is_refused_in_the_middle_of_its_body() -> None:
+    """The caller of the front node is slow to send its body."""
+    async with mesh() as (front, _, back):
+        caller = await front.open_caller()
+        caller.writer.write(
+            b'POST /art/1 HTTP/1.1\r\nhost: shop.example\r\n'
+            b'x-request-id: u1\r\ncontent-length: 60000\r\n\r\n'
+        )
+        caller.writer.write(_BODY[:1000])
+        await wait_until(lambda: is_receiving(back))
+        await front.node._data_plane.open_attempts.withdraw()
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            assert (await caller.receive()).status == 503
+        await wait_until(lambda: is_idle(back))
+        caller.close()
+    assert not back.server.received_requests
+
+
 async def test_request_is_not_passed_on_after_the_cutoff_of_its_node() -> None:
     """The node beside the server gets it late, as from a narrow link."""
     async with mesh() as (front, _, back):
