Refuse waiting requests that a server can't run any more

What callers saw: a late 503, or a timeout, for an upload that waited for the link of a node or for a slot of its server. It could have been sent elsewhere.

Cause: waiting requests were refused when their server left or drained, but not when it had started anew, failed connects, missed its heartbeats or had its version stopped. They were checked after their turn only.

Change: the node checks its waiting requests again, with the check that each of them passes anyway, on every update of the server's endpoint: on each message of the server and five times a second. This replaces the refusal of all waiting bodies and tickets on a departure, so there is one way to end a wait. Bodies in transit are received first, as before.

The test of a refused body that holds no capacity called the method that is gone; it refuses the body by its wait now, with the same assertions.

--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/server_publisher.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/server_publisher.py
@@ -73,14 +73,15 @@
 
     def apply_server_change(self) -> None:
         """Apply a change of the server's state."""
-        self._gateway.refuse_if_unusable()
         self.refresh()
 
     def refresh(self) -> None:
         """Update the server's endpoint for the node's own callers.
 
         The endpoint is removed while the server is withdrawn or unusable.
+        Waiting requests that the server can't run any more are refused.
         """
+        self._gateway.refuse_unservable()
         info = self._server.info
         if info is None or self._withdrawn or not self._server.is_usable:
             self._endpoint = None
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/body_transfers.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/body_transfers.py
@@ -14,7 +14,7 @@
 from collections import deque
 from typing import Final
 
-from bluebellslip._internal.exceptions import DrainingError, OverloadedError
+from bluebellslip._internal.exceptions import OverloadedError
 
 # Bodies in transit together have at most as many bytes as the link carries in
 # this time. The time is a small part of the shortest latency objectives.
@@ -64,15 +64,6 @@
         needed = dt.timedelta(seconds=self._in_transit / self._rate)
         return MIN_SLOW_AFTER + needed * SLOW_FACTOR
 
-    def refuse_waiting(self) -> None:
-        """Refuse the bodies that wait; the server accepts no more work."""
-        while self._waiting:
-            transfer = self._waiting.popleft()
-            if not transfer.granted.done():
-                transfer.granted.set_exception(
-                    DrainingError('The server accepts no new requests.')
-                )
-
     def make_transfer(
         self, size: int, max_wait: dt.timedelta
     ) -> 'BodyTransfer':
@@ -146,12 +137,7 @@
     @property
     def was_granted(self) -> bool:
         """Whether the body takes up capacity of the link."""
-        granted = self.granted
-        return (
-            granted.done()
-            and not granted.cancelled()
-            and granted.exception() is None
-        )
+        return self.granted.done() and not self.granted.cancelled()
 
 
 class BodyTransfer:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
@@ -62,7 +62,6 @@
         self._metadata_headers = metadata_headers
         self._peer_queries = peer_queries
         self.in_flight = UsageCounter()
-        gateway.on_refusal(body_transfers.refuse_waiting)
 
     async def handle(self, request: InboundRequest) -> None:
         """Respond to a request; a raised error becomes the response."""
@@ -115,9 +114,10 @@
         server_call.check_capacity()
         max_wait = peer_request.options.max_wait
         async with (
-            server_call.wait(),
+            server_call.wait() as wait,
             self._body_transfers.make_transfer(size, max_wait),
         ):
+            wait.receives_body = True
             await peer_request.routed.upload.buffer()
 
     async def _relay(
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -6,7 +6,7 @@
 """
 
 import datetime as dt
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from types import TracebackType
 from typing import Final, Protocol, Self
 
@@ -125,7 +125,6 @@
         self._running = RunningRequests()
         self._waits = ServerWaits()
         self._closed = False
-        self._refusal_listeners: list[Callable[[], None]] = []
         self._current_lifetime: object = None
 
     @property
@@ -187,16 +186,11 @@
     def close(self) -> None:
         """Refuse new requests from now on; running ones may finish."""
         self._closed = True
-        self._refuse_waiting()
+        self.refuse_unservable()
 
-    def on_refusal(self, listener: Callable[[], None]) -> None:
-        """Call a listener whenever all waiting requests are refused."""
-        self._refusal_listeners.append(listener)
-
-    def refuse_if_unusable(self) -> None:
-        """Refuse waiting requests if the server accepts no more work."""
-        if not self._server.is_usable:
-            self._refuse_waiting()
+    def refuse_unservable(self) -> None:
+        """Refuse waiting requests that the server can't run any more."""
+        self._waits.refuse_unservable(self.check)
 
     def open(
         self, routed: RoutedRequest, options: AttemptOptions
@@ -231,11 +225,6 @@
         self._gate.resize(info.slots)
         return info
 
-    def _refuse_waiting(self) -> None:
-        self._gate.refuse_all()
-        for listener in self._refusal_listeners:
-            listener()
-
     def _find_server(
         self, routed: RoutedRequest, options: AttemptOptions
     ) -> ServerInfo:
@@ -365,7 +354,7 @@
 
     def wait(self) -> ServerWait:
         """Return a wait before the request is passed on to the server."""
-        return self._gateway.waits.begin(self._routed)
+        return self._gateway.waits.begin(self._routed, self._options)
 
     def check_capacity(self) -> None:
         """Check that the server is expected to have a slot in time.
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_waits.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_waits.py
@@ -1,8 +1,8 @@
 """Requests that wait until they are passed on to the local server.
 
-Handles requests that must not go on waiting: the node of a caller stops and
-withdraws them. A request that was passed on waits no more, so it is never
-refused here.
+Handles requests that must not go on waiting: the server can't run them any
+more, or the node of their caller stops and withdraws them. A request that was
+passed on waits no more, so it is never refused here.
 """
 
 import asyncio
@@ -11,7 +11,12 @@
 from typing import Self
 
 from bluebellslip._internal.exceptions import BluebellError
-from bluebellslip._internal.proxy.routed_request import RoutedRequest
+from bluebellslip._internal.proxy.routed_request import (
+    AttemptOptions,
+    RoutedRequest,
+)
+
+_Check = Callable[[RoutedRequest, AttemptOptions], object]
 
 
 class ServerWaits:
@@ -20,9 +25,25 @@
     def __init__(self) -> None:
         self._open: set[ServerWait] = set()
 
-    def begin(self, routed: RoutedRequest) -> 'ServerWait':
+    def begin(
+        self, routed: RoutedRequest, options: AttemptOptions
+    ) -> 'ServerWait':
         """Return the wait of a request, to be used as a context manager."""
-        return ServerWait(routed, self._open)
+        return ServerWait(routed, options, self._open)
+
+    def refuse_unservable(self, check: _Check) -> None:
+        """Refuse the requests that the server can't run any more.
+
+        Those whose bodies are being received are refused once they arrived.
+
+        Parameters
+        ----------
+        check
+            Raises an error for a request that the server can't run.
+        """
+        for wait in tuple(self._open):
+            if not wait.receives_body:
+                wait.recheck(check)
 
     def refuse(
         self,
@@ -40,19 +61,27 @@
 
     A context manager that raises the error of ``refuse``. Whatever follows it
     without another wait is only reached by a request that was not refused.
+    ``receives_body`` is set while the request's body is in transit.
 
     Parameters
     ----------
     routed
         The request.
+    options
+        Options of its attempt.
     open_waits
         The set of all waits, which has this one while it is open.
     """
 
     def __init__(
-        self, routed: RoutedRequest, open_waits: set['ServerWait']
+        self,
+        routed: RoutedRequest,
+        options: AttemptOptions,
+        open_waits: set['ServerWait'],
     ) -> None:
+        self.receives_body = False
         self._routed = routed
+        self._options = options
         self._open_waits = open_waits
         self._refusal: BluebellError | None = None
         self._timeout = asyncio.timeout(None)
@@ -83,6 +112,13 @@
         if kind is None and self._refusal is not None:
             raise self._refusal
 
+    def recheck(self, check: _Check) -> None:
+        """Refuse the request if the check fails."""
+        try:
+            check(self._routed, self._options)
+        except BluebellError as error:
+            self.refuse(error)
+
     def refuse(self, error: BluebellError) -> None:
         """End the wait with an error, unless it was refused before."""
         if self._refusal is None:
--- a/tests/unit/test_body_transfers.py
+++ b/tests/unit/test_body_transfers.py
@@ -17,6 +17,7 @@
     TRANSFER_WINDOW,
     BodyTransferLimiter,
 )
+from bluebellslip._internal.proxy.server_waits import ServerWaits
 from lib.fleet import MS, SECOND
 
 _NARROW_LINK_MBPS = 5.0  # 625 kB per second
@@ -170,9 +171,10 @@
         limiter = BodyTransferLimiter(_NARROW_LINK_MBPS)
         size = int(_BYTES_IN_WINDOW)
         async with limiter.make_transfer(size, SECOND):
-            waiting = asyncio.create_task(_transfer(limiter, size))
+            waits = ServerWaits()
+            waiting = asyncio.create_task(_transfer(limiter, size, waits))
             await yield_to_tasks()
-            limiter.refuse_waiting()
+            waits.refuse_unservable(_refuse)
             with pytest.raises(DrainingError):
                 await waiting
             assert limiter.in_transit == size
@@ -181,6 +183,16 @@
     run(scenario())
 
 
-async def _transfer(limiter: BodyTransferLimiter, size: int) -> None:
-    async with limiter.make_transfer(size, SECOND):
+async def _transfer(
+    limiter: BodyTransferLimiter, size: int, waits: ServerWaits
+) -> None:
+    request: Any = None
+    async with (
+        waits.begin(request, request),
+        limiter.make_transfer(size, SECOND),
+    ):
         raise AssertionError('the body was granted')
+
+
+def _refuse(*_: object) -> None:
+    raise DrainingError('The server accepts no new requests.')
--- a/tests/unit/test_server_waits.py
+++ b/tests/unit/test_server_waits.py
@@ -21,7 +21,8 @@
 
 def begin(waits: ServerWaits, request_id: bytes = b'r1') -> ServerWait:
     routed: Any = SimpleNamespace(request_id=request_id)
-    return waits.begin(routed)
+    options: Any = None
+    return waits.begin(routed, options)
 
 
 def refuse(waits: ServerWaits, request_id: bytes = b'r1') -> None:
@@ -58,6 +59,22 @@
     run(scenario())
 
 
+def test_body_in_transit_is_received_before_its_request_is_refused() -> None:
+    """An end in the middle of a body would look like a broken connection."""
+
+    def check(*_: object) -> None:
+        raise DrainingError('The server accepts no new requests.')
+
+    async def scenario() -> None:
+        waits = ServerWaits()
+        async with begin(waits) as wait:
+            wait.receives_body = True
+            waits.refuse_unservable(check)
+            await asyncio.sleep(0)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize('refused_first', [True, False])
 def test_request_refused_as_its_wait_ends_is_not_passed_on(
     refused_first: bool,
