Let bodies go on behind one that no longer waits

What callers saw: an upload that waited for the link of a node although there was room for it, until the next body had arrived.

Cause: when the first waiting body was cancelled, those behind it were not considered until a transfer ended.

test_cancelled_transfer_does_not_hold_up_those_behind_it: red without the change.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/body_transfers.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/body_transfers.py
@@ -123,6 +123,7 @@
             self.release(transfer.size)
         elif transfer in self._waiting:
             self._waiting.remove(transfer)
+            self._grant()
 
 
 class _QueuedTransfer:
--- a/tests/unit/test_body_transfers.py
+++ b/tests/unit/test_body_transfers.py
@@ -128,6 +128,24 @@
     run(scenario())
 
 
+def test_cancelled_transfer_does_not_hold_up_those_behind_it() -> None:
+    async def scenario() -> None:
+        transfers = HeldTransfers(BodyTransferLimiter(_NARROW_LINK_MBPS))
+        for size in (_BODY_BYTES, 10 * _BODY_BYTES, _BODY_BYTES):
+            transfers.send(size)
+        await yield_to_tasks()
+        assert transfers.limiter.in_transit == _BODY_BYTES
+        transfers.tasks[1].cancel()
+        await yield_to_tasks()
+        assert transfers.limiter.in_transit == 2 * _BODY_BYTES
+        for task in transfers.tasks:
+            task.cancel()
+        await yield_to_tasks()
+        assert transfers.limiter.in_transit == 0
+
+    run(scenario())
+
+
 def test_slow_caller_does_not_delay_other_transfers(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
