Keep what a refusal says while its body arrives

What callers saw: 502 for an upload that another node had refused as not run, if that node's response came in two parts or its connection broke in between.

Cause: the head of the refusal sets the request to "not run". While the rest of the refusal was awaited, the body of the request was still being sent, and its end counted as a delivery, after which the request may have run.

Change: a delivery counts only until the node beside the server has responded.

test_refusal_in_two_parts_counts_as_not_run, with the rest of the refusal and with a broken connection: 502 without the change, 503 with it.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
@@ -52,18 +52,32 @@
 
     ``reached`` is set if the request may have reached a server,
     ``may_have_run`` if it may have run there. With neither a response nor an
-    error, the response was streamed or the attempt was cancelled.
+    error, the response was streamed or the attempt was cancelled. ``refused``
+    is set once the server's node has responded with an error, which says what
+    happened to the request.
     """
 
     response: BufferedResponse | None = None
     error: BluebellError | None = None
     reached: bool = False
     may_have_run: bool = False
+    refused: bool = False
 
     def record_delivery(self) -> None:
-        """Record that the server's node may have passed the request on."""
-        self.reached = True
-        self.may_have_run = True
+        """Record that the server's node may have passed the request on.
+
+        A body that is delivered after the node has refused its request changes
+        nothing.
+        """
+        if not self.refused:
+            self.reached = True
+            self.may_have_run = True
+
+    def record_refusal(self, head: ResponseHead) -> None:
+        """Record what an error response of the server's node says."""
+        self.refused = True
+        self.reached = REACHED_HEADER in head.fields
+        self.may_have_run = header_names.NOT_RUN not in head.fields
 
     @property
     def outcome(self) -> str:
@@ -172,8 +186,7 @@
             head = await self._send(endpoint, exchange, routed, options)
             self._update_load(endpoint, head)
             if header_names.ERROR in head.fields:
-                result.reached = REACHED_HEADER in head.fields
-                result.may_have_run = header_names.NOT_RUN not in head.fields
+                result.record_refusal(head)
                 raise await _read_refusal(exchange.connection)
             result.response = await buffer_or_stream(
                 head, exchange.connection, routed.request.reply
