Let the steps of a stop follow a short grace period

What callers saw: with a grace period under 5.4 s, requests at a server ended before the last sixth of it; under about 3.5 s a node still accepted requests after their cutoff, or did not end before it was killed.

Cause: the margins at the end, and the times for which requests are accepted, did not depend on the grace period.

Change: the steps are calculated in one place, all in proportion if the grace period is shorter than 5.4 s. From there on nothing changes.

--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -26,26 +26,10 @@
     get_grace_period,
     make_listeners,
 )
+from bluebellslip._internal.nodes.stop_schedule import StopSchedule
 
 logger = logging.getLogger(__name__)
 
-# How long a stopping node accepts new requests from callers: the platform
-# checks readiness every second and stops sending after two failed checks.
-CALLER_ACCEPT_TIME: Final = dt.timedelta(seconds=2.6)
-# How long a stopping node accepts requests from peers for its local server:
-# after this time, peers know that the node is leaving, even if one beacon was
-# lost.
-PEER_ACCEPT_TIME: Final = dt.timedelta(seconds=0.7)
-# Time at the end of the grace period, reserved for the exit of the process. The
-# exit takes a tenth of a second of CPU time but gets less than half of a core
-# while the last responses are sent.
-STOP_MARGIN: Final = dt.timedelta(seconds=0.8)
-# Time before STOP_MARGIN for the responses to requests that would outlast the
-# rest of the grace period; they end 5.1 s after the signal by default.
-LAST_RESPONSES_TIME: Final = dt.timedelta(seconds=0.1)
-# Time before the cutoff at which requests that wait at other nodes are
-# withdrawn, for the query and the refusals on links with full queues.
-WITHDRAWAL_TIME: Final = dt.timedelta(milliseconds=500)
 # Time after the start at which a node that has a configuration reports that it
 # is ready even if it has not learned of peers and servers.
 MAX_STARTUP_WAIT: Final = dt.timedelta(seconds=1)
@@ -54,8 +38,6 @@
 REFRESH_INTERVAL: Final = dt.timedelta(milliseconds=200)
 _BackgroundTask = Callable[[], Coroutine[Any, Any, None]]
 _POLL_INTERVAL_S: Final = 0.02
-# Time for the last bytes to leave the instance before the process exits.
-_LINGER_S: Final = 0.1
 # Settings that take effect only after a restart.
 _RESTART_ONLY_SETTINGS: Final = (
     'node',
@@ -238,8 +220,9 @@
         logger.info('settings_reloaded', extra={'needs_restart': needs_restart})
 
     async def _stop(self) -> None:
+        started = self._clock.elapsed()
         grace_period = get_grace_period(self._settings)
-        deadline = self._clock.elapsed() + grace_period - STOP_MARGIN
+        schedule = StopSchedule.from_grace_period(grace_period)
         logger.info(
             'node_leaving', extra={'grace_s': grace_period.total_seconds()}
         )
@@ -247,35 +230,39 @@
         self._state.beacon_source.state = NodeState.LEAVING
         self._state.beacon_protocol.request_broadcast()
         self._listeners.start_draining()
-        cutoff = deadline - LAST_RESPONSES_TIME
-        self._data_plane.callers.set_cutoff(cutoff)
+        self._data_plane.callers.set_cutoff(started + schedule.cutoff)
         async with anyio.create_task_group() as group:
-            group.start_soon(self._withdraw_attempts, cutoff - WITHDRAWAL_TIME)
-            await self._drain(deadline)
+            group.start_soon(
+                self._withdraw_attempts, started + schedule.withdrawal
+            )
+            await self._drain(started, schedule)
             group.cancel_scope.cancel()
-        await anyio.sleep(_LINGER_S)
+        await anyio.sleep(schedule.linger.total_seconds())
         self._remainder = self._count_unfinished()
         self._state.beacon_protocol.close()
 
-    async def _withdraw_attempts(self, start: dt.timedelta) -> None:
-        time_left = start - self._clock.elapsed()
-        await anyio.sleep(max(0, time_left.total_seconds()))
-        await self._data_plane.open_attempts.withdraw()
-
-    async def _drain(self, deadline: dt.timedelta) -> None:
-        """Refuse new work step by step and wait for the rest, until a time."""
-        await anyio.sleep(PEER_ACCEPT_TIME.total_seconds())
+    async def _drain(
+        self, started: dt.timedelta, schedule: StopSchedule
+    ) -> None:
+        """Refuse new work step by step, and wait for the rest."""
+        await self._sleep_until(started + schedule.peers_refused)
         self._data_plane.server_publisher.withdraw()
-        await anyio.sleep(
-            (CALLER_ACCEPT_TIME - PEER_ACCEPT_TIME).total_seconds()
-        )
+        await self._sleep_until(started + schedule.callers_refused)
         # If few nodes are ready, clients keep sending to this one. From here
         # on they are refused, so that accepted requests can finish.
         self._listeners.shut_down()
-        while self._is_busy and self._clock.elapsed() < deadline:
+        while self._is_busy and self._clock.elapsed() < started + schedule.end:
             await anyio.sleep(_POLL_INTERVAL_S)
             self._listeners.shut_down()
 
+    async def _withdraw_attempts(self, start: dt.timedelta) -> None:
+        await self._sleep_until(start)
+        await self._data_plane.open_attempts.withdraw()
+
+    async def _sleep_until(self, time: dt.timedelta) -> None:
+        time_left = time - self._clock.elapsed()
+        await anyio.sleep(max(0, time_left.total_seconds()))
+
     def _count_unfinished(self) -> UnfinishedWork:
         return UnfinishedWork(
             callers=self._data_plane.callers.in_flight.count,
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -14,7 +14,7 @@
 import pytest
 
 from bluebellslip._internal.models.identity import Address, ServiceName
-from bluebellslip._internal.nodes.mesh_node import CALLER_ACCEPT_TIME
+from bluebellslip._internal.nodes.stop_schedule import CALLER_ACCEPT_TIME
 from bluebellslip._internal.proxy.body_transfers import BodyTransferLimiter
 from lib.calls import (
     Caller,
