--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
@@ -41,6 +41,7 @@
     mark_unreachable,
 )
 from bluebellslip._internal.proxy.silence import SilenceTimeout
+from bluebellslip._internal.proxy.withdrawals import OpenAttempts
 
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
 
@@ -51,18 +52,32 @@
 
     ``reached`` is set if the request may have reached a server,
     ``may_have_run`` if it may have run there. With neither a response nor an
-    error, the response was streamed or the attempt was cancelled.
+    error, the response was streamed or the attempt was cancelled. ``refused``
+    is set once the server's node has responded with an error, which says what
+    happened to the request.
     """
 
     response: BufferedResponse | None = None
     error: BluebellError | None = None
     reached: bool = False
     may_have_run: bool = False
+    refused: bool = False
 
     def record_delivery(self) -> None:
-        """Record that the server's node may have passed the request on."""
-        self.reached = True
-        self.may_have_run = True
+        """Record that the server's node may have passed the request on.
+
+        A body that is delivered after the node has refused its request changes
+        nothing.
+        """
+        if not self.refused:
+            self.reached = True
+            self.may_have_run = True
+
+    def record_refusal(self, head: ResponseHead) -> None:
+        """Record what an error response of the server's node says."""
+        self.refused = True
+        self.reached = REACHED_HEADER in head.fields
+        self.may_have_run = header_names.NOT_RUN not in head.fields
 
     @property
     def outcome(self) -> str:
@@ -85,15 +100,27 @@
         Connections to other nodes.
     gateway
         Access to the local server.
+    open_attempts
+        Tracks the requests that are sent to other nodes.
     """
 
     def __init__(
-        self, clock: Clock, peers: ConnectionPool, gateway: ServerGateway
+        self,
+        clock: Clock,
+        peers: ConnectionPool,
+        gateway: ServerGateway,
+        open_attempts: OpenAttempts,
     ) -> None:
+        self._open_attempts = open_attempts
         self._clock = clock
         self._peers = peers
         self._gateway = gateway
 
+    @property
+    def stopped(self) -> bool:
+        """Whether no more requests are sent to servers."""
+        return self._open_attempts.withdrawn
+
     async def forward(
         self,
         endpoint: Endpoint,
@@ -112,10 +139,11 @@
         if endpoint.address is None:
             await self._forward_to_local_server(routed, options, result)
             return
-        async with SilenceTimeout(endpoint, routed):
-            await self._forward_to_peer(
-                endpoint, endpoint.address, routed, options, result
-            )
+        with self._open_attempts.track(endpoint.address, routed.request_id):
+            async with SilenceTimeout(endpoint, routed):
+                await self._forward_to_peer(
+                    endpoint, endpoint.address, routed, options, result
+                )
 
     async def _forward_to_local_server(
         self,
@@ -154,11 +182,11 @@
             on_delivery=result.record_delivery,
         ) as exchange:
             await self._connect(endpoint, exchange)
+            self._open_attempts.check()
             head = await self._send(endpoint, exchange, routed, options)
             self._update_load(endpoint, head)
             if header_names.ERROR in head.fields:
-                result.reached = REACHED_HEADER in head.fields
-                result.may_have_run = header_names.NOT_RUN not in head.fields
+                result.record_refusal(head)
                 raise await _read_refusal(exchange.connection)
             result.response = await buffer_or_stream(
                 head, exchange.connection, routed.request.reply
