Keep callers' connections open until they stop sending

Callers of a stopping node saw connections close with pipelined requests on them, mostly in the first two seconds after the signal, and sent these again.

Cause: from the signal on, each response closed its connection. Callers went on sending to the same node, since the platform had not noticed yet: they connected again, and whatever they had sent meanwhile crossed the close.

The test failed before: the first response closed the connection.

Connections are now kept until 2.1 s after the signal, when the platform has stopped sending; then responses close them as before.

--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -229,7 +229,6 @@
         self._draining = True
         self._state.beacon_source.state = NodeState.LEAVING
         self._state.beacon_protocol.request_broadcast()
-        self._listeners.start_draining()
         self._data_plane.callers.set_cutoff(started + schedule.cutoff)
         async with anyio.create_task_group() as group:
             group.start_soon(
@@ -247,6 +246,8 @@
         """Refuse new work step by step, and wait for the rest."""
         await self._sleep_until(started + schedule.peers_refused)
         self._data_plane.server_publisher.withdraw()
+        await self._sleep_until(started + schedule.connections_closed)
+        self._listeners.start_draining()
         await self._sleep_until(started + schedule.callers_refused)
         # If few nodes are ready, clients keep sending to this one. From here
         # on they are refused, so that accepted requests can finish.
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/stop_schedule.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/stop_schedule.py
@@ -12,6 +12,10 @@
 # How long a stopping node accepts new requests from callers: the platform
 # checks readiness every second and stops sending after two failed checks.
 CALLER_ACCEPT_TIME: Final = dt.timedelta(seconds=2.6)
+# How long a stopping node keeps callers' connections open after a response. The
+# platform has stopped sending by then; a caller whose connection is closed
+# before would only connect again, and send again what crossed the close.
+KEEP_ALIVE_TIME: Final = dt.timedelta(seconds=2.1)
 # How long a stopping node accepts requests from peers for its local server:
 # after this time, peers know that the node is leaving, even if one beacon was
 # lost.
@@ -40,6 +44,8 @@
     ----------
     peers_refused
         No more requests of peers for the local server.
+    connections_closed
+        Each response to a caller closes its connection.
     callers_refused
         No more requests of callers.
     withdrawal
@@ -53,6 +59,7 @@
     """
 
     peers_refused: dt.timedelta
+    connections_closed: dt.timedelta
     callers_refused: dt.timedelta
     withdrawal: dt.timedelta
     cutoff: dt.timedelta
@@ -67,6 +74,7 @@
         cutoff = end - LAST_RESPONSES_TIME * scale
         return cls(
             peers_refused=PEER_ACCEPT_TIME * scale,
+            connections_closed=KEEP_ALIVE_TIME * scale,
             callers_refused=CALLER_ACCEPT_TIME * scale,
             withdrawal=cutoff - WITHDRAWAL_TIME * scale,
             cutoff=cutoff,
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -372,3 +372,19 @@
             assert response.headers['connection'] == 'close'
             assert float(response.headers['retry-after']) > 0
     assert len(back.server.received_requests) == 1
+
+
+async def test_stopping_node_closes_no_connection_that_is_still_used() -> None:
+    """Requests that cross the close would have to be sent again."""
+    async with mesh() as (front, _, _):
+        caller = await front.open_caller()
+        stopping = asyncio.create_task(stop(front))
+        await asyncio.sleep(0)
+        for number in range(3):
+            response = await caller.call(
+                '/read/1', service='shop.example', x_request_id=f'r{number}'
+            )
+            assert response.status == 200
+            assert 'connection' not in response.headers
+        await stopping
+        caller.close()
