Refuse the first request behind others after the shutdown

Cause: a request that was read behind others after the listener was shut down was ignored, although its node could have responded.

The first such request now gets 503, which closes the connection; only what follows it is ignored. test_request_behind_others_is_refused failed before. test_continuous_pipelining had asserted that all responses are 200. The last one may be that 503 now; it must close the connection, which was not checked before.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -224,14 +224,19 @@
         self._start_request(request)
 
     def _refuse_late_request(self, request: InboundRequest) -> None:
-        """Refuse a request, or ignore it behind others on its connection.
+        """Refuse a request and ignore all that follow it on its connection.
 
-        The last response before it says that the connection is closed, so its
-        caller may send it elsewhere.
+        The refusal says that the connection is closed, so callers may send
+        those elsewhere. Behind requests that wait for their turn, a request is
+        ignored as well; the response to the last of these says so.
         """
-        if self._in_progress:
+        if self._waiting:
             self._ignore(request)
             return
+        self._ignores_requests = True
+        if self._in_progress:
+            request.reply.writer.hold()
+            self._in_progress[-1].reply.has_next_request = True
         request.reply.disable_keep_alive()
         self._in_progress.append(request)
         request.attach_task(self._loop.create_task(self._refuse(request)))
