Limit a request head while it is incomplete

Callers saw: nothing; a caller that sent headers or blank lines without end was read for as long as it sent. Blank lines before a request were never limited, headers only at the end of each read, and a request whose start arrived with a long body before it was refused with 431.

Cause: the reader counted whole reads, also what else they held, and only between the start and the end of a head; the number and size of headers were checked once the head was complete or the read was over.

Change: names, values and the target are counted as they are parsed. What the parser takes without reporting it is counted in an InputMeter, from the last complete head, body part or end of a message. It counts whole slices of the input that begin at places given by the input alone, so that the verdict does not depend on how the network cuts it.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
@@ -12,6 +12,11 @@
     TRANSFER_ENCODING,
     Header,
 )
+from bluebellslip._internal.calls.input_meter import (
+    HeaderCounter,
+    InputMeter,
+    describe_limit,
+)
 from bluebellslip._internal.calls.limits import CallerLimits
 from bluebellslip._internal.calls.reply import (
     DrainState,
@@ -25,7 +30,6 @@
     MalformedError,
 )
 
-MAX_HEADERS: Final = 128
 _HEAD: Final = b'HEAD'
 _ZERO_LENGTH: Final = b'0'
 
@@ -68,9 +72,8 @@
         self._current: InboundRequest | None = None
         self._target = b''
         self._headers: list[Header] = []
-        self._head_size = 0
-        self._partial_head_bytes = 0
-        self._between_requests = True
+        self._meter = InputMeter()
+        self._header_counter = HeaderCounter()
         self._head_started_at: float | None = None
 
     @property
@@ -91,15 +94,14 @@
         BluebellError
             When the input is not valid HTTP/1.1 or exceeds a limit.
         """
-        try:
-            self._parser.feed_data(chunk)
-        except httptools.HttpParserUpgrade:
-            raise MalformedError(
-                'Protocol upgrades are not supported.'
-            ) from None
-        except httptools.HttpParserError as error:
-            raise _to_bluebell_error(error) from error
-        self._check_partial_head(len(chunk))
+        rest = memoryview(chunk)
+        while rest:
+            part = rest[: self._meter.room]
+            self._parse(part)
+            rest = rest[len(part) :]
+            self._meter.advance(len(part), in_body=self._current is not None)
+            if self._meter.exceeds(self._state.limits.head_bytes):
+                raise self._make_too_large_error()
 
     def fail(self, error: BluebellError) -> bool:
         """Fail the request whose body is being read.
@@ -114,25 +116,27 @@
 
     def on_message_begin(self) -> None:
         """Start a new head."""
-        self._between_requests = False
         self._head_started_at = asyncio.get_running_loop().time()
         self._target = b''
         self._headers = []
-        self._head_size = 0
+        self._header_counter.clear()
 
     def on_url(self, url: bytes) -> None:
         """Append part of the target."""
         self._target += url
+        self._header_counter.add(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header."""
+        self._header_counter.add_header(name, value)
+        self._check_headers()
         self._headers.append((name.lower(), value))
-        self._head_size += len(name) + len(value)
 
     def on_headers_complete(self) -> None:
         """Pass the request to the connection."""
         self._head_started_at = None
-        self._check_head()
+        self._check_headers()
+        self._meter.record_progress()
         method = self._parser.get_method()
         fields = dict(self._headers)
         request = InboundRequest(
@@ -151,13 +155,13 @@
             ),
         )
         self._current = request
-        self._partial_head_bytes = 0
         if not _has_body(fields):
             request.body.finish()
         self._on_request(request)
 
     def on_body(self, chunk: bytes) -> None:
         """Append part of the body."""
+        self._meter.record_progress()
         if self._current is not None:
             self._current.body.feed(chunk)
 
@@ -166,28 +170,27 @@
         if self._current is not None:
             self._current.body.finish()
             self._current = None
-        self._between_requests = True
+        self._meter.record_progress()
 
-    def _check_head(self) -> None:
-        size = self._head_size + len(self._target)
-        limit = self._state.limits.head_bytes
-        if size > limit or len(self._headers) > MAX_HEADERS:
-            raise self._make_too_large_error()
+    def _parse(self, part: memoryview) -> None:
+        try:
+            self._parser.feed_data(part)
+        except httptools.HttpParserUpgrade:
+            raise MalformedError(
+                'Protocol upgrades are not supported.'
+            ) from None
+        except httptools.HttpParserError as error:
+            raise _to_bluebell_error(error) from error
 
-    def _check_partial_head(self, size: int) -> None:
-        """Limit the bytes of an incomplete head that the parser buffers."""
-        if self._current is not None or self._between_requests:
-            self._partial_head_bytes = 0
-            return
-        self._partial_head_bytes += size
-        if self._partial_head_bytes > self._state.limits.head_bytes:
+    def _check_headers(self) -> None:
+        if self._header_counter.exceeds(self._state.limits.head_bytes):
             raise self._make_too_large_error()
 
     def _make_too_large_error(self) -> BluebellError:
         limits = self._state.limits
-        bounds = f'{limits.head_bytes} bytes, {MAX_HEADERS} headers'
         return limits.head_error(
-            'The request head is too large.', context={'limit': bounds}
+            'The request head is too large.',
+            context=describe_limit(limits.head_bytes),
         )
 
 
