Limit the trailers and chunk headers of a request

Callers saw: nothing; a caller that sent trailers, a chunk extension or the zeros of a chunk's size without end was read for as long as it sent. Trailers also joined the headers that are forwarded, so a caller could add headers after the request was checked.

Cause: the reader took each field for a header of the request, after its head as well, and counted nothing between two parts of a body.

Change: trailers are counted like a head and dropped. The request fails with the error of a large head (431 for callers), and its connection is closed by the existing rules.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
@@ -127,16 +127,18 @@
         self._header_counter.add(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
+        """Append a header; trailers are dropped."""
         self._header_counter.add_header(name, value)
         self._check_headers()
-        self._headers.append((name.lower(), value))
+        if self._current is None:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Pass the request to the connection."""
         self._head_started_at = None
         self._check_headers()
         self._meter.record_progress()
+        self._header_counter.clear()
         method = self._parser.get_method()
         fields = dict(self._headers)
         request = InboundRequest(
@@ -188,9 +190,13 @@
 
     def _make_too_large_error(self) -> BluebellError:
         limits = self._state.limits
+        message = (
+            'The request head is too large.'
+            if self._current is None
+            else 'The trailers or chunk headers of a request are too large.'
+        )
         return limits.head_error(
-            'The request head is too large.',
-            context=describe_limit(limits.head_bytes),
+            message, context=describe_limit(limits.head_bytes)
         )
 
 
--- a/tests/unit/test_calls_request_limits.py
+++ b/tests/unit/test_calls_request_limits.py
@@ -16,6 +16,7 @@
 from bluebellslip._internal.calls.streams import WriteGate
 from bluebellslip._internal.exceptions import HeadTooLargeError
 from lib.endless_input import (
+    REQUEST_BODIES,
     REQUEST_HEADS,
     EndlessInput,
     FakeTransport,
@@ -70,8 +71,29 @@
     assert f'{_HEAD_BYTES} bytes' in error.context['limit']
 
 
+@pytest.mark.parametrize('size', _CHUNK_SIZES)
 @pytest.mark.parametrize(
-    'endless', REQUEST_HEADS, ids=lambda endless: endless.name
+    'endless', REQUEST_BODIES, ids=lambda endless: endless.name
+)
+async def test_endless_framing_of_a_request_body_is_accepted(
+    endless: EndlessInput, size: int
+) -> None:
+    received = _RequestInput()
+    error = feed_until_refused(
+        received.reader, endless, size, _REFUSED_WITHIN_BYTES
+    )
+    assert isinstance(error, HeadTooLargeError)
+    assert 'trailers' in error.message
+    assert f'{_HEAD_BYTES} bytes' in error.context['limit']
+    assert received.reader.fail(error)
+    with pytest.raises(HeadTooLargeError):
+        await received.requests[0].body.read()
+
+
+@pytest.mark.parametrize(
+    'endless',
+    [*REQUEST_HEADS, *REQUEST_BODIES],
+    ids=lambda endless: endless.name,
 )
 async def test_endless_request_fills_the_memory(endless: EndlessInput) -> None:
     received = _RequestInput()
@@ -85,6 +107,19 @@
         tracemalloc.stop()
 
 
+async def test_trailers_of_a_request_become_headers() -> None:
+    received = _RequestInput()
+    received.reader.feed(
+        b'POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n'
+        b'1\r\nx\r\n0\r\nhost: b\r\nx: y\r\n\r\n'
+    )
+    assert [name for name, _ in received.requests[0].headers] == [
+        b'host',
+        b'transfer-encoding',
+    ]
+    assert received.requests[0].body.complete
+
+
 async def test_long_chunked_body_is_refused_for_its_framing() -> None:
     """The chunks have one byte each; their framing exceeds every limit."""
     received = _RequestInput()
