Limit a response head in all its parts

Callers saw: nothing, unless the node ran out of memory or its event loop was busy. A server that sent a head without end was read until the request's deadline.

Cause: the reader counted the values of complete headers alone, not their names or number, nothing of an incomplete header, of the status line, of blank lines or of informational responses. The error that it raised was taken for one of the parser, so its text was "The server sent an invalid response".

Change: names, values and number are counted as they are parsed, and an InputMeter counts what brings no progress; an informational response is none. The error names the head and its limit.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
@@ -11,6 +11,11 @@
     TRANSFER_ENCODING,
     Header,
 )
+from bluebellslip._internal.calls.input_meter import (
+    HeaderCounter,
+    InputMeter,
+    describe_limit,
+)
 from bluebellslip._internal.calls.streams import ReadBuffer
 from bluebellslip._internal.exceptions import BluebellError, ServerFailedError
 
@@ -46,7 +51,9 @@
         self.received_nothing = True
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
-        self._head_size = 0
+        self._meter = InputMeter()
+        self._header_counter = HeaderCounter()
+        self._in_body = False
         self._head_received: asyncio.Future[ResponseHead] | None = None
         self._body: ReadBuffer | None = None
         self._head_only = False
@@ -103,16 +110,14 @@
         if self.response_complete:
             raise ServerFailedError('The server sent an unrequested response.')
         self.received_nothing = False
-        try:
-            self._parser.feed_data(chunk)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
-            raise ServerFailedError(
-                'The server sent an invalid response.',
-                context={'found': str(error)},
-            ) from error
+        rest = memoryview(chunk)
+        while rest:
+            part = rest[: self._meter.room]
+            self._parse(part)
+            rest = rest[len(part) :]
+            self._meter.advance(len(part), in_body=self._in_body)
+            if self._meter.exceeds(MAX_RESPONSE_HEAD_BYTES):
+                raise _make_too_large_error()
 
     def end_input(self, *, clean: bool) -> None:
         """Handle the end of the connection.
@@ -138,15 +143,15 @@
     def on_message_begin(self) -> None:
         """Start a new head; a second response makes the connection unusable."""
         self._headers = []
-        self._head_size = 0
+        self._header_counter.clear()
         if self.response_complete:
             self.usable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header."""
-        self._head_size += len(value)
-        if self._head_size > MAX_RESPONSE_HEAD_BYTES:
-            raise ServerFailedError('The response head is too large.')
+        self._header_counter.add_header(name, value)
+        if self._header_counter.exceeds(MAX_RESPONSE_HEAD_BYTES):
+            raise _make_too_large_error()
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -154,10 +159,14 @@
         status = self._parser.get_status_code()
         if status == _CONTINUE_STATUS:
             self._signal_continue()
-        if status < _FIRST_FINAL_STATUS or self.response_complete:
+        if status < _FIRST_FINAL_STATUS:
+            return
+        self._meter.record_progress()
+        self._in_body = True
+        if self.response_complete:
             return
         head = _make_head(status, self._headers)
-        self._stray = self._is_stray(head)
+        self._stray = _is_stray(head, self._echo)
         if self._stray:
             self.usable = False
             return
@@ -171,6 +180,7 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Append part of the body."""
+        self._meter.record_progress()
         if self._body is not None and not (
             self.response_complete or self._stray
         ):
@@ -178,17 +188,24 @@
 
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
-        if self._parser.get_status_code() < _FIRST_FINAL_STATUS or self._stray:
+        if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
+            return
+        self._meter.record_progress()
+        self._in_body = False
+        if self._stray:
             return
         if not self._parser.should_keep_alive():
             self.usable = False
         self._finish()
 
-    def _is_stray(self, head: ResponseHead) -> bool:
-        if self._echo is None:
-            return False
-        name, value = self._echo
-        return head.fields.get(name, value) != value
+    def _parse(self, part: memoryview) -> None:
+        try:
+            self._parser.feed_data(part)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            raise _to_server_error(error) from error
 
     def _signal_continue(self) -> None:
         if (
@@ -211,5 +228,28 @@
     return ResponseHead(status, headers, fields, int(length))
 
 
+def _is_stray(head: ResponseHead, echo: Header | None) -> bool:
+    if echo is None:
+        return False
+    name, value = echo
+    return head.fields.get(name, value) != value
+
+
+def _make_too_large_error() -> ServerFailedError:
+    return ServerFailedError(
+        'The response head is too large.',
+        context=describe_limit(MAX_RESPONSE_HEAD_BYTES),
+    )
+
+
+def _to_server_error(error: BaseException) -> ServerFailedError:
+    cause = error.__context__
+    if isinstance(cause, ServerFailedError):
+        return cause
+    return ServerFailedError(
+        'The server sent an invalid response.', context={'found': str(error)}
+    )
+
+
 def _ends_at_close(head: ResponseHead) -> bool:
     return head.length is None and TRANSFER_ENCODING not in head.fields
