Limit the trailers and chunk headers of a response

Callers saw: nothing; a server that sent trailers, a chunk extension or the zeros of a chunk's size without end was read until the request's deadline. Trailers of a response that was buffered were forwarded to the caller as headers.

Cause: as for requests, the reader took each field for a header and counted nothing between two parts of a body.

Change: trailers are counted like a head and dropped. The InputMeter counts while a body is read. The error is that of a failed server.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
@@ -117,7 +117,7 @@
             rest = rest[len(part) :]
             self._meter.advance(len(part), in_body=self._in_body)
             if self._meter.exceeds(MAX_RESPONSE_HEAD_BYTES):
-                raise _make_too_large_error()
+                raise _make_too_large_error(in_body=self._in_body)
 
     def end_input(self, *, clean: bool) -> None:
         """Handle the end of the connection.
@@ -148,11 +148,12 @@
             self.usable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
+        """Append a header; trailers are dropped."""
         self._header_counter.add_header(name, value)
         if self._header_counter.exceeds(MAX_RESPONSE_HEAD_BYTES):
-            raise _make_too_large_error()
-        self._headers.append((name.lower(), value))
+            raise _make_too_large_error(in_body=self._in_body)
+        if not self._in_body:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Deliver the head, unless it is informational or is skipped."""
@@ -162,6 +163,7 @@
         if status < _FIRST_FINAL_STATUS:
             return
         self._meter.record_progress()
+        self._header_counter.clear()
         self._in_body = True
         if self.response_complete:
             return
@@ -235,10 +237,14 @@
     return head.fields.get(name, value) != value
 
 
-def _make_too_large_error() -> ServerFailedError:
+def _make_too_large_error(*, in_body: bool) -> ServerFailedError:
+    message = (
+        'The trailers or chunk headers of a response are too large.'
+        if in_body
+        else 'The response head is too large.'
+    )
     return ServerFailedError(
-        'The response head is too large.',
-        context=describe_limit(MAX_RESPONSE_HEAD_BYTES),
+        message, context=describe_limit(MAX_RESPONSE_HEAD_BYTES)
     )
 
 
--- a/tests/unit/test_calls_response_limits.py
+++ b/tests/unit/test_calls_response_limits.py
@@ -17,6 +17,7 @@
 from bluebellslip._internal.calls.streams import ReadBuffer
 from bluebellslip._internal.exceptions import ServerFailedError
 from lib.endless_input import (
+    RESPONSE_BODIES,
     RESPONSE_HEADS,
     EndlessInput,
     FakeTransport,
@@ -62,9 +63,25 @@
     assert not received.head.done()
 
 
+@pytest.mark.parametrize('size', _CHUNK_SIZES)
+@pytest.mark.parametrize(
+    'endless', RESPONSE_BODIES, ids=lambda endless: endless.name
+)
+async def test_endless_framing_of_a_response_body_is_accepted(
+    endless: EndlessInput, size: int
+) -> None:
+    received = _ResponseInput()
+    error = feed_until_refused(
+        received.reader, endless, size, _REFUSED_WITHIN_BYTES
+    )
+    assert isinstance(error, ServerFailedError)
+    assert 'trailers' in error.message
+    assert '65536 bytes' in error.context['limit']
+
+
 @pytest.mark.parametrize(
     'endless',
-    RESPONSE_HEADS,
+    [*RESPONSE_HEADS, *RESPONSE_BODIES],
     ids=lambda endless: endless.name,
 )
 async def test_endless_response_fills_the_memory(
@@ -81,6 +98,18 @@
         tracemalloc.stop()
 
 
+async def test_trailers_of_a_response_become_headers() -> None:
+    received = _ResponseInput()
+    received.reader.feed(
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+        b'1\r\nx\r\n0\r\nx: y\r\n\r\n'
+    )
+    assert received.head.result().headers == [
+        (b'transfer-encoding', b'chunked')
+    ]
+    assert received.reader.response_complete
+
+
 async def test_long_chunked_body_is_refused_for_its_framing() -> None:
     """The chunks have one byte each; their framing exceeds every limit."""
     received = _ResponseInput()
