Limit the skipped responses to other requests

Callers saw: nothing; a server that sent responses to other requests without end, or one whose body had no end, was read until the request's deadline.

Cause: such a response may come late, before the one that is due, and is skipped; nothing counted what was skipped.

Change: after 1 MiB of skipped heads and bodies the server has failed and its connection is closed. Single responses are skipped as before.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/input_meter.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/input_meter.py
@@ -82,6 +82,11 @@
         self._size = 0
         self._count = 0
 
+    @property
+    def size(self) -> int:
+        """Number of bytes of all names and values."""
+        return self._size
+
     def clear(self) -> None:
         """Start the next message, or the trailers of a body."""
         self._size = 0
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
@@ -20,8 +20,11 @@
 from bluebellslip._internal.exceptions import BluebellError, ServerFailedError
 
 MAX_RESPONSE_HEAD_BYTES: Final = 64 * 1024
+# Total size of the responses to other requests that may precede a response.
+MAX_SKIPPED_BYTES: Final = 1 << 20
 _CONTINUE_STATUS: Final = 100
 _FIRST_FINAL_STATUS: Final = 200
+_MIN_HEAD_BYTES: Final = len(b'HTTP/1.1 200\r\n\r\n')
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,6 +63,7 @@
         self._until_close = False
         self._echo: Header | None = None
         self._stray = False
+        self._skipped_bytes = 0
         self._continue_received: asyncio.Future[None] | None = None
 
     def watch_for_continue(self) -> asyncio.Future[None]:
@@ -91,6 +95,7 @@
         """
         self._echo = echo
         self._stray = False
+        self._skipped_bytes = 0
         self._continue_received = None
         self._head_received = head_received
         self._body = body
@@ -113,7 +118,7 @@
         rest = memoryview(chunk)
         while rest:
             part = rest[: self._meter.room]
-            self._parse(part)
+            _parse(self._parser, part)
             rest = rest[len(part) :]
             self._meter.advance(len(part), in_body=self._in_body)
             if self._meter.exceeds(MAX_RESPONSE_HEAD_BYTES):
@@ -142,6 +147,7 @@
 
     def on_message_begin(self) -> None:
         """Start a new head; a second response makes the connection unusable."""
+        self._in_body = False
         self._headers = []
         self._header_counter.clear()
         if self.response_complete:
@@ -158,6 +164,7 @@
     def on_headers_complete(self) -> None:
         """Deliver the head, unless it is informational or is skipped."""
         status = self._parser.get_status_code()
+        head_size = self._header_counter.size
         if status == _CONTINUE_STATUS:
             self._signal_continue()
         if status < _FIRST_FINAL_STATUS:
@@ -171,6 +178,7 @@
         self._stray = _is_stray(head, self._echo)
         if self._stray:
             self.usable = False
+            self._skip(head_size + _MIN_HEAD_BYTES)
             return
         self._until_close = _ends_at_close(head)
         if self._head_received is not None and not self._head_received.done():
@@ -183,9 +191,9 @@
     def on_body(self, chunk: bytes) -> None:
         """Append part of the body."""
         self._meter.record_progress()
-        if self._body is not None and not (
-            self.response_complete or self._stray
-        ):
+        if self._stray:
+            self._skip(len(chunk))
+        elif self._body is not None and not self.response_complete:
             self._body.feed(chunk)
 
     def on_message_complete(self) -> None:
@@ -200,14 +208,13 @@
             self.usable = False
         self._finish()
 
-    def _parse(self, part: memoryview) -> None:
-        try:
-            self._parser.feed_data(part)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
-            raise _to_server_error(error) from error
+    def _skip(self, size: int) -> None:
+        self._skipped_bytes += size
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            raise ServerFailedError(
+                'Too many bytes of responses to other requests were skipped.',
+                context={'limit': f'{MAX_SKIPPED_BYTES} bytes'},
+            )
 
     def _signal_continue(self) -> None:
         if (
@@ -248,6 +255,13 @@
     )
 
 
+def _parse(parser: httptools.HttpResponseParser, part: memoryview) -> None:
+    try:
+        parser.feed_data(part)
+    except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        raise _to_server_error(error) from error
+
+
 def _to_server_error(error: BaseException) -> ServerFailedError:
     cause = error.__context__
     if isinstance(cause, ServerFailedError):
