Limit what is read and dropped behind a refusal

Callers saw: nothing; a caller whose request was refused could keep the event loop busy with its body, as fast as it sent, for 2 s and then while its connection was closed, and with anything behind an invalid request for as long as an earlier request of its connection ran.

Cause: what follows a refusal is read and dropped, so that its sender can read the refusal, but only the time was limited, or nothing.

Change: 8 MiB of such input are dropped. Then the connection is closed, or reading pauses while earlier requests of the connection still run.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import logging
 from collections import deque
 from collections.abc import Callable
@@ -17,7 +16,10 @@
 from bluebellslip._internal.calls.request import InboundRequest
 from bluebellslip._internal.calls.request_reader import RequestReader
 from bluebellslip._internal.calls.sockets import set_silence_timeouts
-from bluebellslip._internal.calls.streams import WriteGate
+from bluebellslip._internal.calls.streams import (
+    MAX_DISCARDED_BYTES,
+    WriteGate,
+)
 from bluebellslip._internal.exceptions import (
     BluebellError,
     DrainingError,
@@ -102,6 +104,7 @@
         self._waiting: deque[InboundRequest] = deque()
         self._ignores_requests = False
         self._has_invalid_input = False
+        self._dropped_bytes = 0
         self._closes_after_replies = False
         self._paused = False
 
@@ -150,6 +153,8 @@
         """Parse input."""
         self._last_read = self._loop.time()
         self._close.record_input()
+        if self._close.has_begun or self._has_invalid_input:
+            self._limit_dropped(len(chunk))
         if self._has_invalid_input:
             return
         try:
@@ -279,9 +284,13 @@
     async def _discard_remaining_body(self, request: InboundRequest) -> None:
         if request.body.complete or not request.reply.ended:
             return
-        with contextlib.suppress(BluebellError, TimeoutError):
+        try:
             async with asyncio.timeout(_BODY_DISCARD_TIMEOUT_S):
                 await request.body.discard()
+        except (BluebellError, TimeoutError):
+            self._ignores_requests = True
+            self._has_invalid_input = True
+            self._dropped_bytes += request.body.discarded_bytes
 
     def _advance(self) -> None:
         """Release replies that are next in order and start waiting requests."""
@@ -315,6 +324,16 @@
     def _has_room(self) -> bool:
         return len(self._in_progress) < self._state.limits.max_pipelined
 
+    def _limit_dropped(self, size: int) -> None:
+        """Stop reading input that can't be served after a limit."""
+        self._dropped_bytes += size
+        if self._dropped_bytes <= MAX_DISCARDED_BYTES:
+            return
+        if self._close.has_begun:
+            self.transport.close()
+        else:
+            self.transport.pause_reading()
+
     def _reply_with_error(
         self, request: InboundRequest, error: BluebellError
     ) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/streams.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/streams.py
@@ -7,13 +7,17 @@
 from bluebellslip._internal.exceptions import BluebellError, TooLargeError
 
 HIGH_WATER_BYTES: Final = 64 * 1024
+# Bytes that are read and dropped behind a refusal, so that its sender can read
+# the refusal, before the connection is closed.
+MAX_DISCARDED_BYTES: Final = 1 << 23
 
 
 class ReadBuffer:
     """Received bytes that have not been read yet.
 
     The transport is paused while the buffer is above its high-water mark, so
-    that a slow reader applies backpressure to the sender.
+    that a slow reader applies backpressure to the sender. ``discarded_bytes``
+    counts the bytes received after ``drop`` or ``discard``.
 
     Parameters
     ----------
@@ -35,6 +39,7 @@
         '_transport',
         '_waiter',
         'complete',
+        'discarded_bytes',
     )
 
     def __init__(
@@ -45,6 +50,7 @@
         self._transport = transport
         self._high_water = high_water
         self._discards = False
+        self.discarded_bytes = 0
         self._chunks: deque[bytes] = deque()
         self._size = 0
         self._total = 0
@@ -66,7 +72,12 @@
 
     def feed(self, chunk: bytes) -> None:
         """Append received bytes."""
-        if self._error is not None or self._discards:
+        if self._error is not None:
+            return
+        if self._discards:
+            self.discarded_bytes += len(chunk)
+            if self.discarded_bytes > MAX_DISCARDED_BYTES:
+                self.fail(_make_discarded_error())
             return
         self._chunks.append(chunk)
         self._size += len(chunk)
@@ -104,12 +115,12 @@
         self.take()
 
     async def discard(self) -> None:
-        """Read to the end and discard everything.
+        """Read to the end and discard everything, up to a limit.
 
         Raises
         ------
         BluebellError
-            When the body ends early or has exceeded its limit.
+            When the body ends early or has exceeded a limit.
         """
         self.drop()
         await self.read()
@@ -156,6 +167,13 @@
             self._wake()
 
 
+def _make_discarded_error() -> TooLargeError:
+    return TooLargeError(
+        'The body behind a refusal is too large to be discarded.',
+        context={'limit': f'{MAX_DISCARDED_BYTES} bytes'},
+    )
+
+
 class WriteGate:
     """Pauses writers while the transport's buffer is full."""
 
