Take a response over its size limit for a failure of its server

Callers saw: 413, which is not retried, if a node responded with an error body of more than 16 KiB. A store that sent a body without end raised an error that the store's client does not expect, after 32 MiB, all that a node has for control.

Cause: the limit of a buffered body raised the error for a caller's body, whichever side had sent it.

Change: over the limit, the body of a response raises the error of a failed server, so that the request is retried or gets 502, and a call to the store counts as lost. The node's own short requests accept 4 MiB, more than a page of the store or a configuration has.

Evidence: three tests in tests/functional/test_calls_endless_input.py, before: TooLargeError, limits 33,554,432 and 16,384 bytes. They pass now; the store's response takes less than 8 MiB of memory.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/http_client.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/http_client.py
@@ -15,7 +15,8 @@
 from bluebellslip._internal.calls.pool import ConnectionPool
 from bluebellslip._internal.models.identity import Address
 
-_MAX_RESPONSE_BYTES: Final = 1 << 25
+# More than a page of the store or a compressed configuration has.
+_MAX_RESPONSE_BYTES: Final = 1 << 22
 _HEAD: Final = b'HEAD'
 
 
@@ -62,7 +63,7 @@
     ------
     NoServerError, OverloadedError
         When nothing was sent.
-    ServerFailedError, TooLargeError, TimeoutError
+    ServerFailedError, TimeoutError
         When the request may have been executed.
     """
     connection = await pool.acquire(address)
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/outbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/outbound.py
@@ -106,7 +106,7 @@
         self._head_received: asyncio.Future[ResponseHead] = (
             asyncio.get_running_loop().create_future()
         )
-        self.body = ReadBuffer(self._transport)
+        self.body = ReadBuffer(self._transport, limit_error=ServerFailedError)
         self._reader.expect(
             self._head_received, self.body, head_only=head_only, echo=echo
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/streams.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/streams.py
@@ -25,6 +25,8 @@
         The transport that the bytes come from.
     high_water
         Number of buffered bytes above which the transport is paused.
+    limit_error
+        Error raised for a body over its limit.
     """
 
     __slots__ = (
@@ -33,6 +35,7 @@
         '_error',
         '_high_water',
         '_limit',
+        '_limit_error',
         '_paused',
         '_size',
         '_total',
@@ -46,8 +49,10 @@
         self,
         transport: asyncio.Transport,
         high_water: int = HIGH_WATER_BYTES,
+        limit_error: type[BluebellError] = TooLargeError,
     ) -> None:
         self._transport = transport
+        self._limit_error = limit_error
         self._high_water = high_water
         self._discards = False
         self.discarded_bytes = 0
@@ -159,7 +164,7 @@
 
     def _check_limit(self) -> None:
         if self._limit is not None and self._total > self._limit:
-            self._error = TooLargeError(
+            self._error = self._limit_error(
                 'The body is larger than its limit.',
                 context={'limit': f'{self._limit} bytes'},
                 hint='Send less; for calls, max_body_bytes sets the limit.',
--- a/tests/functional/test_calls_endless_input.py
+++ b/tests/functional/test_calls_endless_input.py
@@ -12,6 +12,8 @@
 
 import pytest
 
+from bluebellslip._internal.calls.error_bodies import MAX_ERROR_BODY_BYTES
+from bluebellslip._internal.calls.exchange import Exchange
 from bluebellslip._internal.calls.http_client import ClientRequest, send_request
 from bluebellslip._internal.calls.limits import CallerLimits
 from bluebellslip._internal.calls.listener import Listener
@@ -21,9 +23,12 @@
     BluebellError,
     HeadTooLargeError,
     OverloadedError,
+    PlatformDownError,
+    PlatformOutcomeUnknownError,
     ServerFailedError,
 )
 from bluebellslip._internal.kernel.counters import InMemoryCounters
+from bluebellslip_platform.store_client import Effect, StoreCall, StoreClient
 from lib.calls import Caller, FakeServer, ReceivedRequest, find_free_address
 from lib.endless_input import (
     REQUEST_BODIES,
@@ -41,6 +46,8 @@
 # Bytes in the buffers of the sockets, which nobody has read, and the limit.
 _ACCEPTED_BYTES = 16 << 20
 _MEMORY_BYTES = 4 << 20
+# The largest response that is buffered.
+_STORE_MEMORY_BYTES = 8 << 20
 _TIMEOUT = dt.timedelta(seconds=60)
 
 
@@ -208,6 +215,58 @@
         caller.close()
 
 
+_ENDLESS_BODY = EndlessInput(
+    'body',
+    b'HTTP/1.1 200 OK\r\ncontent-length: 9999999999\r\n\r\n',
+    b'x' * 1000,
+)
+
+
+async def _respond_without_end(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    request: ReceivedRequest,
+) -> None:
+    await _send_until_closed(writer, _ENDLESS_BODY)
+
+
+@pytest.mark.parametrize(
+    ('effect', 'expected'),
+    [
+        (Effect.READ, PlatformDownError),
+        (Effect.WRITE, PlatformOutcomeUnknownError),
+    ],
+)
+async def test_endless_response_of_the_store_is_not_a_store_error(
+    effect: Effect, expected: type[BluebellError]
+) -> None:
+    async with FakeServer(_respond_without_end).serving() as server:
+        store = StoreClient(server.address, InMemoryCounters())
+        tracemalloc.start()
+        try:
+            with pytest.raises(expected):
+                await store.send(StoreCall(effect, '/rows'))
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+    assert peak < _STORE_MEMORY_BYTES
+
+
+async def test_long_error_body_of_a_peer_counts_against_the_caller() -> None:
+    async with FakeServer(_respond_without_end).serving() as server:
+        pool = ConnectionPool(InMemoryCounters())
+        with Exchange(pool, server.address) as exchange:
+            await exchange.open()
+            connection = exchange.connection
+            connection.begin(
+                b'GET / HTTP/1.1\r\n\r\n', head_only=False, is_complete=True
+            )
+            await connection.response()
+            connection.body.limit_to(MAX_ERROR_BODY_BYTES)
+            with pytest.raises(ServerFailedError):
+                await connection.body.read_all()
+
+
 async def _wait_while_sending(
     writer: asyncio.StreamWriter, sending: 'asyncio.Task[int]'
 ) -> None:
