Refuse a number that is too long in a header

Callers saw: 500, and the node logged an internal error, for a header such as bluebell-depth with more than 4,300 digits.

Cause: int() raises ValueError for such texts, which is no error of the closed list.

Change: a number may have 20 digits besides leading zeros, as many as the longest content-length that the parser accepts; more are refused as malformed.

Evidence: tests/unit/test_calls_headers.py, 4 of 10 failed before, three with "Exceeds the limit (4300 digits) for integer string conversion". All pass now.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/headers.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/headers.py
@@ -21,6 +21,9 @@
 LOAD: Final = b'bluebell-load'
 RETRY_AFTER: Final = b'retry-after'
 
+# As many as the longest content-length that the parser accepts has.
+MAX_NUMBER_DIGITS: Final = 20
+
 _MESH_PREFIX: Final = b'bluebell-'
 _HOP_BY_HOP: Final = frozenset((
     b'connection',
@@ -44,17 +47,22 @@
     Raises
     ------
     MalformedError
-        When the value contains anything but digits.
+        When the value contains anything but digits, or too many of them.
     """
     text = fields.get(name)
     if text is None:
         return None
-    if not text.isdigit():
+    digits = text.lstrip(b'0') or text[-1:]
+    if not text.isdigit() or len(digits) > MAX_NUMBER_DIGITS:
         raise MalformedError(
             'A header must be a non-negative integer.',
-            context={'header': name.decode(), 'found': text.decode('latin-1')},
+            context={
+                'header': name.decode(),
+                'found': text[: 2 * MAX_NUMBER_DIGITS].decode('latin-1'),
+                'limit': f'{MAX_NUMBER_DIGITS} digits',
+            },
         )
-    return int(text)
+    return int(digits)
 
 
 def read_host(headers: Sequence[Header], fields: Mapping[bytes, bytes]) -> str:
