--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
@@ -11,12 +11,20 @@
     TRANSFER_ENCODING,
     Header,
 )
+from bluebellslip._internal.calls.input_meter import (
+    HeaderCounter,
+    InputMeter,
+    describe_limit,
+)
 from bluebellslip._internal.calls.streams import ReadBuffer
 from bluebellslip._internal.exceptions import BluebellError, ServerFailedError
 
 MAX_RESPONSE_HEAD_BYTES: Final = 64 * 1024
+# Total size of the responses to other requests that may precede a response.
+MAX_SKIPPED_BYTES: Final = 1 << 20
 _CONTINUE_STATUS: Final = 100
 _FIRST_FINAL_STATUS: Final = 200
+_MIN_HEAD_BYTES: Final = len(b'HTTP/1.1 200\r\n\r\n')
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,13 +54,16 @@
         self.received_nothing = True
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
-        self._head_size = 0
+        self._meter = InputMeter()
+        self._header_counter = HeaderCounter()
+        self._in_body = False
         self._head_received: asyncio.Future[ResponseHead] | None = None
         self._body: ReadBuffer | None = None
         self._head_only = False
         self._until_close = False
         self._echo: Header | None = None
         self._stray = False
+        self._skipped_bytes = 0
         self._continue_received: asyncio.Future[None] | None = None
 
     def watch_for_continue(self) -> asyncio.Future[None]:
@@ -84,6 +95,7 @@
         """
         self._echo = echo
         self._stray = False
+        self._skipped_bytes = 0
         self._continue_received = None
         self._head_received = head_received
         self._body = body
@@ -103,16 +115,14 @@
         if self.response_complete:
             raise ServerFailedError('The server sent an unrequested response.')
         self.received_nothing = False
-        try:
-            self._parser.feed_data(chunk)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
-            raise ServerFailedError(
-                'The server sent an invalid response.',
-                context={'found': str(error)},
-            ) from error
+        rest = memoryview(chunk)
+        while rest:
+            part = rest[: self._meter.room]
+            _parse(self._parser, part)
+            rest = rest[len(part) :]
+            self._meter.advance(len(part), in_body=self._in_body)
+            if self._meter.exceeds(MAX_RESPONSE_HEAD_BYTES):
+                raise _make_too_large_error(in_body=self._in_body)
 
     def end_input(self, *, clean: bool) -> None:
         """Handle the end of the connection.
@@ -137,29 +147,38 @@
 
     def on_message_begin(self) -> None:
         """Start a new head; a second response makes the connection unusable."""
+        self._in_body = False
         self._headers = []
-        self._head_size = 0
+        self._header_counter.clear()
         if self.response_complete:
             self.usable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
-        self._head_size += len(value)
-        if self._head_size > MAX_RESPONSE_HEAD_BYTES:
-            raise ServerFailedError('The response head is too large.')
-        self._headers.append((name.lower(), value))
+        """Append a header; trailers are dropped."""
+        self._header_counter.add_header(name, value)
+        if self._header_counter.exceeds(MAX_RESPONSE_HEAD_BYTES):
+            raise _make_too_large_error(in_body=self._in_body)
+        if not self._in_body:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Deliver the head, unless it is informational or is skipped."""
         status = self._parser.get_status_code()
+        head_size = self._header_counter.size
         if status == _CONTINUE_STATUS:
             self._signal_continue()
-        if status < _FIRST_FINAL_STATUS or self.response_complete:
+        if status < _FIRST_FINAL_STATUS:
+            return
+        self._meter.record_progress()
+        self._header_counter.clear()
+        self._in_body = True
+        if self.response_complete:
             return
         head = _make_head(status, self._headers)
-        self._stray = self._is_stray(head)
+        self._stray = _is_stray(head, self._echo)
         if self._stray:
             self.usable = False
+            self._skip(head_size + _MIN_HEAD_BYTES)
             return
         self._until_close = _ends_at_close(head)
         if self._head_received is not None and not self._head_received.done():
@@ -171,24 +190,31 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Append part of the body."""
-        if self._body is not None and not (
-            self.response_complete or self._stray
-        ):
+        self._meter.record_progress()
+        if self._stray:
+            self._skip(len(chunk))
+        elif self._body is not None and not self.response_complete:
             self._body.feed(chunk)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
-        if self._parser.get_status_code() < _FIRST_FINAL_STATUS or self._stray:
+        if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
+            return
+        self._meter.record_progress()
+        self._in_body = False
+        if self._stray:
             return
         if not self._parser.should_keep_alive():
             self.usable = False
         self._finish()
 
-    def _is_stray(self, head: ResponseHead) -> bool:
-        if self._echo is None:
-            return False
-        name, value = self._echo
-        return head.fields.get(name, value) != value
+    def _skip(self, size: int) -> None:
+        self._skipped_bytes += size
+        if self._skipped_bytes > MAX_SKIPPED_BYTES:
+            raise ServerFailedError(
+                'Too many bytes of responses to other requests were skipped.',
+                context={'limit': f'{MAX_SKIPPED_BYTES} bytes'},
+            )
 
     def _signal_continue(self) -> None:
         if (
@@ -211,5 +237,39 @@
     return ResponseHead(status, headers, fields, int(length))
 
 
+def _is_stray(head: ResponseHead, echo: Header | None) -> bool:
+    if echo is None:
+        return False
+    name, value = echo
+    return head.fields.get(name, value) != value
+
+
+def _make_too_large_error(*, in_body: bool) -> ServerFailedError:
+    message = (
+        'The trailers or chunk headers of a response are too large.'
+        if in_body
+        else 'The response head is too large.'
+    )
+    return ServerFailedError(
+        message, context=describe_limit(MAX_RESPONSE_HEAD_BYTES)
+    )
+
+
+def _parse(parser: httptools.HttpResponseParser, part: memoryview) -> None:
+    try:
+        parser.feed_data(part)
+    except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        raise _to_server_error(error) from error
+
+
+def _to_server_error(error: BaseException) -> ServerFailedError:
+    cause = error.__context__
+    if isinstance(cause, ServerFailedError):
+        return cause
+    return ServerFailedError(
+        'The server sent an invalid response.', context={'found': str(error)}
+    )
+
+
 def _ends_at_close(head: ResponseHead) -> bool:
     return head.length is None and TRANSFER_ENCODING not in head.fields
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/streams.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/streams.py
@@ -7,13 +7,17 @@
 from bluebellslip._internal.exceptions import BluebellError, TooLargeError
 
 HIGH_WATER_BYTES: Final = 64 * 1024
+# Bytes that are read and dropped behind a refusal, so that its sender can read
+# the refusal, before the connection is closed.
+MAX_DISCARDED_BYTES: Final = 1 << 23
 
 
 class ReadBuffer:
     """Received bytes that have not been read yet.
 
     The transport is paused while the buffer is above its high-water mark, so
-    that a slow reader applies backpressure to the sender.
+    that a slow reader applies backpressure to the sender. ``discarded_bytes``
+    counts the bytes received after ``drop`` or ``discard``.
 
     Parameters
     ----------
@@ -21,6 +25,8 @@
         The transport that the bytes come from.
     high_water
         Number of buffered bytes above which the transport is paused.
+    limit_error
+        Error raised for a body over its limit.
     """
 
     __slots__ = (
@@ -29,22 +35,27 @@
         '_error',
         '_high_water',
         '_limit',
+        '_limit_error',
         '_paused',
         '_size',
         '_total',
         '_transport',
         '_waiter',
         'complete',
+        'discarded_bytes',
     )
 
     def __init__(
         self,
         transport: asyncio.Transport,
         high_water: int = HIGH_WATER_BYTES,
+        limit_error: type[BluebellError] = TooLargeError,
     ) -> None:
         self._transport = transport
+        self._limit_error = limit_error
         self._high_water = high_water
         self._discards = False
+        self.discarded_bytes = 0
         self._chunks: deque[bytes] = deque()
         self._size = 0
         self._total = 0
@@ -66,7 +77,12 @@
 
     def feed(self, chunk: bytes) -> None:
         """Append received bytes."""
-        if self._error is not None or self._discards:
+        if self._error is not None:
+            return
+        if self._discards:
+            self.discarded_bytes += len(chunk)
+            if self.discarded_bytes > MAX_DISCARDED_BYTES:
+                self.fail(_make_discarded_error())
             return
         self._chunks.append(chunk)
         self._size += len(chunk)
@@ -104,12 +120,12 @@
         self.take()
 
     async def discard(self) -> None:
-        """Read to the end and discard everything.
+        """Read to the end and discard everything, up to a limit.
 
         Raises
         ------
         BluebellError
-            When the body ends early or has exceeded its limit.
+            When the body ends early or has exceeded a limit.
         """
         self.drop()
         await self.read()
@@ -148,7 +164,7 @@
 
     def _check_limit(self) -> None:
         if self._limit is not None and self._total > self._limit:
-            self._error = TooLargeError(
+            self._error = self._limit_error(
                 'The body is larger than its limit.',
                 context={'limit': f'{self._limit} bytes'},
                 hint='Send less; for calls, max_body_bytes sets the limit.',
@@ -156,6 +172,13 @@
             self._wake()
 
 
+def _make_discarded_error() -> TooLargeError:
+    return TooLargeError(
+        'The body behind a refusal is too large to be discarded.',
+        context={'limit': f'{MAX_DISCARDED_BYTES} bytes'},
+    )
+
+
 class WriteGate:
     """Pauses writers while the transport's buffer is full."""
 
