--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/stdout_logs.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/stdout_logs.py
@@ -29,6 +29,7 @@
 # of their own, so that no flood of refusals hides them.
 UNANSWERED_OUTCOMES: Final = frozenset((
     'broken-off',
+    'caller-left',
     'connection-closed',
     'cut-off',
     'ignored',
