Refuse requests whose time ran out while they waited for their server

What callers saw: an upload with 5.82 s left waited 5.66 s at the node of its second server and was passed on 79 ms before its deadline, while such a request holds a slot for about 270 ms. Its caller got no response, and the server worked for nobody.

Cause: the queue of a server takes its mean service time over all routes off the deadline, which is far too short for a long request among short ones; and a request that finds a free slot is admitted without a look at its time, however long it has waited for the link before.

Change: a request is not passed on once less than half of the mean hold time of its own route is left, and it leaves the queue at that moment. It then gets 503 while its caller still waits. Half, as for retries, since some requests take less than the mean. A request that arrives with less than that is passed on as before: if short timeouts were always refused, a server that has become faster would never be noticed.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/hold_times.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/hold_times.py
@@ -35,6 +35,10 @@
             oldest, _ = self._smoothed.popitem(last=False)
             del self._samples[oldest]
 
+    def get(self, route: RouteName) -> dt.timedelta | None:
+        """Return the smoothed hold time of a route, if there is one."""
+        return self._smoothed.get(route)
+
     def read(self) -> dict[RouteName, dt.timedelta]:
         """Return the smoothed hold time of each route."""
         return dict(self._smoothed)
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -36,6 +36,7 @@
     VersionName,
 )
 from bluebellslip._internal.proxy.hold_times import RouteHoldTimes
+from bluebellslip._internal.proxy.latest_starts import find_latest_start
 from bluebellslip._internal.proxy.routed_request import (
     ROUTING_HEADER,
     AttemptOptions,
@@ -270,7 +271,8 @@
     """One request to the local server, from admission to the response's end.
 
     ``sent`` is set once the server may have run the request, ``not_run`` if
-    the server has reported that it did not.
+    the server has reported that it did not. ``latest_start`` is the time on
+    the node's clock after which the request is no longer passed on.
 
     Parameters
     ----------
@@ -298,6 +300,11 @@
         self._request_status = RequestStatus.CANCELLED
         self.sent = False
         self.not_run = False
+        self.latest_start = find_latest_start(
+            routed.cutoff,
+            gateway.hold_times.get(routed.route),
+            gateway.clock.elapsed(),
+        )
 
     @property
     def connection(self) -> OutboundConnection:
@@ -375,10 +382,12 @@
 
     def _make_ticket(self) -> Ticket:
         routed = self._routed
+        # The queue takes its mean service time off the deadline.
+        deadline = self.latest_start + self._gateway.gate.service_time
         return Ticket(
             priority=routed.priority,
             depth=routed.depth,
-            deadline=routed.cutoff,
+            deadline=min(deadline, routed.cutoff),
             objective=routed.objective,
             max_wait=self._options.max_wait,
         )
@@ -390,6 +399,8 @@
         self._ticket = await gateway.gate.admit(self._make_ticket())
         self._info = gateway.check(self._routed, self._options)
         self._started = gateway.clock.elapsed()
+        if self._started > self.latest_start:
+            raise OverloadedError('The request has no time left to run.')
         return self._info
 
     def _check_cutoff(self) -> None:
