Refuse bodies that wait for the link as soon as they would arrive too late

What callers saw: under overload, uploads wait at the last server's node until their deadline and get no response in time.

Cause: whether a body can be received in time was checked once, against the whole time left and at the full rate of the link, and it waited from then on without looking at its time again. A body on an idle link was never checked.

Change: a body must be received by the latest start of its request, and a waiting body is refused at the moment from which that is impossible. It leaves the queue then, and the bodies behind it get their turn.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/body_transfers.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/body_transfers.py
@@ -7,6 +7,7 @@
 TRANSFER_WINDOW, or one larger body; other bodies stay at their senders until
 their turn. A request takes a slot of the server only after its body was
 received, up to half of the replay buffer, so that no slot is held meanwhile.
+A body is refused as soon as it would be received too late.
 """
 
 import asyncio
@@ -65,7 +66,7 @@
         return MIN_SLOW_AFTER + needed * SLOW_FACTOR
 
     def make_transfer(
-        self, size: int, max_wait: dt.timedelta
+        self, size: int, max_wait: dt.timedelta, time_left: dt.timedelta
     ) -> 'BodyTransfer':
         """Return the transfer of a body, to be used as a context manager.
 
@@ -74,30 +75,44 @@
         size
             Size of the body in bytes.
         max_wait
-            Longest time until the body is received.
+            Longest time until the body is received, if it must wait for others.
+        time_left
+            Time after which the body is received in vain. While it waits, it
+            is refused as soon as the rest of that time is too short for it.
 
         Raises
         ------
         OverloadedError
-            When other bodies are in transit and this one would not be received
-            in time.
+            When the body would not be received in time.
         """
         expected = self.estimate_arrival(size)
-        if self._in_transit and expected > max_wait:
-            raise OverloadedError(
-                'The link to the server has no capacity in time for this body.',
-                context={'bytes': str(size)},
-            )
-        return BodyTransfer(self, size)
-
-    async def acquire(self, transfer: '_QueuedTransfer') -> None:
-        """Wait until the link has capacity for a body and reserve it."""
+        is_too_late = self._in_transit and expected > max_wait
+        if is_too_late or expected > time_left:
+            raise _make_refusal(size)
+        transfer_time = dt.timedelta(seconds=size / self._rate)
+        return BodyTransfer(self, size, time_left - transfer_time)
+
+    async def acquire(
+        self, transfer: '_QueuedTransfer', max_delay: dt.timedelta
+    ) -> None:
+        """Wait until the link has capacity for a body and reserve it.
+
+        Raises
+        ------
+        BluebellError
+            When the body has waited for ``max_delay`` or the server accepts no
+            more work.
+        """
         if not self._waiting and self._has_capacity(transfer.size):
             self._in_transit += transfer.size
             return
         self._waiting.append(transfer)
         try:
-            await transfer.granted
+            async with asyncio.timeout(max_delay.total_seconds()):
+                await transfer.granted
+        except TimeoutError:
+            self._cancel(transfer)
+            raise _make_refusal(transfer.size) from None
         except asyncio.CancelledError:
             self._cancel(transfer)
             raise
@@ -150,15 +165,21 @@
         The limiter whose capacity the transfer takes up.
     size
         Size of the body in bytes.
+    max_delay
+        Longest time until the transfer starts.
     """
 
-    def __init__(self, limiter: BodyTransferLimiter, size: int) -> None:
+    def __init__(
+        self, limiter: BodyTransferLimiter, size: int, max_delay: dt.timedelta
+    ) -> None:
         self._limiter = limiter
         self._size = size
+        self._max_delay = max_delay
         self._timer: asyncio.TimerHandle | None = None
 
     async def __aenter__(self) -> None:
-        await self._limiter.acquire(_QueuedTransfer(self._size))
+        transfer = _QueuedTransfer(self._size)
+        await self._limiter.acquire(transfer, self._max_delay)
         loop = asyncio.get_running_loop()
         slow_after = self._limiter.compute_slow_after().total_seconds()
         self._timer = loop.call_later(slow_after, self._release)
@@ -174,3 +195,10 @@
         self._size = 0
         if size:
             self._limiter.release(size)
+
+
+def _make_refusal(size: int) -> OverloadedError:
+    return OverloadedError(
+        'The link to the server has no capacity in time for this body.',
+        context={'bytes': str(size)},
+    )
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
@@ -112,11 +112,11 @@
         if size < EXPECT_CONTINUE_BYTES:
             return
         server_call.check_capacity()
-        max_wait = peer_request.options.max_wait
-        async with (
-            server_call.wait() as wait,
-            self._body_transfers.make_transfer(size, max_wait),
-        ):
+        time_left = server_call.latest_start - self._gateway.clock.elapsed()
+        transfer = self._body_transfers.make_transfer(
+            size, peer_request.options.max_wait, time_left
+        )
+        async with server_call.wait() as wait, transfer:
             wait.receives_body = True
             await peer_request.routed.upload.buffer()
 
--- a/tests/unit/test_body_transfers.py
+++ b/tests/unit/test_body_transfers.py
@@ -15,13 +15,16 @@
 from bluebellslip._internal.exceptions import DrainingError, OverloadedError
 from bluebellslip._internal.proxy.body_transfers import (
     TRANSFER_WINDOW,
+    BodyTransfer,
     BodyTransferLimiter,
 )
 from bluebellslip._internal.proxy.server_waits import ServerWaits
 from lib.fleet import MS, SECOND
+from lib.virtual_time import run_in_virtual_time
 
 _NARROW_LINK_MBPS = 5.0  # 625 kB per second
 _BODY_BYTES = 60_000
+_MINUTE = 60 * SECOND
 _BYTES_IN_WINDOW = 625_000 * TRANSFER_WINDOW.total_seconds()
 
 
@@ -35,6 +38,14 @@
         await asyncio.sleep(0)
 
 
+def make_transfer(
+    limiter: BodyTransferLimiter,
+    size: int,
+    time_left: dt.timedelta = _MINUTE,
+) -> BodyTransfer:
+    return limiter.make_transfer(size, _MINUTE, time_left)
+
+
 class HeldTransfers:
     """Transfers that each last until their end event is set."""
 
@@ -50,7 +61,7 @@
         self.tasks.append(asyncio.create_task(self._transfer(size, end_event)))
 
     async def _transfer(self, size: int, end_event: asyncio.Event) -> None:
-        async with self.limiter.make_transfer(size, 60 * SECOND):
+        async with make_transfer(self.limiter, size):
             self.max_in_transit = max(
                 self.max_in_transit, self.limiter.in_transit
             )
@@ -100,8 +111,10 @@
         await yield_to_tasks()
         assert limiter.estimate_arrival(_BODY_BYTES) > SECOND
         with pytest.raises(OverloadedError):
-            limiter.make_transfer(_BODY_BYTES, 500 * MS)
-        limiter.make_transfer(_BODY_BYTES, 2 * SECOND)
+            limiter.make_transfer(_BODY_BYTES, 500 * MS, 60 * SECOND)
+        with pytest.raises(OverloadedError):
+            limiter.make_transfer(_BODY_BYTES, 60 * SECOND, 500 * MS)
+        limiter.make_transfer(_BODY_BYTES, 2 * SECOND, 2 * SECOND)
         for task in transfers.tasks:
             task.cancel()
         await yield_to_tasks()
@@ -110,6 +123,32 @@
     run(scenario())
 
 
+def test_body_too_large_for_its_time_is_refused_on_an_idle_link() -> None:
+    limiter = BodyTransferLimiter(_NARROW_LINK_MBPS)
+    with pytest.raises(OverloadedError):
+        make_transfer(limiter, 625_000, time_left=900 * MS)
+    make_transfer(limiter, 625_000, time_left=SECOND)
+
+
+def test_waiting_body_is_refused_as_soon_as_it_would_be_late() -> None:
+    """The bodies ahead of it take longer than the rate of the link promises."""
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        limiter = BodyTransferLimiter(_NARROW_LINK_MBPS)
+        async with make_transfer(limiter, 375_000):
+            transfer = make_transfer(limiter, 62_500, time_left=SECOND)
+            with pytest.raises(OverloadedError):
+                async with transfer:
+                    raise AssertionError('the body was granted')
+            # It needs 100 ms itself.
+            assert loop.time() == pytest.approx(0.9)
+            assert limiter.in_transit == 375_000
+            assert limiter.estimate_arrival(0) == 600 * MS
+
+    run_in_virtual_time(scenario)
+
+
 def test_cancelled_transfers_hold_no_capacity() -> None:
     async def scenario() -> None:
         transfers = HeldTransfers(BodyTransferLimiter(_NARROW_LINK_MBPS))
@@ -188,7 +227,7 @@
     async def scenario() -> None:
         limiter = BodyTransferLimiter(_NARROW_LINK_MBPS)
         size = int(_BYTES_IN_WINDOW)
-        async with limiter.make_transfer(size, SECOND):
+        async with make_transfer(limiter, size):
             waits = ServerWaits()
             waiting = asyncio.create_task(_transfer(limiter, size, waits))
             await yield_to_tasks()
@@ -207,7 +246,7 @@
     request: Any = None
     async with (
         waits.begin(request, request),
-        limiter.make_transfer(size, SECOND),
+        make_transfer(limiter, size),
     ):
         raise AssertionError('the body was granted')
 
--- a/tests/unit/test_late_starts.py
+++ b/tests/unit/test_late_starts.py
@@ -9,102 +9,42 @@
 import datetime as dt
 from collections.abc import Coroutine
 from typing import Any
-from unittest.mock import Mock
 
 import pytest
 
-from bluebellslip._internal.calls.exchange import Upload
-from bluebellslip._internal.calls.metadata_headers import MetadataHeaders
-from bluebellslip._internal.calls.pool import ConnectionPool
-from bluebellslip._internal.calls.reply import Reply, ReplyWriter
-from bluebellslip._internal.calls.request import InboundRequest
-from bluebellslip._internal.calls.streams import ReadBuffer, WriteGate
 from bluebellslip._internal.exceptions import NoServerError, OverloadedError
-from bluebellslip._internal.fleet.local_server import LocalServer
-from bluebellslip._internal.kernel.clock import Clock, ManualClock
-from bluebellslip._internal.kernel.counters import InMemoryCounters
-from bluebellslip._internal.models.config import ExecutionSemantics
-from bluebellslip._internal.models.servers import Lifetime
+from bluebellslip._internal.kernel.clock import ManualClock
+from bluebellslip._internal.proxy.body_transfers import BodyTransferLimiter
+from bluebellslip._internal.proxy.ingress import PeerHandler
+from bluebellslip._internal.proxy.peer_queries import PeerQueries
 from bluebellslip._internal.proxy.routed_request import (
-    AttemptOptions,
-    RoutedRequest,
+    ROUTING_HEADER,
+    encode_request,
+)
+from lib.fleet import MS, SECOND
+from lib.proxy_requests import (
+    BODY_BYTES,
+    METADATA_HEADERS,
+    OPTIONS,
+    make_gateway,
+    make_routed_request,
 )
-from bluebellslip._internal.proxy.server_gateway import ServerGateway
-from lib.calls import find_free_address
-from lib.fleet import MS, ORDERS, ROUTE, SECOND, make_heartbeat
 from lib.virtual_time import LoopClock, run_in_virtual_time
 
 _HOLD_TIME = 400 * MS
-_LIFETIME = Lifetime(1000, 'i-1')
-_OPTIONS = AttemptOptions(_LIFETIME, max_wait=60 * SECOND)
-_BODY_BYTES = 60_000
 _LINK_MBPS = 8.0  # one kilobyte per millisecond
-_HEADERS = MetadataHeaders(
-    request_id=b'x-request-id',
-    deadline_ms=b'x-deadline-ms',
-    caller=b'x-caller-service',
-    expected_server=b'x-expected-instance',
-    signature=b'x-server-signature',
-    load=b'x-server-load',
-    not_run=b'x-not-executed',
-)
 
 
 def run(scenario: Coroutine[Any, Any, None]) -> None:
     asyncio.run(scenario)
 
 
-def make_gateway(clock: Clock) -> ServerGateway:
-    """Return access to a server at whose address nothing listens."""
-    address = find_free_address()
-    server = LocalServer(clock, ORDERS, address, SECOND)
-    server.apply_heartbeat(make_heartbeat(address=address, slots=1))
-    pool = ConnectionPool(InMemoryCounters())
-    gateway = ServerGateway(clock, server, pool, _HEADERS, Mock(), Mock())
-    gateway.hold_times.record(ROUTE, _HOLD_TIME)
-    return gateway
-
-
-def make_inbound_request(**fields: bytes) -> InboundRequest:
-    transport = Mock()
-    transport.is_closing.return_value = False
-    headers = [
-        (name.replace('_', '-').encode(), text) for name, text in fields.items()
-    ]
-    return InboundRequest(
-        b'POST',
-        b'/orders/1',
-        headers,
-        dict(headers),
-        ReadBuffer(transport),
-        Reply(ReplyWriter(transport, WriteGate()), Mock(draining=False)),
-    )
-
-
-def make_routed_request(clock: Clock, time_left: dt.timedelta) -> RoutedRequest:
-    request = make_inbound_request(content_length=b'%d' % _BODY_BYTES)
-    deadline = clock.elapsed() + time_left
-    return RoutedRequest(
-        request=request,
-        upload=Upload(request),
-        request_id=b'r1',
-        service=ORDERS,
-        route=ROUTE,
-        runs=ExecutionSemantics.ONCE,
-        priority=1,
-        deadline=deadline,
-        cutoff=deadline,
-        objective=deadline,
-        caller='store',
-    )
-
-
 def test_request_whose_time_ran_out_while_it_waited_is_not_passed_on() -> None:
     async def scenario() -> None:
         clock = ManualClock()
-        gateway = make_gateway(clock)
+        gateway = make_gateway(clock, _HOLD_TIME)
         routed = make_routed_request(clock, SECOND)
-        async with gateway.open(routed, _OPTIONS) as server_call:
+        async with gateway.open(routed, OPTIONS) as server_call:
             clock.advance(SECOND - _HOLD_TIME / 4)
             with pytest.raises(OverloadedError):
                 await server_call.run()
@@ -125,9 +65,9 @@
 
     async def scenario() -> None:
         clock = ManualClock()
-        gateway = make_gateway(clock)
+        gateway = make_gateway(clock, _HOLD_TIME)
         routed = make_routed_request(clock, time_left)
-        async with gateway.open(routed, _OPTIONS) as server_call:
+        async with gateway.open(routed, OPTIONS) as server_call:
             with pytest.raises(NoServerError):
                 await server_call.run()
 
@@ -137,15 +77,43 @@
 def test_request_leaves_the_queue_when_its_time_runs_out() -> None:
     async def scenario() -> None:
         clock = LoopClock()
-        gateway = make_gateway(clock)
+        gateway = make_gateway(clock, _HOLD_TIME)
         gateway.gate.resize(1)
         first = make_routed_request(clock, 60 * SECOND)
-        async with gateway.open(first, _OPTIONS) as holder:
+        async with gateway.open(first, OPTIONS) as holder:
             await gateway.gate.admit(holder._make_ticket())
             routed = make_routed_request(clock, SECOND)
-            async with gateway.open(routed, _OPTIONS) as server_call:
+            async with gateway.open(routed, OPTIONS) as server_call:
                 with pytest.raises(OverloadedError):
                     await server_call.run()
         assert clock.elapsed() <= SECOND - _HOLD_TIME / 2
 
     run_in_virtual_time(scenario)
+
+
+def test_body_that_waits_for_the_link_is_refused_when_it_would_run_late() -> (
+    None
+):
+    async def scenario() -> None:
+        clock = LoopClock()
+        limiter = BodyTransferLimiter(_LINK_MBPS)
+        handler = PeerHandler(
+            make_gateway(clock, _HOLD_TIME),
+            METADATA_HEADERS,
+            PeerQueries(),
+            limiter,
+        )
+        routed = make_routed_request(clock, SECOND)
+        routed.request.fields[ROUTING_HEADER] = encode_request(
+            routed, OPTIONS, clock.elapsed()
+        )
+        async with limiter.make_transfer(
+            500_000, max_wait=60 * SECOND, time_left=60 * SECOND
+        ):
+            with pytest.raises(OverloadedError):
+                await handler.handle(routed.request)
+        assert not routed.request.reply.may_have_run
+        transfer_time = BODY_BYTES / 1000 * MS
+        assert clock.elapsed() <= SECOND - _HOLD_TIME / 2 - transfer_time
+
+    run_in_virtual_time(scenario)
