Pass no refused request on to a server that can't respond in time

What callers saw: a request that its server's node refuses in its last moments is sent to the next server, which can't respond in time either.

Cause: the check of the time left against the hold times was made only for requests that had reached a server.

Change: a request that reached no server is passed on only if the time left is more than half of the hold time of its route at the fastest server. The fastest and not the mean, since one slow server must keep no request from the others; without a report any time is enough. The first attempt is always made.

Evidence: test_refused_request_without_time_for_any_server failed before the change for 140 ms left at a shortest hold time of 300 ms.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
@@ -14,7 +14,10 @@
 from bluebellslip._internal.fleet.peer_table import Endpoint, PeerTable
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.identity import NodeId, ServiceName
-from bluebellslip._internal.proxy.estimates import compute_mean_hold_time
+from bluebellslip._internal.proxy.estimates import (
+    compute_mean_hold_time,
+    find_shortest_hold_time,
+)
 from bluebellslip._internal.proxy.forwarding import (
     AttemptResult,
     RequestForwarder,
@@ -175,6 +178,7 @@
             max_servers=self._max_servers,
             time_left=routed.cutoff - self._context.clock.elapsed(),
             mean_hold_time=compute_mean_hold_time(endpoints, routed.route),
+            shortest_hold_time=find_shortest_hold_time(endpoints, routed.route),
         )
 
     def _spend_retry(self) -> bool:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/estimates.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/estimates.py
@@ -48,6 +48,22 @@
     )
 
 
+def find_shortest_hold_time(
+    endpoints: Iterable[Endpoint], route: RouteName
+) -> dt.timedelta:
+    """Return the shortest hold time reported for a route, zero if none was.
+
+    Parameters
+    ----------
+    endpoints
+        The servers.
+    route
+        The route.
+    """
+    reported = (endpoint.hold_times.get(route) for endpoint in endpoints)
+    return min(filter(None, reported), default=_ZERO)
+
+
 def _read_hold_time(
     endpoint: Endpoint, route: RouteName | None
 ) -> dt.timedelta | None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_rules.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_rules.py
@@ -3,7 +3,8 @@
 Handles servers that crash, lose or corrupt responses, or fail a part of their
 requests while they appear healthy. A request that may have run and must not
 run twice is never sent again. A request that did not reach a server may be sent
-to another without using the retry budget; any other retry uses it.
+to another without using the retry budget, unless no server could respond in
+time; any other retry uses it.
 """
 
 import dataclasses
@@ -12,7 +13,8 @@
 from typing import Final
 
 # A request that reached a server is not retried if the time left is at most
-# this share of the mean hold time.
+# this share of the mean hold time, one that did not if it is at most this share
+# of the shortest one.
 MIN_TIME_SHARE: Final = 0.5
 
 
@@ -40,6 +42,8 @@
         Time left until it is abandoned.
     mean_hold_time
         Mean hold time of requests of its route.
+    shortest_hold_time
+        Hold time of requests of its route at the fastest server.
     """
 
     is_repeatable: bool
@@ -51,6 +55,7 @@
     max_servers: int
     time_left: dt.timedelta
     mean_hold_time: dt.timedelta
+    shortest_hold_time: dt.timedelta
 
 
 def may_retry(attempt: FailedAttempt, try_spend: Callable[[], bool]) -> bool:
@@ -71,7 +76,7 @@
     if attempt.time_left <= dt.timedelta():
         return False
     if not attempt.reached:
-        return True
+        return attempt.time_left > attempt.shortest_hold_time * MIN_TIME_SHARE
     if attempt.servers_reached >= attempt.max_servers:
         return False
     return (
--- a/tests/unit/test_retry_rules.py
+++ b/tests/unit/test_retry_rules.py
@@ -1,7 +1,7 @@
-"""Retries of requests whose time is over.
+"""Retries of requests that have little or no time left.
 
-The test guards against an attempt that is sent only to be abandoned at once,
-so that nobody knows whether it ran.
+The tests guard against attempts that are sent only to be abandoned, so that
+nobody knows whether they ran and others lose the capacity that they take.
 """
 
 import dataclasses
@@ -9,8 +9,9 @@
 
 import pytest
 
+from bluebellslip._internal.proxy.estimates import find_shortest_hold_time
 from bluebellslip._internal.proxy.retry_rules import FailedAttempt, may_retry
-from lib.fleet import MS
+from lib.fleet import MS, ROUTE, make_endpoint
 
 _REFUSED = FailedAttempt(
     is_repeatable=False,
@@ -22,9 +23,14 @@
     max_servers=2,
     time_left=MS,
     mean_hold_time=100 * MS,
+    shortest_hold_time=dt.timedelta(),
 )
 
 
+def never_spend() -> bool:
+    raise AssertionError('a refusal costs no retry')
+
+
 @pytest.mark.parametrize('is_repeatable', [True, False])
 def test_request_without_time_left_is_not_sent_to_another_server(
     is_repeatable: bool,
@@ -34,3 +40,25 @@
     for time_left in (dt.timedelta(), -MS):
         expired = dataclasses.replace(refused, time_left=time_left)
         assert not may_retry(expired, lambda: True)
+
+
+@pytest.mark.parametrize(
+    ('time_left', 'expected'), [(160 * MS, True), (140 * MS, False)]
+)
+def test_refused_request_without_time_for_any_server_is_not_passed_on(
+    time_left: dt.timedelta, expected: bool
+) -> None:
+    attempt = dataclasses.replace(
+        _REFUSED, time_left=time_left, shortest_hold_time=300 * MS
+    )
+    assert may_retry(attempt, never_spend) is expected
+
+
+def test_one_slow_server_keeps_no_request_from_the_others() -> None:
+    slow = make_endpoint('a-1', hold_time=5000 * MS)
+    fast = make_endpoint('a-2', hold_time=100 * MS)
+    unknown = make_endpoint('a-3')
+    unknown.hold_times.clear()
+    servers = [slow, fast, unknown]
+    assert find_shortest_hold_time(servers, ROUTE) == 100 * MS
+    assert find_shortest_hold_time([unknown], ROUTE) == dt.timedelta()
