Count what the kernel holds as unsent when a node stops

What callers saw: the last responses of a stopping node, cut off where the instance goes with the process: 0.1 s is kept for what is on its way, in which a link of 5 Mbit/s carries 62 kB.

Cause: a stopping node waits until its responses are sent, but counted only the buffers of its transports. What the kernel had taken over counted as sent.

Change: bytes count as unsent until the receiver has acknowledged them; the wait still ends with the grace period. The time for the last bytes stays, in case the kernel doesn't tell.

Evidence: with 400,000 bytes of a response in the kernel's queue, of which its caller had read none, the listener reported 0 unsent bytes; that is test_response_is_unsent_until_its_caller_has_received_it before the change.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
@@ -12,6 +12,7 @@
 from bluebellslip._internal.calls.limits import CallerLimits
 from bluebellslip._internal.calls.listening_socket import ListeningSocket
 from bluebellslip._internal.calls.request import InboundRequest
+from bluebellslip._internal.calls.sockets import count_undelivered
 from bluebellslip._internal.exceptions import BluebellError
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.models.identity import Address
@@ -49,9 +50,9 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """Bytes of replies that are not yet written to a socket."""
+        """Bytes of replies that have not arrived yet."""
         return sum(
-            connection.transport.get_write_buffer_size()
+            count_undelivered(connection.transport)
             for connection in self._state.connections
         )
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/listeners.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/listeners.py
@@ -101,7 +101,7 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """Bytes of responses to callers and peers not yet sent to a socket."""
+        """Bytes of responses that have not arrived at callers and peers yet."""
         return self._callers.unsent_bytes + self._peers.unsent_bytes
 
     @property
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -66,7 +66,7 @@
     closed_idle
         Connections of callers closed while no request was in progress.
     unsent_bytes
-        Bytes of responses not yet sent to a socket.
+        Bytes of responses that have not arrived yet.
     """
 
     callers: int = 0
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/stop_schedule.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/stop_schedule.py
@@ -30,7 +30,8 @@
 # Time before the cutoff at which requests that wait at other nodes are
 # withdrawn, for the query and the refusals on links with full queues.
 WITHDRAWAL_TIME: Final = dt.timedelta(milliseconds=500)
-# Time for the last bytes to leave the instance before the process exits.
+# Time for the last bytes to leave the instance before the process exits, in
+# case the kernel doesn't tell how many there are.
 LINGER_TIME: Final = dt.timedelta(milliseconds=100)
 # The grace period whose last sixth begins at the cutoff.
 FULL_TIMES_GRACE: Final = 6 * (STOP_MARGIN + LAST_RESPONSES_TIME)
