Refuse a request once its body arrives too late to run

What callers saw: an upload whose body is received slowly, over a narrow link or from a slow sender, was held to its deadline, so that no response came in time.

Cause: the latest start of a request counted only while its body waited for its turn, not while it was received.

Change: receiving ends at the latest start as well, with a refusal, since nothing has run.

Evidence: test_body_that_arrives_slowly_is_refused_when_it_would_run_late failed before the change, with DeadlineExceededError at the deadline.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
@@ -12,6 +12,7 @@
 from bluebellslip._internal.exceptions import (
     BluebellError,
     DeadlineExceededError,
+    OverloadedError,
 )
 from bluebellslip._internal.proxy.body_transfers import BodyTransferLimiter
 from bluebellslip._internal.proxy.peer_queries import PeerQueries
@@ -116,9 +117,13 @@
         transfer = self._body_transfers.make_transfer(
             size, peer_request.options.max_wait, time_left
         )
-        async with server_call.wait() as wait, transfer:
-            wait.receives_body = True
-            await peer_request.routed.upload.buffer()
+        timeout = asyncio.timeout(time_left.total_seconds())
+        try:
+            async with timeout, server_call.wait() as wait, transfer:
+                wait.receives_body = True
+                await peer_request.routed.upload.buffer()
+        except TimeoutError:
+            raise OverloadedError('The body arrives too late to run.') from None
 
     async def _relay(
         self, request: InboundRequest, server_call: ServerCall
--- a/tests/unit/test_late_starts.py
+++ b/tests/unit/test_late_starts.py
@@ -12,8 +12,9 @@
 
 import pytest
 
+from bluebellslip._internal.calls.request import InboundRequest
 from bluebellslip._internal.exceptions import NoServerError, OverloadedError
-from bluebellslip._internal.kernel.clock import ManualClock
+from bluebellslip._internal.kernel.clock import Clock, ManualClock
 from bluebellslip._internal.proxy.body_transfers import BodyTransferLimiter
 from bluebellslip._internal.proxy.ingress import PeerHandler
 from bluebellslip._internal.proxy.peer_queries import PeerQueries
@@ -35,6 +36,19 @@
 _LINK_MBPS = 8.0  # one kilobyte per millisecond
 
 
+def make_handler(clock: Clock, limiter: BodyTransferLimiter) -> PeerHandler:
+    gateway = make_gateway(clock, _HOLD_TIME)
+    return PeerHandler(gateway, METADATA_HEADERS, PeerQueries(), limiter)
+
+
+def make_peer_request(clock: Clock, time_left: dt.timedelta) -> InboundRequest:
+    routed = make_routed_request(clock, time_left)
+    routed.request.fields[ROUTING_HEADER] = encode_request(
+        routed, OPTIONS, clock.elapsed()
+    )
+    return routed.request
+
+
 def run(scenario: Coroutine[Any, Any, None]) -> None:
     asyncio.run(scenario)
 
@@ -97,23 +111,37 @@
     async def scenario() -> None:
         clock = LoopClock()
         limiter = BodyTransferLimiter(_LINK_MBPS)
-        handler = PeerHandler(
-            make_gateway(clock, _HOLD_TIME),
-            METADATA_HEADERS,
-            PeerQueries(),
-            limiter,
-        )
-        routed = make_routed_request(clock, SECOND)
-        routed.request.fields[ROUTING_HEADER] = encode_request(
-            routed, OPTIONS, clock.elapsed()
-        )
+        handler = make_handler(clock, limiter)
+        request = make_peer_request(clock, SECOND)
         async with limiter.make_transfer(
             500_000, max_wait=60 * SECOND, time_left=60 * SECOND
         ):
             with pytest.raises(OverloadedError):
-                await handler.handle(routed.request)
-        assert not routed.request.reply.may_have_run
+                await handler.handle(request)
+        assert not request.reply.may_have_run
         transfer_time = BODY_BYTES / 1000 * MS
         assert clock.elapsed() <= SECOND - _HOLD_TIME / 2 - transfer_time
 
     run_in_virtual_time(scenario)
+
+
+async def send_slowly(request: InboundRequest) -> None:
+    """Send parts of a body for longer than its request may last."""
+    while True:
+        await asyncio.sleep(0.05)
+        request.body.feed(b'x')
+
+
+def test_body_that_arrives_slowly_is_refused_when_it_would_run_late() -> None:
+    async def scenario() -> None:
+        clock = LoopClock()
+        handler = make_handler(clock, BodyTransferLimiter(_LINK_MBPS))
+        request = make_peer_request(clock, SECOND)
+        sending = asyncio.create_task(send_slowly(request))
+        with pytest.raises(OverloadedError):
+            await handler.handle(request)
+        sending.cancel()
+        assert not request.reply.may_have_run
+        assert clock.elapsed() <= SECOND - _HOLD_TIME / 2
+
+    run_in_virtual_time(scenario)
