Pace the bodies that a node sends over its own link

What callers saw: responses of nodes with narrow links that come late. Nothing limited what a node sends at a time: with a link of 5 Mbit/s, 20 bodies of 60 kB that their receivers had asked for were written at once, so that a refusal waited behind 1,201,805 bytes, or 1.9 s.

A body takes its turn only when its connection has room, so a slow receiver holds up no others, and one that is given up leaves no gap. Bodies to the local server aren't paced.

Ruled out: counting what each receiver has not yet acknowledged, since a receiver that has stalled would keep the others waiting; smaller buffers of sockets, which don't limit the sum.

Evidence: test_response_waits_for_few_bytes_of_the_bodies_that_a_node_sends failed before with these 1,201,805 bytes; the link in it is simulated.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
@@ -6,6 +6,7 @@
 from typing import Final, Self
 
 from bluebellslip._internal.calls import headers as header_names
+from bluebellslip._internal.calls.body_pacing import BodyPacer
 from bluebellslip._internal.calls.framing import (
     LAST_CHUNK,
     build_request_head,
@@ -110,6 +111,8 @@
         before it may pass the request on, unless the body is shorter.
     on_delivery
         Called once the receiver may have enough of the request to pass it on.
+    pacer
+        Paces the body, if it is sent over the node's own link.
     """
 
     def __init__(
@@ -121,6 +124,7 @@
         expects_continue: bool = False,
         held_bytes: int = 0,
         on_delivery: Callable[[], None] = _ignore_delivery,
+        pacer: BodyPacer | None = None,
     ) -> None:
         self._pool = pool
         self._address = address
@@ -135,6 +139,7 @@
         self._reused = False
         self._held_bytes = held_bytes
         self._on_delivery = on_delivery
+        self._pacer = pacer
         self._connection: OutboundConnection | None = None
         self._sending: asyncio.Task[None] | None = None
 
@@ -268,15 +273,25 @@
     ) -> None:
         await connection.drain()
         sent = 0
-        async for chunk in upload.chunks():
-            sent += len(chunk)
+        async for piece in self._take_turns(upload):
+            sent += len(piece)
             if sent > self._held_bytes:
                 self._on_delivery()
-            connection.send(frame_chunk(chunk) if chunked else chunk)
+            connection.send(frame_chunk(piece) if chunked else piece)
             await connection.drain()
         self._on_delivery()
         connection.send(LAST_CHUNK if chunked else b'', last=True)
 
+    async def _take_turns(self, upload: Upload) -> AsyncIterator[bytes]:
+        """Yield the body in pieces, each when it may be sent."""
+        async for chunk in upload.chunks():
+            if self._pacer is None:
+                yield chunk
+                continue
+            for piece in self._pacer.split(chunk):
+                await self._pacer.wait_turn(len(piece))
+                yield piece
+
 
 async def relay_response(
     request: InboundRequest,
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -4,6 +4,7 @@
 import datetime as dt
 from typing import Self
 
+from bluebellslip._internal.calls.body_pacing import BodyPacer
 from bluebellslip._internal.calls.pool import ConnectionPool
 from bluebellslip._internal.control.desired_state import DesiredStateWatcher
 from bluebellslip._internal.control.discovery import PeerDiscovery
@@ -140,6 +141,7 @@
     callers: CallerHandler
     peers: PeerHandler
     body_transfers: BodyTransferLimiter
+    body_pacer: BodyPacer
     open_attempts: OpenAttempts
     peer_config: PeerConfigSync
 
@@ -153,15 +155,15 @@
     ) -> Self:
         """Build the components that requests pass through."""
         clock = environment.clock
-        counters = environment.counters
-        peer_pool = ConnectionPool(counters)
+        peer_pool = ConnectionPool(environment.counters)
         version_selector = VersionSelector(state.rollout_tracker)
         outcome_recorder = VersionOutcomeRecorder(state.rollout_tracker)
         body_transfers = BodyTransferLimiter(settings.link_mbps)
+        body_pacer = BodyPacer(settings.link_mbps)
         gateway = ServerGateway(
             clock,
             state.server,
-            ConnectionPool(counters),
+            ConnectionPool(environment.counters),
             adapter.metadata_headers,
             version_selector,
             outcome_recorder,
@@ -204,14 +206,14 @@
                     peer_table=state.peer_table,
                     server_selector=server_selector,
                     forwarder=RequestForwarder(
-                        clock, peer_pool, gateway, open_attempts
+                        clock, peer_pool, gateway, open_attempts, body_pacer
                     ),
                     versions=version_selector,
                     sizes=ResponseSizes(),
                 ),
                 state.holder,
                 environment.random,
-                counters,
+                environment.counters,
                 gateway.running,
                 OutgoingRequestCounter(state.server, outcome_recorder),
             ),
@@ -222,6 +224,7 @@
                 body_transfers,
             ),
             body_transfers=body_transfers,
+            body_pacer=body_pacer,
             open_attempts=open_attempts,
             peer_config=peer_config,
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -217,6 +217,7 @@
         self._data_plane.callers.apply(settings.bounds)
         self._data_plane.server_selector.apply(settings.crossing_cost)
         self._data_plane.body_transfers.set_link_rate(settings.link_mbps)
+        self._data_plane.body_pacer.set_link_rate(settings.link_mbps)
         logger.info('settings_reloaded', extra={'needs_restart': needs_restart})
 
     async def _stop(self) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from bluebellslip._internal.calls import headers as header_names
+from bluebellslip._internal.calls.body_pacing import BodyPacer
 from bluebellslip._internal.calls.error_bodies import (
     MAX_ERROR_BODY_BYTES,
     decode_error,
@@ -102,6 +103,8 @@
         Access to the local server.
     open_attempts
         Tracks the requests that are sent to other nodes.
+    pacer
+        Paces the bodies sent to other nodes.
     """
 
     def __init__(
@@ -110,11 +113,13 @@
         peers: ConnectionPool,
         gateway: ServerGateway,
         open_attempts: OpenAttempts,
+        pacer: BodyPacer,
     ) -> None:
         self._open_attempts = open_attempts
         self._clock = clock
         self._peers = peers
         self._gateway = gateway
+        self._pacer = pacer
 
     @property
     def stopped(self) -> bool:
@@ -180,6 +185,7 @@
             expects_continue=_is_large(routed),
             held_bytes=HELD_BYTES,
             on_delivery=result.record_delivery,
+            pacer=self._pacer,
         ) as exchange:
             await self._connect(endpoint, exchange)
             self._open_attempts.check()
