Refuse bodies early when the link is slower than its rate promises

What callers saw: uploads that wait for seconds at the node beside their server and are refused, or cut, only at the end of their time.

Cause: the time until a body is received was estimated from the full rate of the link, once. Bodies are received more slowly: other traffic takes its part, and their senders' links are narrow too.

Change: while bodies wait, the rate at which others are received is measured. After each body those that wait are judged by it, and the ones that can't be received in time are refused, as are new ones. When no body waits, the estimate starts again from the rate of the link.

A body that is refused and cancelled at the same moment frees no capacity that it never had; the test of that fails without the look at the refusal.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/body_transfers.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/body_transfers.py
@@ -7,7 +7,8 @@
 TRANSFER_WINDOW, or one larger body; other bodies stay at their senders until
 their turn. A request takes a slot of the server only after its body was
 received, up to half of the replay buffer, so that no slot is held meanwhile.
-A body is refused as soon as it would be received too late.
+A body is refused as soon as it would be received too late, by the rate at which
+others are received meanwhile.
 """
 
 import asyncio
@@ -16,6 +17,7 @@
 from typing import Final
 
 from bluebellslip._internal.exceptions import OverloadedError
+from bluebellslip._internal.proxy.drain_rate import DrainRate
 
 # Bodies in transit together have at most as many bytes as the link carries in
 # this time. The time is a small part of the shortest latency objectives.
@@ -41,6 +43,7 @@
 
     def __init__(self, link_mbps: float) -> None:
         self._rate = link_mbps * _BITS_PER_MEGABIT / _BITS_PER_BYTE
+        self._drain_rate = DrainRate(self._rate)
         self._in_transit = 0
         self._waiting: deque[_QueuedTransfer] = deque()
 
@@ -52,13 +55,15 @@
     def set_link_rate(self, link_mbps: float) -> None:
         """Apply a new rate of the link in megabits per second."""
         self._rate = link_mbps * _BITS_PER_MEGABIT / _BITS_PER_BYTE
+        self._drain_rate.link_rate = self._rate
 
     def estimate_arrival(self, size: int) -> dt.timedelta:
         """Return the time until a body of this many bytes would be received."""
         ahead = self._in_transit + sum(
             transfer.size for transfer in self._waiting
         )
-        return dt.timedelta(seconds=(ahead + size) / self._rate)
+        rate = self._drain_rate.bytes_per_second
+        return dt.timedelta(seconds=(ahead + size) / rate)
 
     def compute_slow_after(self) -> dt.timedelta:
         """Return the time after which a body that has just started is slow."""
@@ -89,26 +94,25 @@
         is_too_late = self._in_transit and expected > max_wait
         if is_too_late or expected > time_left:
             raise _make_refusal(size)
-        transfer_time = dt.timedelta(seconds=size / self._rate)
-        return BodyTransfer(self, size, time_left - transfer_time)
+        return BodyTransfer(self, size, time_left)
 
-    async def acquire(
-        self, transfer: '_QueuedTransfer', max_delay: dt.timedelta
-    ) -> None:
+    async def acquire(self, transfer: '_QueuedTransfer') -> None:
         """Wait until the link has capacity for a body and reserve it.
 
         Raises
         ------
         BluebellError
-            When the body has waited for ``max_delay`` or the server accepts no
+            When the body would be received too late or the server accepts no
             more work.
         """
         if not self._waiting and self._has_capacity(transfer.size):
             self._in_transit += transfer.size
             return
         self._waiting.append(transfer)
+        self._drain_rate.begin(asyncio.get_running_loop().time())
+        latest_start = transfer.latest_arrival - transfer.size / self._rate
         try:
-            async with asyncio.timeout(max_delay.total_seconds()):
+            async with asyncio.timeout_at(latest_start):
                 await transfer.granted
         except TimeoutError:
             self._cancel(transfer)
@@ -120,18 +124,34 @@
     def release(self, size: int) -> None:
         """Free the capacity of a body that was received, abandoned or slow."""
         self._in_transit -= size
+        self._drain_rate.record(size, asyncio.get_running_loop().time())
+        self._refuse_late()
         self._grant()
 
     def _has_capacity(self, size: int) -> bool:
         window = self._rate * TRANSFER_WINDOW.total_seconds()
         return not self._in_transit or self._in_transit + size <= window
 
+    def _refuse_late(self) -> None:
+        """Refuse the waiting bodies that are expected too late."""
+        rate = self._drain_rate.bytes_per_second
+        expected = asyncio.get_running_loop().time() + self._in_transit / rate
+        for transfer in tuple(self._waiting):
+            duration = transfer.size / rate
+            if expected + duration <= transfer.latest_arrival:
+                expected += duration
+            elif not transfer.granted.done():
+                self._waiting.remove(transfer)
+                transfer.granted.set_exception(_make_refusal(transfer.size))
+
     def _grant(self) -> None:
         while self._waiting and self._has_capacity(self._waiting[0].size):
             transfer = self._waiting.popleft()
             if not transfer.granted.done():
                 self._in_transit += transfer.size
                 transfer.granted.set_result(None)
+        if not self._waiting:
+            self._drain_rate.end()
 
     def _cancel(self, transfer: '_QueuedTransfer') -> None:
         if transfer.was_granted:
@@ -142,18 +162,27 @@
 
 
 class _QueuedTransfer:
-    """A body that waits for its transfer."""
+    """A body that waits for its transfer.
+
+    ``latest_arrival`` is the loop time in seconds after which it is received in
+    vain.
+    """
 
-    def __init__(self, size: int) -> None:
+    def __init__(self, size: int, time_left: dt.timedelta) -> None:
+        loop = asyncio.get_running_loop()
         self.size = size
-        self.granted: asyncio.Future[None] = (
-            asyncio.get_running_loop().create_future()
-        )
+        self.latest_arrival = loop.time() + time_left.total_seconds()
+        self.granted: asyncio.Future[None] = loop.create_future()
 
     @property
     def was_granted(self) -> bool:
         """Whether the body takes up capacity of the link."""
-        return self.granted.done() and not self.granted.cancelled()
+        granted = self.granted
+        return (
+            granted.done()
+            and not granted.cancelled()
+            and granted.exception() is None
+        )
 
 
 class BodyTransfer:
@@ -165,21 +194,21 @@
         The limiter whose capacity the transfer takes up.
     size
         Size of the body in bytes.
-    max_delay
-        Longest time until the transfer starts.
+    time_left
+        Time after which the body is received in vain.
     """
 
     def __init__(
-        self, limiter: BodyTransferLimiter, size: int, max_delay: dt.timedelta
+        self, limiter: BodyTransferLimiter, size: int, time_left: dt.timedelta
     ) -> None:
         self._limiter = limiter
         self._size = size
-        self._max_delay = max_delay
+        self._time_left = time_left
         self._timer: asyncio.TimerHandle | None = None
 
     async def __aenter__(self) -> None:
-        transfer = _QueuedTransfer(self._size)
-        await self._limiter.acquire(transfer, self._max_delay)
+        transfer = _QueuedTransfer(self._size, self._time_left)
+        await self._limiter.acquire(transfer)
         loop = asyncio.get_running_loop()
         slow_after = self._limiter.compute_slow_after().total_seconds()
         self._timer = loop.call_later(slow_after, self._release)
--- a/tests/unit/test_body_transfers.py
+++ b/tests/unit/test_body_transfers.py
@@ -149,6 +149,70 @@
     run_in_virtual_time(scenario)
 
 
+async def receive_slowly(limiter: BodyTransferLimiter, size: int) -> None:
+    """Receive bodies one after the other at a quarter of the link's rate."""
+    while True:
+        async with make_transfer(limiter, size):
+            await asyncio.sleep(4 * size / 625_000)
+
+
+def test_body_is_refused_early_if_the_link_is_slower_than_its_rate() -> None:
+    """Other traffic, or the links of the senders, may take up the rest."""
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        limiter = BodyTransferLimiter(_NARROW_LINK_MBPS)
+        size = int(_BYTES_IN_WINDOW)  # takes 0.8 s here
+        slow = [
+            asyncio.create_task(receive_slowly(limiter, size)) for _ in range(8)
+        ]
+        await yield_to_tasks()
+        assert limiter.estimate_arrival(size) < 2 * SECOND
+        waiting = make_transfer(limiter, size, time_left=4 * SECOND)
+        with pytest.raises(OverloadedError):
+            async with waiting:
+                raise AssertionError('the body was granted')
+        assert loop.time() < 2
+        with pytest.raises(OverloadedError):
+            make_transfer(limiter, size, time_left=4 * SECOND)
+        for task in slow:
+            task.cancel()
+        await yield_to_tasks()
+        assert limiter.estimate_arrival(size) == 200 * MS
+
+    run_in_virtual_time(scenario)
+
+
+def test_body_that_is_refused_and_cancelled_takes_up_no_capacity() -> None:
+    async def scenario() -> None:
+        limiter = BodyTransferLimiter(_NARROW_LINK_MBPS)
+        size = int(_BYTES_IN_WINDOW)  # takes 0.2 s
+        transfers = HeldTransfers(limiter)
+        transfers.send(size)
+        transfers.send(size)
+        await yield_to_tasks()
+        late = asyncio.create_task(
+            _enter(make_transfer(limiter, size, 650 * MS))
+        )
+        await asyncio.sleep(0.3)
+        transfers.end_events[0].set()
+        while limiter._waiting:
+            await asyncio.sleep(0)
+        late.cancel()
+        await yield_to_tasks()
+        assert limiter.in_transit == size
+        transfers.tasks[1].cancel()
+        await yield_to_tasks()
+        assert limiter.in_transit == 0
+
+    run_in_virtual_time(scenario)
+
+
+async def _enter(transfer: BodyTransfer) -> None:
+    async with transfer:
+        raise AssertionError('the body was granted')
+
+
 def test_cancelled_transfers_hold_no_capacity() -> None:
     async def scenario() -> None:
         transfers = HeldTransfers(BodyTransferLimiter(_NARROW_LINK_MBPS))
