Let callers of the soak pipeline their requests

The soak never had a second request on a connection before the first response, so it could not find requests that are started behind a response that closes their connection. One client of each node now pipelines safe requests. A request behind others that was not passed on is excused; one that was passed on and got no response is a finding.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -23,7 +23,11 @@
 from bench.soak_nodes import RunContext, SoakNode
 from bench.soak_plan import GRACE, Action, Event, SoakPlan, make_config
 from bench.soak_records import Finding, History
-from bench.soak_traffic import RecordingServer, SoakClient
+from bench.soak_traffic import (
+    PipeliningClient,
+    RecordingServer,
+    SoakClient,
+)
 from bluebellslip._internal.kernel.clock import SystemClock
 from lib.simulated_platform import SimulatedStore
 
@@ -109,6 +113,15 @@
             for node in self._nodes
             for number in range(CLIENTS_PER_NODE)
         ]
+        clients += [
+            PipeliningClient(
+                f'{self._plan.seed}-{node.name}-pipelining',
+                node.name,
+                node.address,
+                self.history,
+            )
+            for node in self._nodes
+        ]
         async with anyio.create_task_group() as group:
             for client in clients:
                 group.start_soon(client.run)
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -109,6 +109,7 @@
         # A reset means that the request was not read completely.
         return (
             request.end is RequestEnd.CLOSED
+            and not request.is_pipelined
             and request.sent is not None
             and request.ended - request.sent > self._rules.lost_slack
         )
--- a/bench/soak_records.py
+++ b/bench/soak_records.py
@@ -34,7 +34,8 @@
     """A request of a caller.
 
     Times count from the start of the run. ``sent`` is when its last byte was
-    sent, and ``limit`` the time that it may take.
+    sent, and ``limit`` the time that it may take. ``is_pipelined`` is set if it
+    was sent before the response to an earlier one on its connection.
     """
 
     request_id: str
@@ -47,6 +48,7 @@
     ended: dt.timedelta = dt.timedelta.max
     end: RequestEnd | None = None
     response: ReceivedResponse | None = None
+    is_pipelined: bool = False
 
     @property
     def outcome(self) -> str:
--- a/bench/soak_traffic.py
+++ b/bench/soak_traffic.py
@@ -4,8 +4,9 @@
 import contextlib
 import datetime as dt
 import zlib
+from collections import deque
 from random import Random
-from typing import Final
+from typing import Final, NoReturn
 
 import anyio
 
@@ -29,6 +30,9 @@
 _RECONNECT_S: Final = 0.05
 # Callers wait for this long past their deadline.
 _PATIENCE_S: Final = 3
+# Requests of one connection that wait for their responses.
+_MAX_PIPELINED: Final = 4
+_MAX_PIPELINE_GAP_S: Final = 0.06
 
 
 def describe_body(request_id: str, body: bytes) -> bytes:
@@ -148,10 +152,13 @@
             return pause_s
         return pause_s + float(request.response.headers.get('retry-after', 0))
 
+    def _choose_kind(self) -> RouteKind:
+        weights = [profile.weight for profile in PROFILES.values()]
+        return self._random.choices(list(PROFILES), weights)[0]
+
     def _make_request(self) -> Request:
         self._number += 1
-        weights = [profile.weight for profile in PROFILES.values()]
-        kind = self._random.choices(list(PROFILES), weights)[0]
+        kind = self._choose_kind()
         profile = PROFILES[kind]
         size = self._random.randint(*profile.body_bytes)
         limit_s = self._random.uniform(*profile.deadline_s)
@@ -194,3 +201,73 @@
     return (
         response is not None and response.headers.get('connection') != 'close'
     )
+
+
+class PipeliningClient(SoakClient):
+    """Sends safe requests before the earlier ones are answered."""
+
+    def _choose_kind(self) -> RouteKind:
+        return RouteKind.SAFE
+
+    async def _use_connection(self) -> None:
+        streams = await asyncio.open_connection(
+            self._address.host, self._address.port
+        )
+        caller = Caller(*streams)
+        pending: deque[Request] = deque()
+        with contextlib.closing(caller):
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._receive_all, caller, pending)
+                await self._send_all(caller, pending)
+
+    async def _send_all(self, caller: Caller, pending: deque[Request]) -> None:
+        with contextlib.suppress(OSError):
+            while not (self._stopped or caller.reader.at_eof()):
+                if len(pending) < _MAX_PIPELINED:
+                    request = self._make_request()
+                    request.is_pipelined = bool(pending)
+                    pending.append(request)
+                    caller.writer.write(_encode(request))
+                    await caller.writer.drain()
+                    request.sent = self._history.now
+                await anyio.sleep(self._random.uniform(0, _MAX_PIPELINE_GAP_S))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_PATIENCE_S):
+                while pending and not caller.reader.at_eof():
+                    await anyio.sleep(_RECONNECT_S)
+        for abandoned in pending:
+            abandoned.end = RequestEnd.ABANDONED
+        caller.close()
+
+    async def _receive_all(
+        self, caller: Caller, pending: deque[Request]
+    ) -> None:
+        end = RequestEnd.CLOSED
+        try:
+            await self._match_responses(caller, pending)
+        except asyncio.IncompleteReadError:
+            end = RequestEnd.CLOSED
+        except OSError:
+            end = RequestEnd.RESET
+        for unanswered in pending:
+            unanswered.end = unanswered.end or end
+            unanswered.ended = self._history.now
+
+    async def _match_responses(
+        self, caller: Caller, pending: deque[Request]
+    ) -> NoReturn:
+        while True:
+            response = await caller.receive()
+            request = pending.popleft()
+            request.response = response
+            request.end = RequestEnd.ANSWERED
+            request.ended = self._history.now
+
+
+def _encode(request: Request) -> bytes:
+    limit_ms = round(request.limit.total_seconds() * 1000)
+    return (
+        f'GET {make_prefix(request.kind)}{request.request_id} HTTP/1.1\r\n'
+        f'host: shop.example\r\nx-request-id: {request.request_id}\r\n'
+        f'x-deadline-ms: {limit_ms}\r\n\r\n'
+    ).encode()
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -76,6 +76,14 @@
     return _check(request, runs, stops)
 
 
+def test_pipelined_request_may_cross_a_close_unless_it_was_passed_on() -> None:
+    request = _make_request(RequestEnd.CLOSED, 10, 12, RouteKind.SAFE)
+    request.is_pipelined = True
+    stops = (('front', 9.5),)
+    assert not _check(request, (), stops)
+    assert 'passed on' in _check(request, ((10.5, 11),), stops)[0]
+
+
 def _check_response(
     status: int,
     headers: dict[str, str],
