Refuse late requests like any other request of a caller

What callers saw: a 503 without their request id and with a Retry-After of 1 s for a request that was read after its node had stopped listening, while servers had free slots.

Cause: the connection refused it itself and knew neither the header of the id nor the servers of its service.

Change: a listener is given the function that refuses such requests; that of the callers' handler finds the route, responds and logs as for its other refusals. No attempt is made.

test_late_request_is_refused_like_any_other: no request id without the change.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -34,6 +34,7 @@
 # How long the rest of a request body is read and dropped after an early reply.
 # Closing with unread input would reset the connection and lose the reply.
 _BODY_DISCARD_TIMEOUT_S: Final = 2.0
+Refuser = Callable[[InboundRequest, BluebellError], None]
 
 
 class Handler(Protocol):
@@ -47,6 +48,11 @@
     """Do nothing."""
 
 
+def send_error(request: InboundRequest, error: BluebellError) -> None:
+    """Respond to a request with an error."""
+    request.reply.refuse(error)
+
+
 class ListenerState:
     """State shared by the connections of one listener.
 
@@ -61,14 +67,19 @@
     ----------
     limits
         Limits of the connections.
+    refuse
+        Responds to a request that is refused while ``shutting_down``.
     """
 
-    def __init__(self, limits: CallerLimits) -> None:
+    def __init__(
+        self, limits: CallerLimits, refuse: Refuser = send_error
+    ) -> None:
         self.draining = False
         self.shutting_down = False
         self.ignored_requests = 0
         self.closed_idle = 0
         self.limits = limits
+        self.refuse = refuse
         self.connections: set[InboundConnection] = set()
         self.on_ignored: Callable[[InboundRequest], None] = _ignore_unread
 
@@ -249,7 +260,9 @@
     async def _refuse(self, request: InboundRequest) -> None:
         try:
             self._reply_with_error(
-                request, DrainingError('The node accepts no new requests.')
+                request,
+                DrainingError('The node accepts no new requests.'),
+                self._state.refuse,
             )
             await self._discard_remaining_body(request)
         finally:
@@ -340,11 +353,14 @@
             self.transport.pause_reading()
 
     def _reply_with_error(
-        self, request: InboundRequest, error: BluebellError
+        self,
+        request: InboundRequest,
+        error: BluebellError,
+        refuse: Refuser = send_error,
     ) -> None:
         self._counters.add('calls_refused', kind=error.kind.value)
         if not (self._close.has_begun or self.transport.is_closing()):
-            request.reply.refuse(error)
+            refuse(request, error)
 
     def _refuse_input(self, error: BluebellError) -> None:
         self._has_invalid_input = True
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
@@ -8,6 +8,8 @@
     Handler,
     InboundConnection,
     ListenerState,
+    Refuser,
+    send_error,
 )
 from bluebellslip._internal.calls.limits import CallerLimits
 from bluebellslip._internal.calls.listening_socket import ListeningSocket
@@ -33,6 +35,8 @@
         Counts refused requests.
     limits
         Limits on the size and duration of requests.
+    refuse
+        Responds with an error to a request that arrives after ``shut_down``.
     """
 
     def __init__(
@@ -41,11 +45,12 @@
         handler: Handler,
         counters: Counters,
         limits: CallerLimits = _DEFAULT_LIMITS,
+        refuse: Refuser = send_error,
     ) -> None:
         self._address = address
         self._handler = handler
         self._counters = counters
-        self._state = ListenerState(limits)
+        self._state = ListenerState(limits, refuse)
         self._socket = ListeningSocket(address, self._make_connection)
 
     @property
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/listeners.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/listeners.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable, Iterator
 from typing import Final
 
-from bluebellslip._internal.calls.inbound import Handler
+from bluebellslip._internal.calls.inbound import (
+    Handler,
+    Refuser,
+    send_error,
+)
 from bluebellslip._internal.calls.limits import CallerLimits
 from bluebellslip._internal.calls.listener import Listener
 from bluebellslip._internal.calls.request import InboundRequest
@@ -37,7 +41,8 @@
 class Handlers:
     """The handlers of the listening addresses.
 
-    ``record_ignored`` records the requests of callers that get no response.
+    ``record_ignored`` records the requests of callers that get no response,
+    ``refuse_late`` responds to those that arrive after the shutdown.
     """
 
     callers: Handler
@@ -46,6 +51,7 @@
     servers: Handler
     metrics: Handler
     record_ignored: Callable[[InboundRequest], None]
+    refuse_late: Refuser
 
 
 class MetricsHandler:
@@ -83,7 +89,10 @@
     ) -> None:
         self._counters = counters
         self._callers = self._make(
-            listen.callers, handlers.callers, _CALLER_LIMITS
+            listen.callers,
+            handlers.callers,
+            _CALLER_LIMITS,
+            handlers.refuse_late,
         )
         self._callers.on_ignored(handlers.record_ignored)
         self._peers = self._make(listen.peers, handlers.peers, _PEER_LIMITS)
@@ -155,10 +164,12 @@
         address: str,
         handler: Handler,
         limits: CallerLimits | None = None,
+        refuse: Refuser = send_error,
     ) -> Listener:
         return Listener(
             Address.from_text(address),
             handler,
             self._counters,
             limits or CallerLimits(),
+            refuse,
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -352,6 +352,7 @@
         record_ignored=IgnoredRequestRecorder(
             adapter.metadata_headers, environment.counters
         ),
+        refuse_late=data_plane.callers.refuse,
     )
     return ListenerSet(settings.listen, handlers, environment.counters)
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -41,13 +41,13 @@
     make_stop_error,
 )
 from bluebellslip._internal.proxy.responses import BufferedResponse
+from bluebellslip._internal.proxy.retry_after import choose_retry_after
 from bluebellslip._internal.proxy.retry_budget import SharedRetryBudget
 from bluebellslip._internal.proxy.routed_request import (
     MAX_REPLAY_BYTES,
     RoutedRequest,
 )
 from bluebellslip._internal.proxy.running_requests import RunningRequests
-from bluebellslip._internal.proxy.server_selection import estimate_retry_after
 from bluebellslip._internal.proxy.trace import (
     RequestTrace,
     is_sampled,
@@ -58,15 +58,6 @@
 
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
 _MAX_TIMEOUT_MS: Final = 86_400_000  # one day
-# Shortest Retry-After of a refused request: a few times the latency to a
-# client.
-MIN_RETRY_AFTER: Final = dt.timedelta(milliseconds=50)
-# Longest Retry-After before its random extension: servers that left are
-# replaced within about a second.
-MAX_RETRY_AFTER: Final = dt.timedelta(seconds=1)
-# Longest random extension of Retry-After, as a multiple of its value before the
-# extension, so that callers refused together don't all retry at the same time.
-RETRY_AFTER_JITTER: Final = 1.0
 _JSON: Final = (b'content-type', b'application/json')
 
 
@@ -133,10 +124,7 @@
 
     async def handle(self, request: InboundRequest) -> None:
         """Respond to a request."""
-        trace = RequestTrace(
-            self._read_id(request).decode('latin-1'),
-            self._context.clock.elapsed(),
-        )
+        trace = self._begin_trace(request)
         with self.in_flight:
             try:
                 table = self._get_table()
@@ -151,6 +139,24 @@
             trace.time_left_ms = to_ms(routed.deadline - trace.started)
             await self._serve(routed, rule, trace)
 
+    def refuse(self, request: InboundRequest, error: BluebellError) -> None:
+        """Respond with an error to a request that is not to be handled."""
+        trace = self._begin_trace(request)
+        try:
+            rule = self._find_rule(self._get_table(), request)
+        except BluebellError as own_error:
+            self._send_error(request, own_error, trace, may_have_run=False)
+            return
+        trace.route = rule.name
+        trace.service = self._get_table().choose_service(rule)
+        self._send_error(request, error, trace, may_have_run=False)
+
+    def _begin_trace(self, request: InboundRequest) -> RequestTrace:
+        return RequestTrace(
+            self._read_id(request).decode('latin-1'),
+            self._context.clock.elapsed(),
+        )
+
     def _read_id(self, request: InboundRequest) -> bytes:
         return request.fields.get(
             self._settings.metadata_headers.request_id, b''
@@ -321,7 +327,11 @@
                 request_id,
             ))
         if not may_have_run and error.kind in RETRYABLE_ERRORS:
-            after = self._choose_retry_after(trace.service)
+            after = choose_retry_after(
+                self._context.peer_table.endpoints(ServiceName(trace.service)),
+                self._context.clock.elapsed(),
+                self._random,
+            )
             fields.append((
                 header_names.RETRY_AFTER,
                 b'%.3f' % after.total_seconds(),
@@ -329,16 +339,6 @@
         reply.respond(status, fields, encode_error(error))
         self._record_outcome(trace, str(status), error)
 
-    def _choose_retry_after(self, service: str) -> dt.timedelta:
-        """Return the time after which a retry is likely to find a free slot."""
-        expected = estimate_retry_after(
-            self._context.peer_table.endpoints(ServiceName(service)),
-            MAX_RETRY_AFTER,
-            self._context.clock.elapsed(),
-        )
-        jitter_factor = 1 + RETRY_AFTER_JITTER * self._random.random()
-        return max(MIN_RETRY_AFTER, expected) * jitter_factor
-
     def _make_timeout_error(
         self, routed: RoutedRequest, *, may_have_run: bool
     ) -> BluebellError:
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -388,3 +388,20 @@
             assert 'connection' not in response.headers
         await stopping
         caller.close()
+
+
+async def test_late_request_is_refused_like_any_other() -> None:
+    async with mesh() as (front, _, back):
+        caller = await front.open_caller()
+        for listener in front.node._listeners:
+            listener._state.shutting_down = True
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            refused = await caller.call(
+                '/read/1', service='shop.example', x_request_id='r1'
+            )
+        caller.close()
+        assert refused.status == 503
+        assert refused.headers['x-request-id'] == 'r1'
+        assert float(refused.headers['retry-after']) < 1
+        assert refused.headers['connection'] == 'close'
+    assert not back.server.received_requests
