Don't complete a response that has failed

Callers saw: nothing known. Found while fuzzing, by reading: if the node gives up an exchange, for instance since the caller's body failed, a response without a length whose first part has arrived was marked as complete once the connection had closed, and could be passed on as a whole one.

Cause: the end of a connection completes a response without a length; the reader did not distinguish an end that the node itself brought about.

Change: a failed response is not completed any more.

Evidence: test_failed_response_is_completed_by_the_end_of_its_connection failed before (complete was true) and passes now.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/response_reader.py
@@ -137,6 +137,7 @@
 
     def fail(self, error: BluebellError) -> None:
         """Raise an error in the readers of the incomplete response."""
+        self._until_close = False
         if self._body is not None:
             self._body.fail(error)
         if self._head_received is not None and not self._head_received.done():
--- a/tests/unit/test_calls_response_limits.py
+++ b/tests/unit/test_calls_response_limits.py
@@ -151,3 +151,16 @@
             b'HTTP/1.1 200 OK\r\nx: %b\r\na: b\r\n' % (b'a' * 66_000)
         )
     assert raised.value.message == 'The response head is too large.'
+
+
+async def test_failed_response_is_completed_by_the_end_of_its_connection() -> (
+    None
+):
+    """The end of the connection is the end of a response without a length."""
+    received = _ResponseInput()
+    received.reader.feed(b'HTTP/1.1 200 OK\r\n\r\npart')
+    received.reader.fail(ServerFailedError('The exchange was aborted.'))
+    received.reader.end_input(clean=True)
+    assert not received.body.complete
+    with pytest.raises(ServerFailedError):
+        await received.body.read()
