Parse no pipelined requests beyond the limit of a connection

Callers saw: nothing; a caller that pipelined requests without end cost 14 MB of memory for each of its connections.

Cause: at the limit of requests in progress reading is paused, but the rest of the read, up to 256 KB, was parsed to its end, 7,101 waiting requests in a trial.

Change: the reader keeps the rest unparsed until the waiting requests have started, or until the connection is closed, which counts them as ignored.

Evidence: test_pipelined_requests_are_parsed_without_end before: a peak of 14,481,858 bytes against 4,194,304. It passes now, and all 20,000 requests of the test get their responses; in the trial 48 requests wait.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -161,6 +161,9 @@
             self._reader.feed(chunk)
         except BluebellError as error:
             self._refuse_input(error)
+        if self._paused:
+            # A body that was read may have resumed reading.
+            self.transport.pause_reading()
 
     def interrupt(self, error: BluebellError) -> None:
         """Reply with an error to each request that has no complete reply."""
@@ -199,6 +202,7 @@
             request.cancel(by_node=True)
             request.body.drop()
         self._close.begin()
+        self._resume_parsing()
 
     def _ignore(self, request: InboundRequest) -> None:
         self._ignores_requests = True
@@ -224,6 +228,7 @@
         ):
             self._waiting.append(request)
             self._paused = True
+            self._reader.is_paused = True
             self.transport.pause_reading()
             return
         self._start_request(request)
@@ -316,8 +321,18 @@
         if self._is_finished:
             self.close()
         elif self._paused and not self._waiting:
-            self._paused = False
             self.transport.resume_reading()
+            self._resume_parsing()
+
+    def _resume_parsing(self) -> None:
+        self._paused = False
+        self._reader.is_paused = False
+        if self._has_invalid_input:
+            return
+        try:
+            self._reader.feed(b'')
+        except BluebellError as error:
+            self._refuse_input(error)
 
     @property
     def _is_finished(self) -> bool:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request_reader.py
@@ -45,6 +45,8 @@
 class RequestReader:
     """Parser of one connection's input.
 
+    While ``is_paused`` is set, input is kept unparsed.
+
     Parameters
     ----------
     transport
@@ -64,6 +66,7 @@
         state: ReaderState,
         on_request: Callable[[InboundRequest], None],
     ) -> None:
+        self.is_paused = False
         self._transport = transport
         self._write_gate = write_gate
         self._state = state
@@ -75,6 +78,7 @@
         self._meter = InputMeter()
         self._header_counter = HeaderCounter()
         self._head_started_at: float | None = None
+        self._rest = memoryview(b'')
 
     @property
     def head_started_at(self) -> float | None:
@@ -87,18 +91,20 @@
             self._head_started_at = now
 
     def feed(self, chunk: bytes) -> None:
-        """Parse input.
+        """Parse input, and first what was kept while ``is_paused`` was set.
 
         Raises
         ------
         BluebellError
             When the input is not valid HTTP/1.1 or exceeds a limit.
         """
-        rest = memoryview(chunk)
-        while rest:
-            part = rest[: self._meter.room]
+        if self._rest:
+            chunk = b''.join((self._rest, chunk))
+        self._rest = memoryview(chunk)
+        while self._rest and not self.is_paused:
+            part = self._rest[: self._meter.room]
+            self._rest = self._rest[len(part) :]
             self._parse(part)
-            rest = rest[len(part) :]
             self._meter.advance(len(part), in_body=self._current is not None)
             if self._meter.exceeds(self._state.limits.head_bytes):
                 raise self._make_too_large_error()
--- a/tests/functional/test_calls_endless_input.py
+++ b/tests/functional/test_calls_endless_input.py
@@ -48,6 +48,7 @@
 _MEMORY_BYTES = 4 << 20
 # The largest response that is buffered.
 _STORE_MEMORY_BYTES = 8 << 20
+_MAX_PIPELINED = 8
 _TIMEOUT = dt.timedelta(seconds=60)
 
 
@@ -58,9 +59,11 @@
         self.refuses = False
         self.errors: list[BluebellError] = []
         self.finish = asyncio.Event()
+        self.waiting = 0
 
     async def handle(self, request: InboundRequest) -> None:
         if request.target == b'/wait':
+            self.waiting += 1
             await self.finish.wait()
         if self.refuses:
             raise OverloadedError('The test refuses this request.')
@@ -88,7 +91,9 @@
         find_free_address(),
         handler,
         InMemoryCounters(),
-        CallerLimits(max_pipelined=8, head_error=HeadTooLargeError),
+        CallerLimits(
+            max_pipelined=_MAX_PIPELINED, head_error=HeadTooLargeError
+        ),
     )
     await listener.open()
     try:
@@ -215,6 +220,27 @@
         caller.close()
 
 
+async def test_pipelined_requests_are_parsed_without_end() -> None:
+    """A read holds thousands of requests, of which few may run at a time."""
+    handler = _Handler()
+    count = 20_000
+    async with _listening(handler) as listener:
+        caller = await Caller.open(listener.address)
+        caller.writer.write(b'GET /wait HTTP/1.1\r\n\r\n' * count)
+        tracemalloc.start()
+        try:
+            while handler.waiting < _MAX_PIPELINED:
+                await asyncio.sleep(0.01)
+            peak = tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+        handler.finish.set()
+        for _ in range(count):
+            assert (await caller.receive()).status == 200
+        caller.close()
+    assert peak < _MEMORY_BYTES
+
+
 _ENDLESS_BODY = EndlessInput(
     'body',
     b'HTTP/1.1 200 OK\r\ncontent-length: 9999999999\r\n\r\n',
