--- a/tests/functional/test_platform_calls.py
+++ b/tests/functional/test_platform_calls.py
@@ -53,6 +53,14 @@
     b'HTTP/1.1 200 X\r\nX-Request-Id: r1\r\nX-Server-Signature: s\r\n'
     b'Content-Length: 99\r\n\r\nshort'
 )
+_CHUNKED_BODY = (
+    b'HTTP/1.1 200 X\r\nX-Request-Id: r1\r\nX-Server-Signature: s\r\n'
+    b'transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n'
+)
+_LONG_TRAILERS = (
+    b'POST /buy/1 HTTP/1.1\r\nhost: shop.example\r\nx-request-id: r1\r\n'
+    b'transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n%b'
+) % (b'a: b\r\n' * 9999)
 _OVERSIZED_BODY = (
     b'POST /art/1 HTTP/1.1\r\nhost: shop.example\r\n'
     b'content-length: 200000\r\n\r\n'
@@ -187,6 +195,9 @@
         None,
         _TRUNCATED,
         b'garbage\r\n',
+        b'HTTP/1.1 200 X\r\n%b' % (b'a: b\r\n' * 9999),
+        b'HTTP/1.1 102 X\r\n\r\n' * 9999,
+        b'%b%b' % (_CHUNKED_BODY, b'a: b\r\n' * 9999),
     ],
 )
 async def test_safe_request_is_retried_after_an_invalid_response(
@@ -355,6 +366,7 @@
             _OVERSIZED_BODY,
             413,
         ),
+        (_LONG_TRAILERS, 431),
         (b'GET /read/1 HTTP/1.1\r\nhost: shop.example\r\nx-request-id', 408),
         (b'nonsense\r\n\r\n', 400),
         (b'GET /read/1 HTTP/1.1\r\n\r\n', 400),
