Keep time for the departure out of the drain timeout

Cause: all drains shared one time limit. Whichever came first could use all of it, and the drains after it, the departure last, were never started.

Change: a plug-in states how much time it needs to end what outlasts its drain. The node keeps that time for it and calls end after the drain, so both lie within the drain timeout, also when every drain lasts for ever.

--- a/packages/bluebellslip/src/bluebellslip/_internal/kernel/node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/node.py
@@ -25,7 +25,7 @@
     plugin_instances
         The plug-ins in the order of their start.
     drain_timeout
-        Longest time to wait for work in flight.
+        Longest time to wait for work in flight, and to end what outlasts it.
     """
 
     def __init__(
@@ -80,6 +80,13 @@
     async def _drain(self) -> None:
         for plugin in self._plugins:
             plugin.leave()
-        with anyio.move_on_after(self._drain_timeout.total_seconds()):
-            for leaving in reversed(self._plugins):
+        deadline = anyio.current_time() + self._drain_timeout.total_seconds()
+        reserved = sum(
+            each.end_time.total_seconds() for each in self._plugins
+        )
+        for leaving in reversed(self._plugins):
+            with anyio.CancelScope(deadline=deadline - reserved):
                 await leaving.drain()
+            reserved -= leaving.end_time.total_seconds()
+            with anyio.CancelScope(deadline=deadline - reserved):
+                await leaving.end()
--- a/packages/bluebellslip/src/bluebellslip/_internal/kernel/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/plugin.py
@@ -1,6 +1,7 @@
 """Plug-ins: how they are built, started and stopped."""
 
 import abc
+import datetime as dt
 import enum
 from typing import Final, Self
 
@@ -27,9 +28,13 @@
 
     Building a plug-in registers its implementations in ``context.ports``.
     Plug-ins built later can look them up there.
+
+    ``end_time`` is the part of the node's drain timeout that is kept for
+    ``end``; drains can't use it up.
     """
 
     stage: Stage
+    end_time: dt.timedelta = dt.timedelta()
 
     @classmethod
     @abc.abstractmethod
@@ -46,5 +51,8 @@
     async def drain(self) -> None:
         """Wait until work in flight has ended."""
 
+    async def end(self) -> None:
+        """End the work that outlasts the drain, within ``end_time``."""
+
 
 plugins: Final[Registry[type[Plugin]]] = Registry('plug-in')
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/plugin.py
@@ -34,6 +34,7 @@
 
 # Time to send the departure to the members before the node stops.
 _DEPARTURE_DELAY: Final = dt.timedelta(milliseconds=200)
+_END_TIME: Final = dt.timedelta(milliseconds=250)
 
 
 @plugins.register('membership')
@@ -53,6 +54,7 @@
     """
 
     stage = Stage.STATE
+    end_time = _END_TIME
 
     def __init__(
         self,
@@ -122,7 +124,7 @@
         self.core.own_record.mark_draining()
         self._flush()
 
-    async def drain(self) -> None:
+    async def end(self) -> None:
         """Announce the node's departure, after its calls have ended."""
         self.core.own_record.mark_departed()
         self._flush()
