Refuse the calls that wait for a slot when a node leaves

A call that waited for a slot at a node of bluebell-node when it was told to stop waited on, until its time was nearly over or the process ended, although other nodes could serve it. Its caller got a refusal too late to go elsewhere, or a 502; an at-most-once call left its claim behind, so that repeats of it got outcome-unknown although it had never run.

Cause: leave refused new calls only. The queue was refused at the very end, when nothing could be written to the table any more.

Change: leave closes the gate of the server's slots. Calls without a slot are refused as draining, which other nodes may retry without cost to their budget; at-most-once calls release their claims first, as after any refusal. Replies to calls that outlast the drain are sent in the time kept for it.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/admission_gate.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/admission_gate.py
@@ -9,7 +9,7 @@
     TicketState,
 )
 from bluebellslip._internal.calls.call import Call
-from bluebellslip._internal.exceptions import OverloadedError
+from bluebellslip._internal.exceptions import DrainingError, OverloadedError
 from bluebellslip._internal.kernel.clock import Clock
 
 
@@ -25,6 +25,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._queue = AdmissionQueue(clock, slots=1)
+        self._closed = False
 
     @property
     def load(self) -> float:
@@ -56,6 +57,22 @@
         """Return the expected wait of a request that arrives now."""
         return self._queue.estimate_wait()
 
+    def close(self) -> None:
+        """Refuse all requests that have no slot, from now on."""
+        self._closed = True
+        self._queue.refuse_all()
+
+    def check_open(self) -> None:
+        """Check that the gate is not closed.
+
+        Raises
+        ------
+        DrainingError
+            When it is.
+        """
+        if self._closed:
+            raise DrainingError('The server is draining.')
+
     def refuse_all(self) -> None:
         """Refuse all waiting requests; the server accepts no more work."""
         self._queue.refuse_all()
@@ -78,6 +95,8 @@
 
         Raises
         ------
+        DrainingError
+            When the gate is closed.
         OverloadedError
             When the call can't start in time.
         """
@@ -88,13 +107,17 @@
 
         Raises
         ------
+        DrainingError
+            When the gate is closed.
         OverloadedError
             When the call can't start in time.
         """
+        self.check_open()
         self._queue.offer(ticket)
         if ticket.state is TicketState.WAITING:
             await self._wait(ticket)
         if ticket.state is TicketState.REFUSED:
+            self.check_open()
             raise OverloadedError(
                 'The server has no free slot to start this call in time.',
                 context={'slots': str(self._queue.slots)},
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/at_most_once.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/at_most_once.py
@@ -161,6 +161,7 @@
     def _start(
         self, prepared: _PreparedRequest
     ) -> 'asyncio.Task[StoredResponse]':
+        self._gate.check_open()
         if len(
             self._running
         ) >= MAX_RUNNING_REQUESTS or not self._gate.accepts_call(prepared.call):
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/plugin.py
@@ -27,6 +27,7 @@
 _DRAIN_POLL_INTERVAL: Final = dt.timedelta(milliseconds=10)
 # Longest time for the replies to calls that outlast the drain.
 _LAST_REPLIES_TIME: Final = dt.timedelta(milliseconds=100)
+_END_TIME: Final = dt.timedelta(milliseconds=150)
 
 
 @plugins.register('calls')
@@ -42,6 +43,7 @@
     """
 
     stage = Stage.CALLS
+    end_time = _END_TIME
 
     def __init__(self, context: Context, membership: Membership) -> None:
         counters = context.counters
@@ -121,8 +123,12 @@
                 raise
 
     def leave(self) -> None:
-        """Refuse new calls to the local server; it may still make calls."""
+        """Refuse calls that the local server does not run yet.
+
+        The server may still make calls.
+        """
         self._ingress.start_draining()
+        self._gate.close()
         self._ingress_listener.start_draining()
         self._egress_listener.start_draining()
 
@@ -134,14 +140,17 @@
         while self._egress_pending:
             await anyio.sleep(_DRAIN_POLL_INTERVAL.total_seconds())
 
+    async def end(self) -> None:
+        """Respond to the calls that outlast the drain."""
+        await self._end_calls()
+
     async def _run_maintenance(self) -> None:
         async with anyio.create_task_group() as group:
             group.start_soon(self._claim_maintenance.run)
             group.start_soon(self._sweep)
 
     async def _end_calls(self) -> None:
-        """Respond to the calls that outlast the drain."""
-        self._gate.refuse_all()
+        self._gate.close()
         with anyio.move_on_after(_LAST_REPLIES_TIME.total_seconds()):
             # Refused calls reply before the others are interrupted.
             await anyio.sleep(0)
--- a/packages/bluebellslip/src/bluebellslip/_internal/kernel/node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/node.py
@@ -81,9 +81,7 @@
         for plugin in self._plugins:
             plugin.leave()
         deadline = anyio.current_time() + self._drain_timeout.total_seconds()
-        reserved = sum(
-            each.end_time.total_seconds() for each in self._plugins
-        )
+        reserved = sum(each.end_time.total_seconds() for each in self._plugins)
         for leaving in reversed(self._plugins):
             with anyio.CancelScope(deadline=deadline - reserved):
                 await leaving.drain()
