Release the claims of unsent requests when a node stops

An at-most-once call whose node stopped before it reached the server left its claim behind. Repeats got outcome-unknown for 24 hours, though the call had never run; if its node still connected to the server, the caller itself got 502.

Cause: the call's task ended with the process, and with it the transactions that release claims. Claims that were stored while the table's responses were lost were released once a second, and forgotten at a stop.

Change: after the drain, within time kept for it, a node cancels the calls that hold a claim and were not sent; they are refused as not run and release their claim first. It waits for claims being made, whose calls the closed gate then refuses, and releases the unconfirmed ones. What is left is logged with its keys and the caller is still told that the call did not run. A call counts as sent before its first byte is written, and a cancelled one is never sent, so no call runs twice. Unconfirmed claims stay in their list until they are settled.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/at_most_once.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/at_most_once.py
@@ -7,9 +7,12 @@
 import asyncio
 import dataclasses
 import datetime as dt
+import logging
 from collections.abc import Coroutine
 from typing import Final, TypeVar
 
+import anyio
+
 from bluebellslip._internal.calls import headers as header_names
 from bluebellslip._internal.calls.admission_gate import AdmissionGate, HeldSlot
 from bluebellslip._internal.calls.backend import (
@@ -23,6 +26,11 @@
     OutcomeObserver,
 )
 from bluebellslip._internal.calls.pool import ConnectionPool
+from bluebellslip._internal.calls.running_claims import (
+    ClaimPhase,
+    RunningClaims,
+    RunningRequest,
+)
 from bluebellslip._internal.calls.usage import UsageCounter
 from bluebellslip._internal.claims.rows import (
     Claim,
@@ -42,11 +50,14 @@
 from bluebellslip._internal.models.facts import Backend
 from bluebellslip._internal.models.rows import build_claim_key
 
+logger = logging.getLogger(__name__)
+
 _Result = TypeVar('_Result')
 
 MAX_RESPONSE_BYTES: Final = 8 << 20
 MAX_RUNNING_REQUESTS: Final = 256
 MAX_BUFFERED_BODY_BYTES: Final = 16 << 20
+_END_POLL_INTERVAL: Final = dt.timedelta(milliseconds=10)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,14 +71,6 @@
     fingerprint: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _RunningRequest:
-    """A request that is running on this node."""
-
-    fingerprint: bytes
-    response_task: asyncio.Task[StoredResponse]
-
-
 class AtMostOnceRunner:
     """Runs at-most-once requests under claims.
 
@@ -98,7 +101,7 @@
         self._observer = observer
         self._gate = gate
         self._claim_store = claim_store
-        self._running: dict[str, _RunningRequest] = {}
+        self._running = RunningClaims()
         self._buffered_bytes = UsageCounter()
         self._tasks: set[asyncio.Task[object]] = set()
 
@@ -130,6 +133,31 @@
         headers = header_names.filter_response_headers(response.headers)
         request.reply.respond(response.status, headers, response.body)
 
+    async def end(self, timeout: dt.timedelta) -> None:
+        """Release the claims of requests that were not sent to the server.
+
+        Called when the node stops, after the gate was closed. Requests that
+        were sent go on. Claims that can't be released in time are logged.
+        """
+        self._running.ending = True
+        self._running.cancel(ClaimPhase.CLAIMED)
+        orphaned: tuple[str, ...] = ()
+        with anyio.move_on_after(timeout.total_seconds()):
+            while self._running.list_unsent():
+                await anyio.sleep(_END_POLL_INTERVAL.total_seconds())
+            if self._claim_store is not None:
+                await self._claim_store.release_orphans()
+        if self._claim_store is not None:
+            orphaned = self._claim_store.orphaned_keys
+        unreleased = [*self._running.list_unsent(), *orphaned]
+        if unreleased:
+            logger.warning(
+                'claims were not released', extra={'keys': unreleased}
+            )
+        given_up = self._running.cancel(ClaimPhase.RELEASING)
+        if given_up:
+            await asyncio.wait(given_up)
+
     async def _read_body(self, call: Call) -> bytes:
         length = header_names.read_number(
             call.request.fields, header_names.CONTENT_LENGTH
@@ -147,7 +175,7 @@
     def _join_or_start(
         self, prepared: _PreparedRequest
     ) -> 'asyncio.Task[StoredResponse]':
-        running = self._running.get(prepared.claim_key)
+        running = self._running.find(prepared.claim_key)
         if running is None:
             return self._start(prepared)
         if running.fingerprint != prepared.fingerprint:
@@ -170,11 +198,8 @@
                 'at-most-once requests are running on its node.'
             )
         task = self._spawn(self._run_with_claim(prepared))
-        self._running[prepared.claim_key] = _RunningRequest(
-            prepared.fingerprint, task
-        )
-        task.add_done_callback(
-            lambda done: self._on_done(prepared.claim_key, done)
+        self._running.add(
+            prepared.claim_key, RunningRequest(prepared.fingerprint, task)
         )
         return task
 
@@ -205,11 +230,13 @@
         self, claim_store: ClaimStore, claim: Claim, prepared: _PreparedRequest
     ) -> StoredResponse:
         observation = self._observer.observe(prepared.call, prepared.backend)
+        self._running.set_phase(claim.key, ClaimPhase.CLAIMED)
         try:
-            response = await self._admit_and_run(prepared, observation)
+            with self._running.refuse_at_end(claim.key):
+                response = await self._admit_and_run(prepared, observation)
         except BluebellError as error:
             if not observation.sent:
-                await claim_store.release(claim)
+                await self._release(claim_store, claim)
                 raise
             self._spawn(claim_store.mark_lost(claim))
             raise OutcomeUnknownError(
@@ -220,6 +247,14 @@
         self._spawn(claim_store.store_response(claim, response))
         return response
 
+    async def _release(self, claim_store: ClaimStore, claim: Claim) -> None:
+        self._running.set_phase(claim.key, ClaimPhase.RELEASING)
+        try:
+            await claim_store.release(claim)
+        except asyncio.CancelledError:
+            if not self._running.ending:
+                raise
+
     async def _admit_and_run(
         self, prepared: _PreparedRequest, observation: CallObservation
     ) -> StoredResponse:
@@ -245,6 +280,7 @@
             async with asyncio.timeout(timeout):
                 await exchange.open(fresh=True)
                 observation.mark_sent()
+                self._running.set_phase(prepared.claim_key, ClaimPhase.SENT)
                 head = await exchange.send_buffered(
                     call.request,
                     make_server_headers(call, time_left),
@@ -262,11 +298,3 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
-
-    def _on_done(
-        self, claim_key: str, done: 'asyncio.Task[StoredResponse]'
-    ) -> None:
-        del self._running[claim_key]
-        if not done.cancelled():
-            # asyncio would log an exception that is never retrieved.
-            done.exception()
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/plugin.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/plugin.py
@@ -27,7 +27,9 @@
 _DRAIN_POLL_INTERVAL: Final = dt.timedelta(milliseconds=10)
 # Longest time for the replies to calls that outlast the drain.
 _LAST_REPLIES_TIME: Final = dt.timedelta(milliseconds=100)
-_END_TIME: Final = dt.timedelta(milliseconds=150)
+# Longest time to release the claims of requests that were not sent.
+_CLAIM_RELEASE_TIME: Final = dt.timedelta(milliseconds=400)
+_END_TIME: Final = dt.timedelta(milliseconds=550)
 
 
 @plugins.register('calls')
@@ -141,7 +143,9 @@
             await anyio.sleep(_DRAIN_POLL_INTERVAL.total_seconds())
 
     async def end(self) -> None:
-        """Respond to the calls that outlast the drain."""
+        """Release the claims of unsent calls, then respond to all calls."""
+        self._gate.close()
+        await self._at_most_once.end(_CLAIM_RELEASE_TIME)
         await self._end_calls()
 
     async def _run_maintenance(self) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/claims/store.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/claims/store.py
@@ -59,6 +59,11 @@
             maxlen=MAX_ORPHANED_CLAIMS
         )
 
+    @property
+    def orphaned_keys(self) -> tuple[str, ...]:
+        """Keys of claims that may be stored although they were not granted."""
+        return tuple(key for key, _ in self._orphans)
+
     async def claim(
         self, key: str, fingerprint: bytes, timeout: dt.timedelta
     ) -> Claim | StoredResponse:
@@ -117,16 +122,17 @@
 
         Their work did not run, since the caller received that error.
         """
-        orphans = tuple(self._orphans)
-        self._orphans.clear()
-        for key, row in orphans:
+        for orphan in tuple(self._orphans):
+            key, row = orphan
             try:
                 found = await self._table.read(key)
             except BluebellError:
-                self._orphans.append((key, row))
                 continue
             if found is not None and found.body == encode_claim(row):
                 await self.release(Claim(key, found.version, row))
+            # It stays in the list until then, in case the node stops.
+            if orphan in self._orphans:
+                self._orphans.remove(orphan)
 
     async def _try_claim(
         self, key: str, version: int, row: ClaimRow
--- a/tests/functional/test_calls_stop.py
+++ b/tests/functional/test_calls_stop.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import datetime as dt
+import logging
 from collections.abc import AsyncGenerator
 
 import anyio
@@ -16,6 +17,7 @@
 from bluebellslip._internal.claims.rows import ClaimState, decode_claim
 from bluebellslip._internal.kernel.clock import ManualClock
 from bluebellslip._internal.kernel.node import Node
+from bluebellslip._internal.models.identity import Address
 from lib.calls import (
     Caller,
     CallsNode,
@@ -175,6 +177,65 @@
     assert len(other.received_requests) == 1
 
 
+async def test_claim_of_a_call_that_is_not_sent_yet_is_released(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The connection to the server is never established."""
+    server, table = FakeServer(_never_respond), FakeTable()
+
+    async def connect(address: Address, **options: object) -> None:
+        connecting.set()
+        await anyio.sleep_forever()
+
+    connecting = anyio.Event()
+    async with _make_orders_node(server, table) as node:
+        monkeypatch.setattr(node.plugin._pool, 'acquire', connect)
+        call = asyncio.create_task(_call_orders(node, 'k1'))
+        await connecting.wait()
+        await _drain(node)
+    response = await call
+    assert response.headers['bluebell-error'] == 'draining'
+    assert response.headers['bluebell-not-run'] == '1'
+    assert _read_state(table, 'k1') is ClaimState.RELEASED
+
+
+async def test_claim_that_was_reported_as_unavailable_is_released() -> None:
+    """The table has stored the claim, but its responses were lost."""
+    server, table = FakeServer(respond_with(b'paid')), FakeTable()
+    table.responses_to_lose = 1
+    table.reads_to_lose = 3
+    async with server.serving(), _make_orders_node(server, table) as node:
+        response = await _call_orders(node, 'k1')
+        assert response.headers['bluebell-error'] == 'platform-down'
+        await _drain(node)
+    assert not server.received_requests
+    assert _read_state(table, 'k1') is ClaimState.RELEASED
+
+
+async def test_claim_that_cannot_be_released_is_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """The table becomes unavailable before the node stops."""
+    server, table = FakeServer(_never_respond), FakeTable()
+    async with server.serving(), _make_orders_node(server, table) as node:
+        running = asyncio.create_task(_call_orders(node, 'running'))
+        await _wait_for_requests(server, 1)
+        waiting = asyncio.create_task(_call_orders(node, 'waiting'))
+        await _wait_for_queue(node)
+        table.down = True
+        with caplog.at_level(logging.WARNING):
+            await _drain(node)
+    responses = await asyncio.gather(running, waiting)
+    assert _read_state(table, 'waiting') is ClaimState.CLAIMED
+    assert responses[1].headers['bluebell-not-run'] == '1'
+    unreleased = [
+        record.__dict__['keys']
+        for record in caplog.records
+        if record.getMessage() == 'claims were not released'
+    ]
+    assert unreleased == [['claim/orders/waiting']]
+
+
 async def test_response_of_a_call_that_ends_in_the_drain_is_stored() -> None:
     async def respond_after_leave(
         reader: asyncio.StreamReader,
