Respond to calls of the administration API that outlast the stop

A call of the administration API that was still running when its node stopped ended with a closed connection, or after 5 s with a plain 500 of the server library that says nothing about the change that was submitted. Operators could not tell whether to send it again.

Cause: the library cancelled the calls by its own time limit, which could be longer than the drain; the process then ended with them.

Change: the library has no limit any more. The node waits for up to 5 s, within the drain, and then ends each call with an error response in time kept for it: a change whose handler had begun has an unknown outcome, everything else is refused as not run. Calls that begin after that are refused.

Red before: both new tests of test_admin_server.py: no response within 10 s for the change (its task outlived the plug-in; in a process the connection is closed), and no refusal of the call whose body was incomplete.

--- a/packages/bluebellslip/src/bluebellslip/_internal/admin/app.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/app.py
@@ -1,5 +1,7 @@
 """The administration API as an ASGI application."""
 
+import contextlib
+import dataclasses
 import logging
 from collections.abc import Mapping
 from typing import Final
@@ -28,7 +30,12 @@
     find_route,
 )
 from bluebellslip._internal.admin.tokens import TokenAuthenticator, TokenHolder
-from bluebellslip._internal.exceptions import BluebellError, ErrorKind
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    DrainingError,
+    ErrorKind,
+    PlatformOutcomeUnknownError,
+)
 from bluebellslip._internal.kernel.context import Context
 from bluebellslip._internal.models.admin import RawBody
 from bluebellslip._internal.models.error_responses import ERROR_RESPONSES
@@ -37,12 +44,36 @@
 
 CALL_TIMEOUT_SECONDS: Final = 30.0
 _OK: Final = 200
+_READ_METHOD: Final = 'GET'
 _UNAUTHENTICATED: Final = TokenHolder(
     name='unauthenticated', scopes=frozenset()
 )
 _MAX_QUERY_FIELDS: Final = 16
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _RunningCall:
+    """A call without a response; it can be interrupted by its scope.
+
+    ``may_have_changed`` is set once the call may have made a change.
+    """
+
+    scope: anyio.CancelScope = dataclasses.field(
+        default_factory=anyio.CancelScope
+    )
+    may_have_changed: bool = False
+
+    def make_interruption(self) -> BluebellError:
+        """Return the error for a call that ended with the node."""
+        if self.may_have_changed:
+            return PlatformOutcomeUnknownError(
+                'The node stopped before the call did; it may have made its '
+                'change.',
+                hint='Ask another node before you send it again.',
+            )
+        return DrainingError('The node is stopping.', hint='Ask another node.')
+
+
 class AdminApp:
     """Routes and authorises calls, runs their handlers and audits refusals.
 
@@ -58,6 +89,8 @@
             context.settings.tokens
         )
         self._auditor = Auditor(context)
+        self._running: set[_RunningCall] = set()
+        self._interrupted = False
 
     async def __call__(
         self, scope: AsgiScope, receive: Receive, send: Send
@@ -74,10 +107,16 @@
         if deadline.cancelled_caught:
             self._context.counters.add('admin_calls_given_up')
 
+    def interrupt(self) -> None:
+        """Respond with an error to the running calls and to later ones."""
+        self._interrupted = True
+        for running in self._running:
+            running.scope.cancel()
+
     async def _respond(
         self, scope: AsgiScope, receive: Receive, send: Send
     ) -> None:
-        result = await self._dispatch(scope, receive)
+        result = await self._dispatch_unless_interrupted(scope, receive)
         match result:
             case Result(tag='ok', ok=body):
                 await _send(send, _OK, {}, body)
@@ -85,8 +124,21 @@
                 self._context.counters.add('admin_refused', kind=error.kind)
                 await _send_error(send, error)
 
-    async def _dispatch(
+    async def _dispatch_unless_interrupted(
         self, scope: AsgiScope, receive: Receive
+    ) -> HandlerResult:
+        running = _RunningCall()
+        if self._interrupted:
+            return Result.Error(running.make_interruption())
+        self._running.add(running)
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._running.discard, running)
+            with running.scope:
+                return await self._dispatch(scope, receive, running)
+            return Result.Error(running.make_interruption())
+
+    async def _dispatch(
+        self, scope: AsgiScope, receive: Receive, running: _RunningCall
     ) -> HandlerResult:
         try:
             route, path_parameters = find_route(scope['method'], scope['path'])
@@ -95,7 +147,7 @@
         self._context.counters.add('admin_calls', route=route.path)
         try:
             return await self._run_handler(
-                route, path_parameters, scope, receive
+                route, path_parameters, scope, receive, running
             )
         except BluebellError as failure:
             return Result.Error(failure)
@@ -115,6 +167,7 @@
         path_parameters: Mapping[str, str],
         scope: AsgiScope,
         receive: Receive,
+        running: _RunningCall,
     ) -> HandlerResult:
         holder = _UNAUTHENTICATED
         subject = '/'.join(path_parameters.values()) or route.path
@@ -128,7 +181,7 @@
                 query=_parse_query(scope['query_string']),
                 body=await read_body(receive),
             )
-            result = await route.handler(call)
+            result = await self._handle(route, call, running)
         except BluebellError as error:
             await self._audit_refusal(route, holder, subject, error)
             raise
@@ -136,6 +189,12 @@
             await self._audit_refusal(route, holder, subject, result.error)
         return result
 
+    async def _handle(
+        self, route: AdminRoute, call: AdminCall, running: _RunningCall
+    ) -> HandlerResult:
+        running.may_have_changed = route.method != _READ_METHOD
+        return await route.handler(call)
+
     def _authorise(self, route: AdminRoute, scope: AsgiScope) -> TokenHolder:
         holder = self._authenticator.authenticate(
             _find_header(scope, b'authorization')
--- a/packages/bluebellslip/src/bluebellslip/_internal/admin/server.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/server.py
@@ -25,6 +25,9 @@
 _BACKLOG: Final = 64  # connections
 _KEEP_ALIVE: Final = dt.timedelta(seconds=5)
 _SHUTDOWN_TIMEOUT: Final = dt.timedelta(seconds=5)
+# Longest time for the responses to calls that outlast the drain, beside two
+# periods of uvicorn's polls.
+_END_TIME: Final = dt.timedelta(milliseconds=400)
 
 
 class _Server(uvicorn.Server):
@@ -56,12 +59,14 @@
     """
 
     stage = Stage.ADMIN
+    end_time = _END_TIME
 
     def __init__(self, context: Context) -> None:
         self._address = Address.from_text(context.settings.listen.admin)
+        self._app = AdminApp(context)
         self._server = _Server(
             uvicorn.Config(
-                AdminApp(context),
+                self._app,
                 loop='none',
                 http=functools.partial(  # type: ignore[arg-type]
                     BoundedProtocol, context.counters
@@ -73,9 +78,6 @@
                 server_header=False,
                 backlog=_BACKLOG,
                 timeout_keep_alive=int(_KEEP_ALIVE.total_seconds()),
-                timeout_graceful_shutdown=int(
-                    _SHUTDOWN_TIMEOUT.total_seconds()
-                ),
             )
         )
         self._stopped = anyio.Event()
@@ -105,8 +107,14 @@
                 task_status.started()
 
     async def drain(self) -> None:
-        """Stop when all calls have ended, or after ``_SHUTDOWN_TIMEOUT``."""
+        """Wait until all calls have ended, at most ``_SHUTDOWN_TIMEOUT``."""
         self._server.should_exit = True
+        with anyio.move_on_after(_SHUTDOWN_TIMEOUT.total_seconds()):
+            await self._stopped.wait()
+
+    async def end(self) -> None:
+        """Respond with an error to the calls that outlast the drain."""
+        self._app.interrupt()
         await self._stopped.wait()
 
     async def _serve(self, listener: socket.socket) -> None:
--- a/tests/functional/test_admin_server.py
+++ b/tests/functional/test_admin_server.py
@@ -4,21 +4,35 @@
 server, and against a shutdown that cuts off a call in flight.
 """
 
+import contextlib
+import datetime as dt
 import signal
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 
 import anyio
+import msgspec
 import pytest
+from expression import Result
 
 from bluebellslip._internal.admin.connections import MAX_HEAD_BYTES
 from bluebellslip._internal.admin.server import AdminPlugin
-from bluebellslip._internal.exceptions import ListenError
+from bluebellslip._internal.exceptions import BluebellError, ListenError
+from bluebellslip._internal.kernel.node import Node
+from bluebellslip._internal.kernel.services import (
+    Accepted,
+    Acceptor,
+    ChangeRequest,
+)
+from bluebellslip._internal.models.admin import ApplyBody
 from bluebellslip._internal.models.identity import Address
 from lib.admin_fakes import OPERATOR_TOKEN, make_context
+from lib.snapshots import make_document
 
 pytestmark = pytest.mark.anyio
 
+_HANG_TIMEOUT_S = 10
+
 
 @pytest.fixture
 async def server() -> AsyncIterator[AdminPlugin]:
@@ -158,6 +172,86 @@
             assert (await stream.receive()).startswith(b'HTTP/1.1 422')
 
 
+class StuckAcceptor:
+    """Never responds, like one whose table hangs."""
+
+    def __init__(self) -> None:
+        self.called = anyio.Event()
+
+    async def submit(
+        self, request: ChangeRequest
+    ) -> Result[Accepted, BluebellError]:
+        self.called.set()
+        await anyio.sleep_forever()
+
+
+@contextlib.asynccontextmanager
+async def _stopping_server(
+    acceptor: StuckAcceptor,
+) -> AsyncGenerator[AdminPlugin, None]:
+    """Yield a running plug-in; then stop it as a node does."""
+    context = make_context('127.0.0.1:0')
+    context.ports.provide(Acceptor, acceptor)
+    plugin = AdminPlugin.from_context(context)
+    node = Node(context, (plugin,), dt.timedelta(seconds=1))
+    async with anyio.create_task_group() as group:
+        await group.start(plugin.run)
+        try:
+            yield plugin
+            await node._drain()
+        finally:
+            group.cancel_scope.cancel()
+
+
+async def _receive_all(stream: anyio.abc.SocketStream) -> bytes:
+    received = b''
+    with (
+        anyio.fail_after(_HANG_TIMEOUT_S),
+        contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError),
+    ):
+        while True:
+            received += await stream.receive()
+    return received
+
+
+async def test_change_that_outlasts_the_stop_has_an_unknown_outcome() -> None:
+    acceptor = StuckAcceptor()
+    body = msgspec.json.encode(
+        ApplyBody(change='change-1', document=make_document())
+    )
+    async with _stopping_server(acceptor) as server:
+        address = server.address
+        stream = await anyio.connect_tcp(address.host, address.port)
+        await stream.send(
+            _request(
+                'PUT', '/v1/config', f'content-length: {len(body)}', body=body
+            )
+        )
+        with anyio.fail_after(_HANG_TIMEOUT_S):
+            await acceptor.called.wait()
+    async with stream:
+        response = await _receive_all(stream)
+    assert b'\r\nbluebell-error: platform-outcome-unknown\r\n' in response
+    assert b'bluebell-not-run' not in response
+
+
+async def test_call_without_its_body_at_the_stop_is_refused_as_not_run() -> (
+    None
+):
+    async with _stopping_server(StuckAcceptor()) as server:
+        address = server.address
+        stream = await anyio.connect_tcp(address.host, address.port)
+        await stream.send(
+            _request('PUT', '/v1/config', 'content-length: 2', body=b'{')
+        )
+        while not server.busy:
+            await anyio.sleep(0)
+    async with stream:
+        response = await _receive_all(stream)
+    assert b'\r\nbluebell-error: draining\r\n' in response
+    assert b'\r\nbluebell-not-run: 1\r\n' in response
+
+
 async def test_address_in_use_raises_a_listen_error() -> None:
     with socket.create_server(('127.0.0.1', 0)) as taken:
         port = taken.getsockname()[1]
