--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/update_dispatcher.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/update_dispatcher.py
@@ -13,7 +13,8 @@
 from bluebellslip._internal.mesh.table import RoutingTable
 from bluebellslip._internal.models.identity import ServiceName
 from bluebellslip._internal.models.store_revisions import get_era
-from bluebellslip._internal.rollouts.tracker import Rollout, RolloutTracker
+from bluebellslip._internal.rollouts.rollout import Rollout
+from bluebellslip._internal.rollouts.tracker import RolloutTracker
 
 # How long peers may have a newer configuration than this node before its
 # pending watch of the store counts as lost; half of the time allowed to apply a
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/coordinator.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/coordinator.py
@@ -17,11 +17,11 @@
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.rollouts import RolloutState
 from bluebellslip._internal.rollouts.plan import RolloutAction
-from bluebellslip._internal.rollouts.tracker import (
+from bluebellslip._internal.rollouts.rollout import (
     Rollout,
-    RolloutTracker,
     build_log_fields,
 )
+from bluebellslip._internal.rollouts.tracker import RolloutTracker
 
 logger = logging.getLogger(__name__)
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/outcome_recorder.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/outcome_recorder.py
@@ -10,11 +10,12 @@
     VersionName,
 )
 from bluebellslip._internal.rollouts.outcome_counts import OUTGOING, CountSource
+from bluebellslip._internal.rollouts.rollout import Rollout
 from bluebellslip._internal.rollouts.route_counts import (
     RouteCounts,
     find_latency_bucket,
 )
-from bluebellslip._internal.rollouts.tracker import Rollout, RolloutTracker
+from bluebellslip._internal.rollouts.tracker import RolloutTracker
 
 
 class VersionOutcomeRecorder:
--- a/tests/lib/rollouts.py
+++ b/tests/lib/rollouts.py
@@ -21,7 +21,8 @@
     VersionOutcomeRecorder,
 )
 from bluebellslip._internal.rollouts.plan import RolloutAction
-from bluebellslip._internal.rollouts.tracker import Rollout, RolloutTracker
+from bluebellslip._internal.rollouts.rollout import Rollout
+from bluebellslip._internal.rollouts.tracker import RolloutTracker
 from bluebellslip._internal.rollouts.version_selector import VersionSelector
 from lib.fleet import MS, ORDERS, SECOND, make_endpoint
 
