Complete a roll-out only once the old version is idle

The platform stops the old servers as soon as a roll-out is stored as completed, without draining them. Requests that ran or waited there ended with 502 or a closed connection. A service with few requests was worse off: it sent nearly all of them to the old version until the moment at which those servers were stopped.

Cause: a roll-out was completed by its age and the outcomes alone. Nobody looked at what the old servers still had.

Change: it is completed once the target gets all requests and a load report from after that shows each old server idle, or after a tenth of its duration. The reports are those that beacons carry anyway; the store gets no more requests. A target with few requests gets all of them from nine tenths of the time on, a twentieth before the decision deadline. The latest completion stays where it was, at the decision deadline.

The simulated servers of the tests now report their load, as nodes do; without that their roll-outs are completed after the wait, also in time.

--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/plan.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/plan.py
@@ -18,6 +18,15 @@
 RAMP_END: Final = 0.68
 COMPLETE_AT: Final = 0.78
 DECISION_DEADLINE: Final = 0.95
+# Fraction from which the target version gets all requests although it has
+# handled few, so that the other versions are idle at the decision deadline.
+LATE_HAND_OVER_AT: Final = 0.9
+# Longest wait, as a fraction, for the last requests at servers of the other
+# versions. A completion that is late costs more than a request that is cut.
+HAND_OVER_LIMIT: Final = 0.1
+# Time after which a load report shows that the other nodes, too, send all
+# requests to the target version: they update their shares at this interval.
+HAND_OVER_DELAY: Final = dt.timedelta(milliseconds=250)
 # Fraction of the canary share that the target version gets before the ramp. The
 # rest allows for the requests that a bad version gets in the ramp until it is
 # detected.
@@ -55,8 +64,12 @@
         Calls handled by the target version so far.
     target_servers
         Servers of the target version that accept requests.
-    other_servers
-        Servers of the other versions that accept requests.
+    busy_servers
+        Servers of the other versions with running or waiting requests, or
+        without a load report since the target version gets all requests.
+    handed_over_for
+        Time for which the target version has got all requests; none if it
+        does not.
     is_bad
         Whether the target version was found bad.
     """
@@ -66,19 +79,41 @@
     canary_share: float
     target_calls: int
     target_servers: int
-    other_servers: int
+    busy_servers: int
+    handed_over_for: dt.timedelta | None
     is_bad: bool
 
     @property
     def elapsed_fraction(self) -> float:
         """Fraction of the duration that has elapsed."""
-        return self.age / max(self.duration, dt.timedelta(milliseconds=1))
+        return self._as_fraction(self.age)
+
+    @property
+    def is_handed_over(self) -> bool:
+        """Whether the other versions have ended their requests, or had time.
+
+        Their servers are stopped when the roll-out is completed.
+        """
+        handed_over_for = self.handed_over_for
+        if handed_over_for is None:
+            return False
+        handed_over_at = self._as_fraction(self.age - handed_over_for)
+        waited_since = max(COMPLETE_AT, handed_over_at)
+        return (
+            not self.busy_servers
+            or self.elapsed_fraction >= waited_since + HAND_OVER_LIMIT
+        )
+
+    def _as_fraction(self, time: dt.timedelta) -> float:
+        return time / max(self.duration, dt.timedelta(milliseconds=1))
 
 
 def compute_share(snapshot: RolloutSnapshot) -> float:
     """Return the share of requests to send to the target version."""
     if snapshot.is_bad or not snapshot.target_servers:
         return 0
+    if snapshot.elapsed_fraction >= LATE_HAND_OVER_AT:
+        return 1
     initial_share = snapshot.canary_share * INITIAL_CANARY_FRACTION
     if (
         snapshot.elapsed_fraction < RAMP_START
@@ -110,8 +145,7 @@
         )
     if not snapshot.target_servers or snapshot.target_calls < MIN_TARGET_CALLS:
         return RolloutAction.HOLD
-    return (
-        RolloutAction.COMPLETE
-        if snapshot.elapsed_fraction >= COMPLETE_AT
-        else RolloutAction.HOLD
+    may_complete = (
+        snapshot.elapsed_fraction >= COMPLETE_AT and snapshot.is_handed_over
     )
+    return RolloutAction.COMPLETE if may_complete else RolloutAction.HOLD
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/rollout.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/rollout.py
@@ -36,6 +36,9 @@
         request goes to the target and the credit falls by 1.
     share
         Share of the requests that the target gets.
+    handed_over_at
+        Time on the node's clock from which the target gets all requests; none
+        before.
     """
 
     order: RolloutOrder
@@ -50,6 +53,7 @@
     )
     credit: float = 0.5
     share: float = 0
+    handed_over_at: dt.timedelta | None = None
 
     @property
     def is_running(self) -> bool:
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/tracker.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/tracker.py
@@ -24,6 +24,7 @@
     Finding,
     detect_bad_version,
 )
+from bluebellslip._internal.rollouts.hand_over import count_busy_servers
 from bluebellslip._internal.rollouts.order_history import (
     OrderHistory,
     is_stored_again,
@@ -209,12 +210,7 @@
         for rollout in self._rollouts.values():
             if rollout.is_running:
                 self.evaluate(rollout)
-                share = compute_share(self.snapshot(rollout))
-                if share != rollout.share:
-                    rollout.share = share
-                    logger.info(
-                        'rollout_share', extra=build_log_fields(rollout)
-                    )
+                self._set_share(rollout, compute_share(self.snapshot(rollout)))
 
     def snapshot(self, rollout: Rollout) -> RolloutSnapshot:
         """Return the data on which decisions about a roll-out are based."""
@@ -223,13 +219,18 @@
         target_servers = sum(
             endpoint.version == target for endpoint in endpoints
         )
+        now = self._clock.elapsed()
+        handed_over_at = rollout.handed_over_at
         return RolloutSnapshot(
-            age=self._clock.elapsed() - rollout.ordered_at,
+            age=now - rollout.ordered_at,
             duration=rollout.order.duration,
             canary_share=self._canary_share,
             target_calls=rollout.counts.target_calls,
             target_servers=target_servers,
-            other_servers=len(endpoints) - target_servers,
+            busy_servers=count_busy_servers(endpoints, target, handed_over_at),
+            handed_over_for=(
+                None if handed_over_at is None else now - handed_over_at
+            ),
             is_bad=rollout.is_bad,
         )
 
@@ -237,6 +238,13 @@
         """Return the next action of a roll-out."""
         return decide(self.snapshot(rollout))
 
+    def _set_share(self, rollout: Rollout, share: float) -> None:
+        if share == rollout.share:
+            return
+        rollout.share = share
+        rollout.handed_over_at = self._clock.elapsed() if share == 1 else None
+        logger.info('rollout_share', extra=build_log_fields(rollout))
+
     def _apply_reported_rollout(
         self, beacon: Beacon, reported: RolloutBeacon
     ) -> None:
@@ -305,6 +313,7 @@
             return
         rollout.is_bad = True
         rollout.share = 0
+        rollout.handed_over_at = None
         found = {} if finding is None else dataclasses.asdict(finding)
         logger.warning(
             'rollout_bad',
--- a/tests/lib/rollouts.py
+++ b/tests/lib/rollouts.py
@@ -131,6 +131,7 @@
                     for index in range(5)
                 )
             self._simulate_step(result)
+            self._report_loads()
             action = self.decide(result)
             if action is not RolloutAction.HOLD:
                 result.state = (
@@ -165,6 +166,11 @@
         )
         return rollout
 
+    def _report_loads(self) -> None:
+        """Report that all servers are idle, as beacons do."""
+        for endpoint in self._endpoints:
+            endpoint.load.received_at = self._clock.elapsed()
+
     def _simulate_step(self, result: SimulationResult) -> None:
         for _ in range(
             round(self._scenario.requests_per_second * STEP_DURATION / SECOND)
--- a/tests/unit/test_rollout_tracker.py
+++ b/tests/unit/test_rollout_tracker.py
@@ -1,25 +1,47 @@
 """A node's view of roll-outs: which version gets a request, which status wins.
 
 Guards against requests to a version that is rolled back or whose roll-out order
-or status is unknown, against outdated orders and statuses, and against a final
-status that another one replaces.
+or status is unknown, against outdated orders and statuses, against a final
+status that another one replaces, and against a completion that ends requests at
+the old version.
 """
 
+import dataclasses
 import datetime as dt
 from collections.abc import Sequence
 
+import pytest
+
 from bluebellslip._internal.fleet.beacons import Beacon
 from bluebellslip._internal.fleet.peer_table import Endpoint
 from bluebellslip._internal.kernel.clock import ManualClock
-from bluebellslip._internal.models.identity import NodeId, VersionName
+from bluebellslip._internal.kernel.ports import RequestStatus
+from bluebellslip._internal.models.identity import (
+    NodeId,
+    RouteName,
+    VersionName,
+)
 from bluebellslip._internal.models.rollouts import (
     RolloutOrder,
     RolloutState,
     RolloutStatus,
 )
+from bluebellslip._internal.rollouts.outcome_recorder import (
+    VersionOutcomeRecorder,
+)
+from bluebellslip._internal.rollouts.plan import (
+    COMPLETE_AT,
+    DECISION_DEADLINE,
+    HAND_OVER_LIMIT,
+    LATE_HAND_OVER_AT,
+    MIN_TARGET_CALLS,
+    RAMP_END,
+    RolloutAction,
+    RolloutSnapshot,
+)
 from bluebellslip._internal.rollouts.tracker import RolloutTracker
 from bluebellslip._internal.rollouts.version_selector import VersionSelector
-from lib.fleet import ORDERS, SECOND, make_beacon, make_endpoint
+from lib.fleet import MS, ORDERS, SECOND, make_beacon, make_endpoint
 
 _OLD = VersionName('v1')
 _NEW = VersionName('v2')
@@ -148,3 +170,112 @@
     [learned] = restarted.rollouts
     assert learned.is_bad
     assert restarted.snapshot(learned).age >= 4 * SECOND
+
+
+class HandOver:
+    """A roll-out of 15 s, seen by a node beside neither version's server."""
+
+    def __init__(self, target_calls: int = MIN_TARGET_CALLS) -> None:
+        self.clock = ManualClock()
+        self.old = make_endpoint('a')
+        endpoints = [self.old, make_endpoint('b', version=_NEW)]
+        self.tracker = RolloutTracker(
+            self.clock, NodeId('me'), 1, 0.1, lambda service: endpoints
+        )
+        self.tracker.is_loaded = True
+        self.rollout = self.tracker.add_order(make_order(), dt.timedelta())
+        self.tracker.apply_status(make_status(RolloutState.RUNNING))
+        for _ in range(target_calls):
+            VersionOutcomeRecorder(self.tracker).record(
+                ORDERS,
+                _NEW,
+                RouteName('r'),
+                RequestStatus.SUCCEEDED,
+                10 * MS,
+                is_warm=True,
+            )
+
+    def advance(
+        self,
+        fraction: float,
+        in_use: int = 0,
+        waiting: int = 0,
+        *,
+        reports: bool = True,
+    ) -> None:
+        """Advance to a fraction of the duration."""
+        while self.snapshot.elapsed_fraction < fraction:
+            self.clock.advance(50 * MS)
+            if reports:
+                self.report(in_use, waiting)
+            self.tracker.refresh()
+
+    def report(self, in_use: int, waiting: int = 0) -> None:
+        """Apply a load report of the old server."""
+        self.old.load = dataclasses.replace(
+            self.old.load,
+            in_use=in_use,
+            waiting=waiting,
+            received_at=self.clock.elapsed(),
+        )
+
+    @property
+    def snapshot(self) -> RolloutSnapshot:
+        return self.tracker.snapshot(self.rollout)
+
+    @property
+    def action(self) -> RolloutAction:
+        return self.tracker.decide(self.rollout)
+
+
+def test_rollout_is_completed_once_the_old_version_is_idle() -> None:
+    hand_over = HandOver()
+    hand_over.advance(COMPLETE_AT)
+    assert hand_over.action is RolloutAction.COMPLETE
+
+
+@pytest.mark.parametrize(('in_use', 'waiting'), [(1, 0), (0, 1)])
+def test_rollout_is_not_completed_over_requests_at_the_old_version(
+    in_use: int, waiting: int
+) -> None:
+    """The platform stops the old servers as soon as it is completed."""
+    hand_over = HandOver()
+    hand_over.advance(COMPLETE_AT, in_use, waiting)
+    assert hand_over.action is RolloutAction.HOLD
+    hand_over.report(0)
+    assert hand_over.action is RolloutAction.COMPLETE
+
+
+def test_rollout_is_not_completed_on_reports_from_before_the_hand_over() -> (
+    None
+):
+    hand_over = HandOver()
+    hand_over.advance(RAMP_END)
+    hand_over.advance(COMPLETE_AT, reports=False)
+    assert hand_over.action is RolloutAction.HOLD
+
+
+def test_requests_without_end_do_not_keep_a_rollout_from_completing() -> None:
+    hand_over = HandOver()
+    hand_over.advance(COMPLETE_AT + HAND_OVER_LIMIT, in_use=1)
+    assert hand_over.action is RolloutAction.COMPLETE
+
+
+def test_late_rollout_leaves_the_old_version_before_it_is_completed() -> None:
+    """A service with few requests is completed at the decision deadline."""
+    hand_over = HandOver(target_calls=0)
+    hand_over.advance(LATE_HAND_OVER_AT - 0.01)
+    assert hand_over.rollout.share < 1
+    hand_over.advance(LATE_HAND_OVER_AT)
+    assert hand_over.rollout.share == 1
+    assert hand_over.action is RolloutAction.HOLD
+    hand_over.advance(DECISION_DEADLINE, in_use=1)
+    assert hand_over.action is RolloutAction.COMPLETE
+
+
+def test_bad_version_gets_no_late_hand_over() -> None:
+    hand_over = HandOver(target_calls=0)
+    hand_over.rollout.is_bad = True
+    hand_over.advance(LATE_HAND_OVER_AT)
+    assert hand_over.rollout.share == 0
+    assert hand_over.action is RolloutAction.ROLL_BACK
