Leave half of a short drain timeout to the drains

Found in review of the time that plug-ins keep for their ends: it adds up to 1.2 s, so a node with a drain timeout of 1 s cut off every call at once.

Change: at most half of the drain timeout is kept for the ends; each gets its part of that.

Red before: test_short_drain_timeout_is_not_used_up_by_the_reserve, the drain was cut off before it ended.

--- a/packages/bluebellslip/src/bluebellslip/_internal/kernel/node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/kernel/node.py
@@ -4,6 +4,7 @@
 import gc
 import logging
 import signal
+from typing import Final
 
 import anyio
 from anyio.abc import TaskGroup
@@ -14,6 +15,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Largest part of the drain timeout that is kept for the ends of plug-ins.
+_MAX_RESERVED_SHARE: Final = 0.5
+_MIN_TIME_S: Final = 1e-6
+
 
 class Node:
     """The process that runs beside a backend server.
@@ -54,6 +59,10 @@
             parse_duration(context.settings.drain),
         )
 
+    @property
+    def _total_end_time(self) -> float:
+        return sum(each.end_time.total_seconds() for each in self._plugins)
+
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then drain work in flight and stop."""
         with anyio.open_signal_receiver(
@@ -81,10 +90,16 @@
         for plugin in self._plugins:
             plugin.leave()
         deadline = anyio.current_time() + self._drain_timeout.total_seconds()
-        reserved = sum(each.end_time.total_seconds() for each in self._plugins)
+        scale = self._find_reserve_scale()
+        reserved = scale * self._total_end_time
         for leaving in reversed(self._plugins):
             with anyio.CancelScope(deadline=deadline - reserved):
                 await leaving.drain()
-            reserved -= leaving.end_time.total_seconds()
+            reserved -= scale * leaving.end_time.total_seconds()
             with anyio.CancelScope(deadline=deadline - reserved):
                 await leaving.end()
+
+    def _find_reserve_scale(self) -> float:
+        """Return by what to multiply end times, so that drains get a share."""
+        limit = self._drain_timeout.total_seconds() * _MAX_RESERVED_SHARE
+        return limit / max(limit, self._total_end_time, _MIN_TIME_S)
--- a/tests/unit/test_node_stop.py
+++ b/tests/unit/test_node_stop.py
@@ -114,6 +114,22 @@
     assert spent == pytest.approx([_DRAIN_TIMEOUT.total_seconds()])
 
 
+def test_short_drain_timeout_is_not_used_up_by_the_reserve() -> None:
+    """The plug-ins would keep all of it for their ends."""
+
+    class SlowPlugin(FakePlugin):
+        end_time = _DRAIN_TIMEOUT
+
+        async def drain(self) -> None:
+            await anyio.sleep(_DRAIN_TIMEOUT.total_seconds() * 0.4)
+            await super().drain()
+
+    steps: list[str] = []
+    plugin = SlowPlugin('slow', steps, drains=True)
+    run_in_virtual_time(Node(make_context(), (plugin,), _DRAIN_TIMEOUT)._drain)
+    assert steps == ['slow leaves', 'slow drained', 'slow ended']
+
+
 def test_departure_is_announced_after_a_drain_without_end() -> None:
     context = make_context()
     context.ports.provide(TableService, FakeTable())
