--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/tracker.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/tracker.py
@@ -24,20 +24,22 @@
     Finding,
     detect_bad_version,
 )
+from bluebellslip._internal.rollouts.hand_over import count_busy_servers
 from bluebellslip._internal.rollouts.order_history import (
     OrderHistory,
     is_stored_again,
 )
-from bluebellslip._internal.rollouts.outcome_counts import (
-    CountSource,
-    RolloutOutcomeCounts,
-)
+from bluebellslip._internal.rollouts.outcome_counts import CountSource
 from bluebellslip._internal.rollouts.plan import (
     RolloutAction,
     RolloutSnapshot,
     compute_share,
     decide,
 )
+from bluebellslip._internal.rollouts.rollout import (
+    Rollout,
+    build_log_fields,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -45,73 +47,6 @@
 _STATES: Final = tuple(RolloutState)
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Rollout:
-    """A roll-out order and its progress as known to this node.
-
-    Parameters
-    ----------
-    order
-        The order.
-    ordered_at
-        Time of the order on the node's clock: the earliest that follows from
-        the reported ages.
-    state
-        The latest known state.
-    status_revision
-        Revision of the stored status; 0 if none is known.
-    stored_state
-        The state that the store has for this order, as far as is known; none
-        if it has none.
-    is_status_known
-        Whether the stored status was read, by this node or by a peer.
-    is_bad
-        Whether any node found the target version bad; never cleared.
-    counts
-        Outcome counts of all servers.
-    credit
-        Rises by the share with every request; whenever it reaches 1, the
-        request goes to the target and the credit falls by 1.
-    share
-        Share of the requests that the target gets.
-    """
-
-    order: RolloutOrder
-    ordered_at: dt.timedelta
-    state: RolloutState = RolloutState.RUNNING
-    status_revision: int = 0
-    stored_state: RolloutState | None = None
-    is_status_known: bool = False
-    is_bad: bool = False
-    counts: RolloutOutcomeCounts = dataclasses.field(
-        default_factory=RolloutOutcomeCounts
-    )
-    credit: float = 0.5
-    share: float = 0
-
-    @property
-    def is_running(self) -> bool:
-        """Whether the outcome is still open."""
-        return not self.state.is_final
-
-    @property
-    def excludes_target(self) -> bool:
-        """Whether no request may be sent to the target version."""
-        if self.state is RolloutState.COMPLETED:
-            return False
-        return self.is_bad or self.state is RolloutState.ROLLED_BACK
-
-    def renew_order(self, order: RolloutOrder) -> None:
-        """Replace the order by the same one under a revision of a later era.
-
-        What is known of the roll-out stays; what the store has is unknown.
-        """
-        self.order = order
-        self.status_revision = 0
-        self.stored_state = None
-        self.is_status_known = False
-
-
 class RolloutTracker:
     """Tracks the roll-outs of all services.
 
@@ -275,12 +210,7 @@
         for rollout in self._rollouts.values():
             if rollout.is_running:
                 self.evaluate(rollout)
-                share = compute_share(self.snapshot(rollout))
-                if share != rollout.share:
-                    rollout.share = share
-                    logger.info(
-                        'rollout_share', extra=build_log_fields(rollout)
-                    )
+                self._set_share(rollout, compute_share(self.snapshot(rollout)))
 
     def snapshot(self, rollout: Rollout) -> RolloutSnapshot:
         """Return the data on which decisions about a roll-out are based."""
@@ -289,13 +219,18 @@
         target_servers = sum(
             endpoint.version == target for endpoint in endpoints
         )
+        now = self._clock.elapsed()
+        handed_over_at = rollout.handed_over_at
         return RolloutSnapshot(
-            age=self._clock.elapsed() - rollout.ordered_at,
+            age=now - rollout.ordered_at,
             duration=rollout.order.duration,
             canary_share=self._canary_share,
             target_calls=rollout.counts.target_calls,
             target_servers=target_servers,
-            other_servers=len(endpoints) - target_servers,
+            busy_servers=count_busy_servers(endpoints, target, handed_over_at),
+            handed_over_for=(
+                None if handed_over_at is None else now - handed_over_at
+            ),
             is_bad=rollout.is_bad,
         )
 
@@ -303,6 +238,13 @@
         """Return the next action of a roll-out."""
         return decide(self.snapshot(rollout))
 
+    def _set_share(self, rollout: Rollout, share: float) -> None:
+        if share == rollout.share:
+            return
+        rollout.share = share
+        rollout.handed_over_at = self._clock.elapsed() if share == 1 else None
+        logger.info('rollout_share', extra=build_log_fields(rollout))
+
     def _apply_reported_rollout(
         self, beacon: Beacon, reported: RolloutBeacon
     ) -> None:
@@ -371,6 +313,7 @@
             return
         rollout.is_bad = True
         rollout.share = 0
+        rollout.handed_over_at = None
         found = {} if finding is None else dataclasses.asdict(finding)
         logger.warning(
             'rollout_bad',
@@ -386,14 +329,3 @@
             return
         rollout.state = state
         logger.info('rollout_state', extra=build_log_fields(rollout))
-
-
-def build_log_fields(rollout: Rollout) -> dict[str, object]:
-    """Return the fields of a log line about a roll-out."""
-    return {
-        'service': rollout.order.service,
-        'target': rollout.order.target,
-        'order': rollout.order.revision,
-        'state': rollout.state.value,
-        'share': round(rollout.share, 3),
-    }
--- a/tests/lib/rollouts.py
+++ b/tests/lib/rollouts.py
@@ -21,7 +21,8 @@
     VersionOutcomeRecorder,
 )
 from bluebellslip._internal.rollouts.plan import RolloutAction
-from bluebellslip._internal.rollouts.tracker import Rollout, RolloutTracker
+from bluebellslip._internal.rollouts.rollout import Rollout
+from bluebellslip._internal.rollouts.tracker import RolloutTracker
 from bluebellslip._internal.rollouts.version_selector import VersionSelector
 from lib.fleet import MS, ORDERS, SECOND, make_endpoint
 
@@ -130,6 +131,7 @@
                     for index in range(5)
                 )
             self._simulate_step(result)
+            self._report_loads()
             action = self.decide(result)
             if action is not RolloutAction.HOLD:
                 result.state = (
@@ -164,6 +166,11 @@
         )
         return rollout
 
+    def _report_loads(self) -> None:
+        """Report that all servers are idle, as beacons do."""
+        for endpoint in self._endpoints:
+            endpoint.load.received_at = self._clock.elapsed()
+
     def _simulate_step(self, result: SimulationResult) -> None:
         for _ in range(
             round(self._scenario.requests_per_second * STEP_DURATION / SECOND)
