Charge calls of retried requests to the budget of their service

Cause: a server that runs a retried request makes its calls again. These are retries at the called service, but each node counted them as new requests, which even raised the limit. Half of each limit was left for them, which is right for one call a run; portal's runs make up to two.

Now a node tells the one beside the server that an attempt is a retry, and calls which that server makes meanwhile are charged to the called service. They are let through beyond the limit, but then no more retries follow. They don't count as requests, and their own attempts are retries too.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
@@ -251,7 +251,10 @@
         endpoint = choice.endpoint
         clock = self._context.clock
         options = AttemptOptions(
-            endpoint.lifetime, choice.max_wait, self._for_target
+            endpoint.lifetime,
+            choice.max_wait,
+            self._for_target,
+            is_retry=self._routed.from_retry or bool(self._reached),
         )
         time_left = self._routed.cutoff - clock.elapsed()
         trace = AttemptTrace.from_endpoint(
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -225,6 +225,7 @@
             objective=objective,
             caller=self._settings.service,
             depth=depth,
+            from_retry=self._running.has_retried_parent(request_id),
         )
 
     def _read_timeout_ms(self, request: InboundRequest) -> int | None:
@@ -251,7 +252,7 @@
         self, routed: RoutedRequest, rule: RouteRule, trace: RequestTrace
     ) -> None:
         budget = self._get_budget(routed.service)
-        budget.record_request()
+        budget.record_request(from_retry=routed.from_retry)
         attempts = Attempts(
             self._context, routed, rule.max_attempts, budget, trace
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_budget.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_budget.py
@@ -2,8 +2,10 @@
 
 Prevents retry storms: each node may retry a share of the requests that it has
 handled itself, so the sum over all nodes stays within the deployment's limit.
-The server that runs a retry may call other services, and those calls may be
-retried too. So each node uses only DIRECT_RETRY_SHARE of its part of the limit.
+The server that runs a retry calls other services again. Such a call counts as a
+retry at the called service: it is charged to that budget, even beyond the
+limit, since refusing it would waste the retry that makes it. So each node uses
+only DIRECT_RETRY_SHARE of its part of the limit.
 """
 
 import datetime as dt
@@ -81,12 +83,20 @@
         # length of the window.
         self._retries = _WindowCounter(step, _WINDOW_STEPS + 1)
 
-    def record_request(self) -> None:
-        """Count a request."""
+    def record_request(self, *, from_retry: bool = False) -> None:
+        """Count a request.
+
+        Parameters
+        ----------
+        from_retry
+            Whether it is a call of a server that runs a retried request; it
+            then counts as a retry.
+        """
         now = self._clock.elapsed()
+        counter = self._retries if from_retry else self._requests
         # Discards the steps that have left the window.
-        self._requests.read(now)
-        self._requests.add(now)
+        counter.read(now)
+        counter.add(now)
 
     def try_spend(self, nodes: int) -> bool:
         """Spend one retry and return whether the budget allowed it.
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
@@ -74,6 +74,8 @@
         The service that it came from.
     depth
         Number of requests known to wait for this one.
+    from_retry
+        Whether it is a call of a server that runs a retried request.
     """
 
     request: InboundRequest
@@ -88,6 +90,7 @@
     objective: dt.timedelta
     caller: str
     depth: int = 0
+    from_retry: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -107,11 +110,15 @@
         Longest wait for a slot before another server is preferable.
     for_target
         Whether the request was assigned to the target version of a roll-out.
+    is_retry
+        Whether the request may have reached another server before, or is a call
+        of a server that runs a retried request.
     """
 
     lifetime: Lifetime
     max_wait: dt.timedelta
     for_target: bool = False
+    is_retry: bool = False
 
 
 class _RoutingHeader(msgspec.Struct, frozen=True, array_like=True):
@@ -134,6 +141,7 @@
     for_target: bool
     depth: int
     cutoff_left: float | None = None
+    is_retry: bool = False
 
 
 _encoder = msgspec.json.Encoder()
@@ -161,6 +169,7 @@
             for_target=options.for_target,
             depth=routed.depth,
             cutoff_left=cutoff_left / _MILLISECOND,
+            is_retry=options.is_retry,
         )
     )
 
@@ -212,6 +221,7 @@
             lifetime=Lifetime(header.born, header.server),
             max_wait=header.max_wait * _MILLISECOND,
             for_target=header.for_target,
+            is_retry=header.is_retry,
         )
         return cls(routed, options)
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -325,7 +325,9 @@
         if self._exchange is not None:
             self._exchange.close()
         if self.sent:
-            self._gateway.running.end(self._routed.request_id)
+            self._gateway.running.end(
+                self._routed.request_id, is_retry=self._options.is_retry
+            )
         if self._ticket is None:
             return
         if isinstance(error, ServerFailedError):
@@ -354,7 +356,9 @@
             exchange = await self._connect(info)
             self._check_cutoff()
         self.sent = True
-        self._gateway.running.begin(self._routed.request_id)
+        self._gateway.running.begin(
+            self._routed.request_id, is_retry=self._options.is_retry
+        )
         head = await self._send(info, exchange)
         self._classify(head)
         return head
--- a/tests/unit/test_admission_overload.py
+++ b/tests/unit/test_admission_overload.py
@@ -194,6 +194,17 @@
     assert not running.has_parent(b'abc.1')
 
 
+def test_calls_of_a_retry_are_told_from_those_of_its_first_run() -> None:
+    running = RunningRequests()
+    running.begin(b'abc')
+    assert not running.has_retried_parent(b'abc.1')
+    running.begin(b'abc', is_retry=True)
+    assert running.has_retried_parent(b'abc.1')
+    running.end(b'abc', is_retry=True)
+    assert running.has_parent(b'abc.1')
+    assert not running.has_retried_parent(b'abc.1')
+
+
 def test_timeouts_soon_after_a_refusal_are_not_recorded() -> None:
     clock = ManualClock()
     estimator = CallerWaitEstimator(clock)
