--- a/tests/functional/test_caller_connections.py
+++ b/tests/functional/test_caller_connections.py
@@ -5,77 +5,24 @@
 """
 
 import asyncio
-import contextlib
 import socket
-from collections.abc import AsyncGenerator
 
 import pytest
 
-from bluebellslip._internal.calls.limits import CallerLimits
 from bluebellslip._internal.calls.listener import Listener
-from bluebellslip._internal.calls.request import InboundRequest
-from bluebellslip._internal.kernel.counters import InMemoryCounters
-from lib.calls import Caller, find_free_address
+from lib.calls import Caller
+from lib.scripted_listener import (
+    LARGE_BYTES,
+    ScriptedHandler,
+    encode_get,
+    listening,
+    open_slow_caller,
+)
 from lib.simulated_platform import wait_until
 
 pytestmark = pytest.mark.anyio
 
 _HANG_TIMEOUT_S = 10
-_PIPELINED = CallerLimits(max_pipelined=8)
-# More than the send and receive buffers of the sockets hold.
-_LARGE_BYTES = 16 << 20
-_RECEIVE_BUFFER_BYTES = 16 << 10
-
-
-class ScriptedHandler:
-    """Responds to each request once the test allows its target."""
-
-    def __init__(self) -> None:
-        self.requests: list[InboundRequest] = []
-        self.started: list[str] = []
-        self.cancelled: list[str] = []
-        self.bodies: dict[str, bytes] = {}
-        self._allowed: dict[str, asyncio.Event] = {}
-
-    def allow(self, target: str) -> None:
-        self._allowed.setdefault(target, asyncio.Event()).set()
-
-    async def has_started(self, target: str) -> bool:
-        return target in self.started
-
-    async def has_cancelled(self, target: str) -> bool:
-        return target in self.cancelled
-
-    async def handle(self, request: InboundRequest) -> None:
-        target = request.target.decode()
-        self.requests.append(request)
-        self.started.append(target)
-        try:
-            await self._allowed.setdefault(target, asyncio.Event()).wait()
-        except asyncio.CancelledError:
-            self.cancelled.append(target)
-            raise
-        body = self.bodies.get(target, target.encode())
-        request.reply.start(200, [], len(body))
-        request.reply.finish(body)
-
-
-@contextlib.asynccontextmanager
-async def listening(
-    handler: ScriptedHandler, limits: CallerLimits = _PIPELINED
-) -> AsyncGenerator[Listener, None]:
-    listener = Listener(
-        find_free_address(), handler, InMemoryCounters(), limits
-    )
-    await listener.open()
-    try:
-        yield listener
-    finally:
-        listener.close()
-
-
-def encode_get(target: str) -> bytes:
-    return f'GET {target} HTTP/1.1\r\nhost: shop\r\n\r\n'.encode()
 
 
 async def test_request_behind_a_closing_response_is_not_started() -> None:
@@ -122,7 +69,7 @@
 async def test_response_is_not_lost_when_input_follows_it() -> None:
     """Closing a socket with unread input would discard its unsent output."""
     handler = ScriptedHandler()
-    handler.bodies['/1'] = b'x' * _LARGE_BYTES
+    handler.bodies['/1'] = b'x' * LARGE_BYTES
     async with listening(handler) as listener:
         caller = await open_slow_caller(listener)
         caller.writer.write(encode_get('/1'))
@@ -134,26 +81,14 @@
         async with asyncio.timeout(_HANG_TIMEOUT_S):
             response = await caller.receive()
         caller.close()
-    assert len(response.body) == _LARGE_BYTES
+    assert len(response.body) == LARGE_BYTES
     assert handler.started == ['/1']
 
 
-async def open_slow_caller(listener: Listener) -> Caller:
-    """Open a connection with a small receive buffer."""
-    connection = socket.socket()
-    connection.setsockopt(
-        socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
-    )
-    connection.setblocking(False)
-    address = (listener.address.host, listener.address.port)
-    await asyncio.get_running_loop().sock_connect(connection, address)
-    return Caller(*await asyncio.open_connection(sock=connection, limit=1024))
-
-
 async def test_refusal_is_not_lost_while_the_body_is_still_sent() -> None:
     """The caller reads the response only once it has sent all."""
     handler = ScriptedHandler()
-    handler.bodies['/1'] = b'x' * _LARGE_BYTES
+    handler.bodies['/1'] = b'x' * LARGE_BYTES
     handler.allow('/1')
     async with listening(handler) as listener:
         caller = await open_slow_caller(listener)
@@ -166,7 +101,7 @@
         async with asyncio.timeout(_HANG_TIMEOUT_S):
             response = await caller.receive()
         caller.close()
-    assert len(response.body) == _LARGE_BYTES
+    assert len(response.body) == LARGE_BYTES
 
 
 async def test_request_on_an_accepted_connection_is_answered() -> None:
