Count the idle time of a connection from its last response

Callers that reuse a connection saw it close with a request on it, at any time and not only at stops, if the request before had taken longer than a part of the idle timeout. A request that must not run twice is then lost for its caller.

Cause: the idle time counted from the last input, which is the request, not from the end of its response. With a timeout of 1 s and a response after 1.3 s, the connection was closed right behind the response; the test failed so before.

The idle time now starts anew with each response that ends.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -121,13 +121,13 @@
 
     @property
     def idle_since(self) -> float | None:
-        """Loop time of the last input in seconds.
+        """Loop time of the last input or response in seconds.
 
         None while requests are served and while the connection is closed.
         """
         if self._in_progress or self._close.has_begun:
             return None
-        return self._last_read
+        return self._last_active
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the connection."""
@@ -139,7 +139,7 @@
             self.transport, self._write_gate, self._state, self._accept_request
         )
         self._close = LingeringClose(self.transport)
-        self._last_read = self._loop.time()
+        self._last_active = self._loop.time()
         self._state.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -162,7 +162,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Parse input."""
-        self._last_read = self._loop.time()
+        self._last_active = self._loop.time()
         self._close.record_input()
         if self._close.has_begun or self._has_invalid_input:
             self._limit_dropped(len(chunk))
@@ -326,6 +326,7 @@
                 return
             if self._in_progress:
                 self._in_progress[0].reply.writer.release()
+            self._last_active = self._loop.time()
         while self._waiting and self._has_room:
             waiting = self._waiting.popleft()
             if not self._in_progress:
