Keep connections open for pipelined requests that wait for their turn

Callers that pipeline more requests than a node runs at a time saw the connection of a draining node close without responses to the last ones, which had been started.

Cause: a response says that it closes the connection if no request follows it. Of the requests beyond the limit only the first was marked as followed, by itself at that, so the response to the one before the last closed the connection, and the last one, started by then, was cancelled.

Each request now marks the one right before it, and none is started behind a response that closes the connection.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -232,7 +232,8 @@
             return
         if self._in_progress:
             request.reply.writer.hold()
-            self._in_progress[-1].reply.has_next_request = True
+            earlier = self._waiting or self._in_progress
+            earlier[-1].reply.has_next_request = True
         if (
             self._waiting
             or len(self._in_progress) >= self._state.limits.max_pipelined
@@ -328,16 +329,22 @@
                 self._in_progress[0].reply.writer.release()
             self._last_active = self._loop.time()
         while self._waiting and self._has_room:
-            waiting = self._waiting.popleft()
-            if not self._in_progress:
-                waiting.reply.writer.release()
-            self._start_request(waiting)
+            self._start_waiting_request()
         if self._is_finished:
             self.close()
         elif self._paused and not self._waiting:
             self.transport.resume_reading()
             self._resume_parsing()
 
+    def _start_waiting_request(self) -> None:
+        waiting = self._waiting.popleft()
+        if not self._in_progress:
+            waiting.reply.writer.release()
+        elif self._in_progress[-1].closes_connection:
+            self._ignore(waiting)
+            return
+        self._start_request(waiting)
+
     def _resume_parsing(self) -> None:
         self._paused = False
         self._reader.is_paused = False
