Let connections be set up before the server that accepted them is closed

Callers of a stopping node could get neither a response nor the end of their connection: the connection hung.

Cause: asyncio sets up an accepted connection in a task, which fails silently if the server is closed in between.

The socket is no longer watched, what waits is accepted, and the server itself is closed one step of the event loop later.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/listening_socket.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/listening_socket.py
@@ -62,14 +62,17 @@
         Connections that are established already but wait to be accepted are
         accepted first; closing the socket would reset them.
         """
-        if self._server is None:
+        if self._server is None or self._socket is None:
             return
         loop = asyncio.get_running_loop()
+        loop.remove_reader(self._socket)
         for accepted in self._accept_waiting():
             task = loop.create_task(self._connect(accepted))
             self._accepting.add(task)
             task.add_done_callback(self._accepting.discard)
-        self._server.close()
+        # Connections that the event loop has accepted but not set up yet would
+        # be dropped by a server that is closed.
+        loop.call_soon(self._server.close)
         self._server = None
 
     def _accept_waiting(self) -> Iterator[socket.socket]:
