Read what has arrived before idle connections are closed

Callers saw the end of their connection, 2.6 s after the signal of their node, instead of a refusal for a request that the node had in its socket, or whose head was half read.

Cause: the shutdown of the listeners closed each connection without a request in progress at once.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -129,6 +129,11 @@
             return None
         return self._last_active
 
+    @property
+    def is_receiving_head(self) -> bool:
+        """Whether a part of a request's head has arrived."""
+        return self._reader.head_started_at is not None
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the connection."""
         self.transport = transport  # type: ignore[assignment]
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
@@ -113,14 +113,19 @@
             connection.interrupt(error)
 
     def shut_down(self) -> None:
-        """Stop accepting connections and close the idle ones.
+        """Stop accepting connections; when called again, close the idle ones.
 
-        Data already written is still sent; a reset would lose it.
+        What callers have sent before the first call is read in between, so it
+        gets a response. Data already written is still sent; a reset would lose
+        it.
         """
-        self._state.shutting_down = True
-        self._socket.close()
+        if not self._state.shutting_down:
+            self._state.shutting_down = True
+            self._socket.close()
+            return
         for connection in tuple(self._state.connections):
-            if connection.idle_since is not None:
+            is_idle = connection.idle_since is not None
+            if is_idle and not connection.is_receiving_head:
                 self._state.closed_idle += 1
                 connection.close()
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/listeners.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/listeners.py
@@ -150,7 +150,7 @@
         self._callers.start_draining()
 
     def shut_down(self) -> None:
-        """Stop accepting connections and close idle ones."""
+        """Stop accepting connections; when called again, close idle ones."""
         for listener in self:
             listener.shut_down()
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -253,6 +253,8 @@
         # If few nodes are ready, clients keep sending to this one. From here
         # on they are refused, so that accepted requests can finish.
         self._listeners.shut_down()
+        await anyio.sleep(_POLL_INTERVAL_S)
+        self._listeners.shut_down()
         while self._is_busy and self._clock.elapsed() < started + schedule.end:
             await anyio.sleep(_POLL_INTERVAL_S)
             self._listeners.shut_down()
