Keep a closed connection until its output has arrived

Cause: the time for which a closed connection is read on counted from the last input alone. After it the socket was closed, and input reset it while output was undelivered.

The connection is now kept while output is undelivered, for 30 s at most. A connection that is closed already starts no timer.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/lingering.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/lingering.py
@@ -9,8 +9,10 @@
 import contextlib
 from typing import Final
 
-# A caller that has sent nothing for this long after the close gets no more time
-# to close the connection.
+from bluebellslip._internal.calls.sockets import count_undelivered
+
+# A caller that has sent nothing for this long after the close, and has received
+# everything, gets no more time to close the connection.
 IDLE_LINGER_S: Final = 2.0
 # Longest time for which the input of a closed connection is read and dropped.
 MAX_LINGER_S: Final = 30.0
@@ -39,7 +41,7 @@
 
     def begin(self) -> None:
         """Close the sending direction once the pending output is sent."""
-        if self.has_begun:
+        if self.has_begun or self._transport.is_closing():
             return
         self._last_input = self._loop.time()
         self._latest = self._last_input + MAX_LINGER_S
@@ -47,7 +49,7 @@
         with contextlib.suppress(OSError):
             self._transport.write_eof()
         self._transport.resume_reading()
-        self._wait()
+        self._wait(IDLE_LINGER_S)
 
     def record_input(self) -> None:
         """Give the caller more time, since it is still sending."""
@@ -58,15 +60,17 @@
         if self._timer is not None:
             self._timer.cancel()
 
-    def _wait(self) -> None:
-        end = min(self._last_input + IDLE_LINGER_S, self._latest)
-        self._timer = self._loop.call_at(end, self._check)
+    def _wait(self, duration: float) -> None:
+        self._timer = self._loop.call_later(duration, self._check)
 
     def _check(self) -> None:
         now = self._loop.time()
+        idle_time = now - self._last_input
         if now >= self._latest:
             self._transport.abort()
-        elif now - self._last_input >= IDLE_LINGER_S:
-            self._transport.close()
+        elif idle_time < IDLE_LINGER_S:
+            self._wait(IDLE_LINGER_S - idle_time)
+        elif count_undelivered(self._transport):
+            self._wait(IDLE_LINGER_S)
         else:
-            self._wait()
+            self._transport.close()
