Break off a response without dropping those before it

Cause: breaking off aborted the connection, which discards what is undelivered.

A response with a length or chunks shows by itself that it is incomplete, so its connection is closed like any other; one that ends with its connection still aborts it.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/reply.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/reply.py
@@ -36,7 +36,8 @@
     """Writes one reply to its connection, in the order of the requests.
 
     Callers may pipeline requests. The data of a later reply is buffered until
-    the earlier replies are sent.
+    the earlier replies are sent. ``ends_with_connection`` is set for a reply
+    without a length or chunks.
 
     Parameters
     ----------
@@ -53,6 +54,7 @@
         '_is_open',
         '_opened',
         '_transport',
+        'ends_with_connection',
     )
 
     def __init__(
@@ -63,6 +65,7 @@
         self._held: list[bytes] = []
         self._is_open = True
         self._broken = False
+        self.ends_with_connection = False
         self._opened: asyncio.Event | None = None
 
     @property
@@ -83,7 +86,7 @@
         if self._opened is not None:
             self._opened.set()
         if self._broken:
-            self._transport.close()
+            self.abort()
         elif self._held:
             self._transport.write(b''.join(self._held))
             self._held.clear()
@@ -96,10 +99,14 @@
             self._held.append(chunk)
 
     def abort(self) -> None:
-        """Close the connection without completing the reply."""
+        """Break off the reply; its connection is closed once it ends.
+
+        The end of the connection completes a reply without a length, so the
+        connection is reset then.
+        """
         self._held.clear()
         self._broken = True
-        if self._is_open:
+        if self._is_open and self.ends_with_connection:
             self._transport.abort()
 
     async def wait(self) -> None:
@@ -257,6 +264,7 @@
             self._chunked = True
             return [_CHUNKED]
         self._keep_alive = False
+        self.writer.ends_with_connection = True
         return []
 
     def _allows_body(self, status: int) -> bool:
