Reset the connection of a broken-off response without a length

A caller that speaks HTTP/1.0 took a response that its node had broken off for a complete one.

Cause: such a response ends with its connection, and aborting a transport ends the connection in order unless input is unread.

The connection is reset now. The test failed before: no error was raised.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/reply.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/reply.py
@@ -14,6 +14,7 @@
     frame_chunk,
 )
 from bluebellslip._internal.calls.headers import Header
+from bluebellslip._internal.calls.sockets import reset_on_close
 from bluebellslip._internal.calls.streams import WriteGate
 from bluebellslip._internal.exceptions import BluebellError
 from bluebellslip._internal.models.error_responses import ERROR_RESPONSES
@@ -107,6 +108,7 @@
         self._held.clear()
         self._broken = True
         if self._is_open and self.ends_with_connection:
+            reset_on_close(self._transport)
             self._transport.abort()
 
     async def wait(self) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/sockets.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/sockets.py
@@ -60,12 +60,16 @@
 
     Otherwise it would still be sent, ahead of later bytes of other connections.
     """
-    if count_undelivered(transport) < MIN_DROPPED_BYTES:
-        return
+    if count_undelivered(transport) >= MIN_DROPPED_BYTES:
+        reset_on_close(transport)
+
+
+def reset_on_close(transport: asyncio.Transport) -> None:
+    """Let closing a transport reset its connection."""
     connection = transport.get_extra_info('socket')
     if connection is None or transport.is_closing():
         return
-    # Where the kernel doesn't support it, the bytes are sent as before.
+    # Where the kernel doesn't support it, the connection ends in order.
     with contextlib.suppress(OSError):
         connection.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
--- a/tests/functional/test_caller_connection_limits.py
+++ b/tests/functional/test_caller_connection_limits.py
@@ -186,3 +186,23 @@
         buffered = handler.requests[-1].body.size
         caller.close()
     assert buffered <= 4 * _TWO_AT_A_TIME.buffered_bytes + 2 * _READ_BYTES
+
+
+class _StreamingHandler:
+    """Breaks off a response that ends with its connection."""
+
+    async def handle(self, request: InboundRequest) -> None:
+        request.reply.start(200, [], None)
+        request.reply.write(b'a part')
+        await asyncio.sleep(0.1)
+        request.reply.writer.abort()
+
+
+async def test_broken_off_response_without_a_length_is_not_complete() -> None:
+    async with listening(_StreamingHandler()) as listener:
+        caller = await Caller.open(listener.address)
+        caller.writer.write(b'GET /1 HTTP/1.0\r\nhost: shop\r\n\r\n')
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            with pytest.raises(ConnectionResetError):
+                await caller.reader.read()
+        caller.close()
