Avoid a server that refuses requests because it leaves

Until its beacons arrived, from 5.5 to 6.1 s, the other nodes went on choosing it: each refusal reports its load, which falls to zero while it drains, so it looked best. The refusals filled the node's link, its beacons came late, and the nodes that waited for it took it for silent.

The test failed before: the refusing server was chosen again each time.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
@@ -16,7 +16,11 @@
 from bluebellslip._internal.calls.outbound import OutboundConnection
 from bluebellslip._internal.calls.pool import ConnectionPool
 from bluebellslip._internal.calls.response_reader import ResponseHead
-from bluebellslip._internal.exceptions import BluebellError, NoServerError
+from bluebellslip._internal.exceptions import (
+    BluebellError,
+    ErrorKind,
+    NoServerError,
+)
 from bluebellslip._internal.fleet.peer_table import Endpoint, LoadReport
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.identity import Address
@@ -45,6 +49,7 @@
 from bluebellslip._internal.proxy.withdrawals import OpenAttempts
 
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
+_LEAVING_KINDS: Final = frozenset((ErrorKind.DRAINING, ErrorKind.NO_SERVER))
 
 
 @dataclasses.dataclass(slots=True)
@@ -193,11 +198,21 @@
             self._update_load(endpoint, head)
             if header_names.ERROR in head.fields:
                 result.record_refusal(head)
-                raise await _read_refusal(exchange.connection)
+                error = await _read_refusal(exchange.connection)
+                self._record_refusal(endpoint, error)
+                raise error
             result.response = await buffer_or_stream(
                 head, exchange.connection, routed.request.reply
             )
 
+    def _record_refusal(self, endpoint: Endpoint, error: BluebellError) -> None:
+        """Avoid a server that is leaving until its node's next beacons.
+
+        Its load falls meanwhile, so it would be chosen again and again.
+        """
+        if error.kind in _LEAVING_KINDS:
+            mark_unreachable(endpoint, self._clock.elapsed())
+
     async def _connect(self, endpoint: Endpoint, exchange: Exchange) -> None:
         try:
             await exchange.open()
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -422,3 +422,20 @@
         assert float(refused.headers['retry-after']) < 1
         assert refused.headers['connection'] == 'close'
     assert not back.server.received_requests
+
+
+async def test_server_that_refuses_as_draining_is_not_asked_again() -> None:
+    """Its load falls while its node's beacons are late."""
+    async with mesh() as (front, store, back):
+        other = PlatformNode('other', 'art', store, respond_signed(b'other'))
+        async with other.running():
+            await wait_until(lambda: knows_servers(front, 2))
+            back.node._data_plane.gateway.close()
+            for number in range(30):
+                response = await front.call('/art/1', f'a{number}')
+                assert (response.status, response.body) == (200, b'other')
+            endpoints = front.node._state.peer_table.endpoints(
+                ServiceName('art')
+            )
+            failures = [endpoint.connect_failures for endpoint in endpoints]
+    assert sorted(failures) == [0, 1]
