Cancel requests whose caller left behind unread input

Callers that gave up an upload of 1.5 MB while it waited for a slot of a server or for the link of its node still had it run: the node beside the server kept the request, and passed it on when its turn came.

Cause: a connection is paused while its buffer is over the high-water mark, and a paused transport sees neither the end nor a reset of its connection. Before a request was passed on, only its time was checked.

The node beside the server asks once more right before it passes a request on, and cancels the request instead; it did not run.

Closed, not aborted: responses already written are still sent, as they are when the end is read. States that only this side's close leads to count as open.

What remains: an end behind bytes that don't fit the receive buffer has not arrived, so the kernel doesn't tell.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
@@ -14,7 +14,10 @@
 from bluebellslip._internal.calls.limits import CallerLimits
 from bluebellslip._internal.calls.listening_socket import ListeningSocket
 from bluebellslip._internal.calls.request import InboundRequest
-from bluebellslip._internal.calls.sockets import count_undelivered
+from bluebellslip._internal.calls.sockets import (
+    close_abandoned,
+    count_undelivered,
+)
 from bluebellslip._internal.exceptions import BluebellError
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.models.identity import Address
@@ -125,11 +128,12 @@
                 connection.close()
 
     def close_idle(self) -> None:
-        """Close idle connections and refuse heads that take too long."""
+        """Close idle or abandoned connections and refuse overdue heads."""
         now = asyncio.get_running_loop().time()
         cutoff = now - self._state.limits.idle_timeout.total_seconds()
         for connection in tuple(self._state.connections):
             connection.check_head_timeout(now)
+            close_abandoned(connection.transport)
             since = connection.idle_since
             if since is not None and since < cutoff:
                 connection.close()
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/reply.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/reply.py
@@ -14,6 +14,7 @@
     frame_chunk,
 )
 from bluebellslip._internal.calls.headers import Header
+from bluebellslip._internal.calls.sockets import is_closed_by_peer
 from bluebellslip._internal.calls.streams import WriteGate
 from bluebellslip._internal.exceptions import BluebellError
 from bluebellslip._internal.models.error_responses import ERROR_RESPONSES
@@ -70,6 +71,11 @@
         """Whether data would be sent immediately."""
         return self._is_open and self._gate.is_open
 
+    @property
+    def is_closed_by_caller(self) -> bool:
+        """Whether the caller has closed the connection."""
+        return is_closed_by_peer(self._transport)
+
     def hold(self) -> None:
         """Buffer all data until ``release``."""
         self._is_open = False
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/sockets.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/sockets.py
@@ -1,4 +1,4 @@
-"""Sockets: limits on the wait for a silent peer, and undelivered bytes."""
+"""Sockets: limits on silent peers, undelivered bytes, and closed peers."""
 
 import array
 import asyncio
@@ -23,6 +23,10 @@
 # Closing the socket resets the connection at once.
 _RESET_ON_CLOSE: Final = struct.pack('ii', 1, 0)
 
+# States of Linux in which the other side has closed or reset the connection:
+# TIME_WAIT, CLOSE, CLOSE_WAIT, LAST_ACK and CLOSING.
+_CLOSED_BY_PEER: Final = frozenset((6, 7, 8, 9, 11))
+
 _OPTIONS: Final = (
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -70,3 +74,31 @@
         connection.setsockopt(
             socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
         )
+
+
+def is_closed_by_peer(transport: asyncio.BaseTransport) -> bool:
+    """Return whether the other side has closed the connection.
+
+    Also true while bytes that arrived before the end are unread, when the
+    transport doesn't know yet. Where the kernel doesn't tell, the connection
+    counts as open.
+    """
+    connection = transport.get_extra_info('socket')
+    if connection is None:
+        return False
+    with contextlib.suppress(OSError):
+        # The first byte is the state.
+        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        return state[0] in _CLOSED_BY_PEER
+    return False
+
+
+def close_abandoned(transport: asyncio.Transport) -> None:
+    """Close a paused transport if the other side has closed the connection.
+
+    A transport that reads does so by itself.
+    """
+    if transport.is_reading() or transport.is_closing():
+        return
+    if is_closed_by_peer(transport):
+        transport.close()
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -5,6 +5,7 @@
 which requests may have run.
 """
 
+import asyncio
 import datetime as dt
 from collections.abc import Mapping
 from types import TracebackType
@@ -355,6 +356,7 @@
             info = await self._take_slot()
             exchange = await self._connect(info)
             self._check_cutoff()
+            await self._check_caller()
         self.sent = True
         self._gateway.running.begin(
             self._routed.request_id, is_retry=self._options.is_retry
@@ -418,6 +420,19 @@
                 'The request was not started before its cutoff.'
             )
 
+    async def _check_caller(self) -> None:
+        """Cancel the request if its caller has closed the connection.
+
+        The connection itself notices that only after the data before the end.
+        """
+        request = self._routed.request
+        if not request.reply.writer.is_closed_by_caller:
+            return
+        request.cancel()
+        # The cancellation arrives here.
+        await asyncio.sleep(0)
+        raise OverloadedError('The caller of the request has left.')
+
     async def _connect(self, info: ServerInfo) -> Exchange:
         max_idle_s = (
             None if self._routed.is_repeatable else NON_IDEMPOTENT_MAX_IDLE_S
