--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -13,7 +13,11 @@
 from bluebellslip._internal.calls.limits import CallerLimits
 from bluebellslip._internal.calls.lingering import LingeringClose
 from bluebellslip._internal.calls.reply import Reply, ReplyWriter
-from bluebellslip._internal.calls.request import InboundRequest
+from bluebellslip._internal.calls.request import (
+    InboundRequest,
+    Refuser,
+    send_error,
+)
 from bluebellslip._internal.calls.request_reader import RequestReader
 from bluebellslip._internal.calls.sockets import set_silence_timeouts
 from bluebellslip._internal.calls.streams import (
@@ -34,7 +38,6 @@
 # How long the rest of a request body is read and dropped after an early reply.
 # Closing with unread input would reset the connection and lose the reply.
 _BODY_DISCARD_TIMEOUT_S: Final = 2.0
-Refuser = Callable[[InboundRequest, BluebellError], None]
 
 
 class Handler(Protocol):
@@ -44,15 +47,10 @@
         """Serve a request; exceptions become error responses."""
 
 
-def _ignore_unread(request: InboundRequest) -> None:
+def _do_nothing(request: InboundRequest) -> None:
     """Do nothing."""
 
 
-def send_error(request: InboundRequest, error: BluebellError) -> None:
-    """Respond to a request with an error."""
-    request.reply.refuse(error)
-
-
 class ListenerState:
     """State shared by the connections of one listener.
 
@@ -81,7 +79,7 @@
         self.limits = limits
         self.refuse = refuse
         self.connections: set[InboundConnection] = set()
-        self.on_ignored: Callable[[InboundRequest], None] = _ignore_unread
+        self.on_ignored: Callable[[InboundRequest], None] = _do_nothing
 
     def ignore(self, request: InboundRequest) -> None:
         """Count a request that is neither served nor refused."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
@@ -8,12 +8,14 @@
     Handler,
     InboundConnection,
     ListenerState,
-    Refuser,
-    send_error,
 )
 from bluebellslip._internal.calls.limits import CallerLimits
 from bluebellslip._internal.calls.listening_socket import ListeningSocket
-from bluebellslip._internal.calls.request import InboundRequest
+from bluebellslip._internal.calls.request import (
+    InboundRequest,
+    Refuser,
+    send_error,
+)
 from bluebellslip._internal.calls.sockets import (
     close_abandoned,
     count_undelivered,
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from bluebellslip._internal.calls import headers as header_names
 from bluebellslip._internal.calls.headers import Header
@@ -101,3 +102,11 @@
                 hint='Allow more time, or check the load of the server.',
             )
         )
+
+
+Refuser = Callable[[InboundRequest, BluebellError], None]
+
+
+def send_error(request: InboundRequest, error: BluebellError) -> None:
+    """Respond to a request with an error."""
+    request.reply.refuse(error)
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/listeners.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/listeners.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable, Iterator
 from typing import Final
 
-from bluebellslip._internal.calls.inbound import (
-    Handler,
+from bluebellslip._internal.calls.inbound import Handler
+from bluebellslip._internal.calls.limits import CallerLimits
+from bluebellslip._internal.calls.listener import Listener
+from bluebellslip._internal.calls.request import (
+    InboundRequest,
     Refuser,
     send_error,
 )
-from bluebellslip._internal.calls.limits import CallerLimits
-from bluebellslip._internal.calls.listener import Listener
-from bluebellslip._internal.calls.request import InboundRequest
 from bluebellslip._internal.exceptions import HeadTooLargeError
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.models.identity import Address
