Commit two red cases that tests had been written around

Cause: the test of calls made by retried requests was first written with servers that refuse from the start. It stayed red, and was given ten healthy seconds; the test of uploads whose caller leaves was kept at 1.5 MB since 8 MB fails.

Change: both are cases of these tests again, with their bounds as they were, and listed by their ids.

--- a/tests/functional/test_platform_callers_left.py
+++ b/tests/functional/test_platform_callers_left.py
@@ -30,6 +30,8 @@
 pytestmark = pytest.mark.anyio
 
 _UPLOAD_BYTES = 1_500_000
+# More than the sockets between a caller and its node hold.
+_LARGE_UPLOAD_BYTES = 8_000_000
 # More than the bodies that may be in transit at the default rate of a link.
 _OCCUPIED_BYTES = 30_000_000
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -47,15 +49,17 @@
 _CONFIG['limits'] = {**_CONFIG['limits'], 'max_body_bytes': 1 << 25}  # type: ignore[dict-item]
 
 
-async def start_upload(node: PlatformNode, request_id: str) -> Caller:
+async def start_upload(
+    node: PlatformNode, request_id: str, size: int = _UPLOAD_BYTES
+) -> Caller:
     """Send an upload and return its caller."""
     caller = await node.open_caller()
     head = (
         'POST /art/1 HTTP/1.1\r\nhost: shop.example\r\n'
         f'x-request-id: {request_id}\r\nx-deadline-ms: 50000\r\n'
-        f'content-length: {_UPLOAD_BYTES}\r\n\r\n'
+        f'content-length: {size}\r\n\r\n'
     )
-    caller.writer.write(head.encode() + b'x' * _UPLOAD_BYTES)
+    caller.writer.write(head.encode() + b'x' * size)
     return caller
 
 
@@ -141,9 +145,11 @@
     assert await has_arrivals(back, 1)
 
 
-async def test_request_in_queue_for_a_link_ends_when_its_caller_leaves() -> (
-    None
-):
+@pytest.mark.parametrize('size', [_UPLOAD_BYTES, _LARGE_UPLOAD_BYTES])
+@_leaving
+async def test_request_in_queue_for_a_link_ends_when_its_caller_leaves(
+    leave: _Leave, size: int
+) -> None:
     async with mesh() as (front, back, _):
         callers = front.node._listeners._callers
         limiter = back.node._data_plane.body_transfers
@@ -152,9 +158,9 @@
         async def is_waiting() -> bool:
             return bool(limiter._waiting and find_paused(callers))
 
-        caller = await start_upload(front, 'left')
+        caller = await start_upload(front, 'left', size)
         await wait_until(is_waiting)
-        reset(caller)
+        leave(caller)
         await wait_until(lambda: is_idle(front))
         await wait_until(lambda: is_idle(back))
         assert not limiter._waiting
--- a/tests/unit/test_shared_retry_budget.py
+++ b/tests/unit/test_shared_retry_budget.py
@@ -42,11 +42,14 @@
 
 
 class RefusingStore:
-    """Calls to servers of which most refuse all requests after a window."""
+    """Calls to servers of which most refuse all requests after a time."""
 
-    def __init__(self, clock: ManualClock, random: Random) -> None:
+    def __init__(
+        self, clock: ManualClock, random: Random, healthy_for: dt.timedelta
+    ) -> None:
         self._clock = clock
         self._random = random
+        self._healthy_for = healthy_for
         self._budgets = [make_budget(clock) for _ in range(_NODES)]
         self.requests: list[dt.timedelta] = []
         self.retries: list[dt.timedelta] = []
@@ -65,7 +68,7 @@
         return self._is_accepted()
 
     def _is_accepted(self) -> bool:
-        is_healthy = self._clock.elapsed() < _WINDOW
+        is_healthy = self._clock.elapsed() < self._healthy_for
         return is_healthy or self._random.random() < _ACCEPTED_SHARE
 
 
@@ -90,15 +93,18 @@
         assert 2 * count(retries, end) <= find_limit(requests, end)
 
 
+@pytest.mark.parametrize(
+    'healthy_for', [dt.timedelta(), _WINDOW], ids=['cold', 'warm']
+)
 @pytest.mark.parametrize('calls', [2, 3])
 @pytest.mark.parametrize('seed', range(3))
 def test_calls_of_retried_requests_stay_within_the_bound(
-    calls: int, seed: int
+    healthy_for: dt.timedelta, calls: int, seed: int
 ) -> None:
     """Each run of a request makes calls, and fails if one of them fails."""
     clock, random = ManualClock(), Random(seed)
     budgets = [make_budget(clock) for _ in range(_NODES)]
-    store = RefusingStore(clock, random)
+    store = RefusingStore(clock, random, healthy_for)
 
     def succeeds(*, is_retry: bool) -> bool:
         node = random.randrange(_NODES)
