Log every request whose caller got no response

When a caller closes its connection, requests that wait for their turn are forgotten, and those whose response is complete but held behind an earlier one are logged as served, if at all.

Change: request_unanswered, in place of request_ignored, names each of them with an outcome: ignored, caller-left-waiting or undelivered. No decision changes.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -7,15 +7,18 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
 from typing import Final, Protocol
 
 from bluebellslip._internal.calls.limits import CallerLimits
 from bluebellslip._internal.calls.lingering import LingeringClose
 from bluebellslip._internal.calls.reply import Reply, ReplyWriter
 from bluebellslip._internal.calls.request import (
+    IGNORED,
+    NOT_STARTED,
+    UNDELIVERED,
     InboundRequest,
     Refuser,
+    UnansweredListener,
     send_error,
 )
 from bluebellslip._internal.calls.request_reader import RequestReader
@@ -47,7 +50,7 @@
         """Serve a request; exceptions become error responses."""
 
 
-def _do_nothing(request: InboundRequest) -> None:
+def _do_nothing(request: InboundRequest, outcome: str) -> None:
     """Do nothing."""
 
 
@@ -79,12 +82,12 @@
         self.limits = limits
         self.refuse = refuse
         self.connections: set[InboundConnection] = set()
-        self.on_ignored: Callable[[InboundRequest], None] = _do_nothing
+        self.on_unanswered: UnansweredListener = _do_nothing
 
     def ignore(self, request: InboundRequest) -> None:
         """Count a request that is neither served nor refused."""
         self.ignored_requests += 1
-        self.on_ignored(request)
+        self.on_unanswered(request, IGNORED)
 
 
 class InboundConnection(asyncio.Protocol):
@@ -150,9 +153,13 @@
         self._state.connections.discard(self)
         self._close.stop()
         self._write_gate.open()
+        for waiting in self._waiting:
+            self._state.on_unanswered(waiting, NOT_STARTED)
         self._waiting.clear()
         self._reader.fail(MalformedError('The caller disconnected.'))
         for request in self._in_progress:
+            if request.done:
+                self._state.on_unanswered(request, UNDELIVERED)
             request.cancel()
 
     def pause_writing(self) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/listener.py
@@ -1,7 +1,6 @@
 """A listening socket and its connections."""
 
 import asyncio
-from collections.abc import Callable
 from typing import Final
 
 from bluebellslip._internal.calls.inbound import (
@@ -12,8 +11,8 @@
 from bluebellslip._internal.calls.limits import CallerLimits
 from bluebellslip._internal.calls.listening_socket import ListeningSocket
 from bluebellslip._internal.calls.request import (
-    InboundRequest,
     Refuser,
+    UnansweredListener,
     send_error,
 )
 from bluebellslip._internal.calls.sockets import (
@@ -91,9 +90,12 @@
         """Address that the listener listens on."""
         return self._address
 
-    def on_ignored(self, listener: Callable[[InboundRequest], None]) -> None:
-        """Call a listener with each request that is not responded to."""
-        self._state.on_ignored = listener
+    def on_unanswered(self, listener: UnansweredListener) -> None:
+        """Call a listener with each request whose caller gets no response.
+
+        Requests that are being served are left out; their handler knows.
+        """
+        self._state.on_unanswered = listener
 
     def set_limits(self, limits: CallerLimits) -> None:
         """Replace the limits of new and open connections."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/request.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Callable
+from typing import Final
 
 from bluebellslip._internal.calls import headers as header_names
 from bluebellslip._internal.calls.headers import Header
@@ -13,6 +14,13 @@
     DeadlineExceededError,
 )
 
+# Why a request that was read got no response, for the log: it arrived on a
+# connection that was being closed, its caller left before it was started, or
+# its complete response was held behind an earlier one when its caller left.
+IGNORED: Final = 'ignored'
+NOT_STARTED: Final = 'caller-left-waiting'
+UNDELIVERED: Final = 'undelivered'
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class InboundRequest:
@@ -105,6 +113,7 @@
 
 
 Refuser = Callable[[InboundRequest, BluebellError], None]
+UnansweredListener = Callable[[InboundRequest, str], None]
 
 
 def send_error(request: InboundRequest, error: BluebellError) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/listeners.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/listeners.py
@@ -11,6 +11,7 @@
 from bluebellslip._internal.calls.request import (
     InboundRequest,
     Refuser,
+    UnansweredListener,
     send_error,
 )
 from bluebellslip._internal.exceptions import HeadTooLargeError
@@ -41,7 +42,7 @@
 class Handlers:
     """The handlers of the listening addresses.
 
-    ``record_ignored`` records the requests of callers that get no response,
+    ``record_unanswered`` records the requests of callers that get no response,
     ``refuse_late`` responds to those that arrive after the shutdown.
     """
 
@@ -50,7 +51,7 @@
     health: Handler
     servers: Handler
     metrics: Handler
-    record_ignored: Callable[[InboundRequest], None]
+    record_unanswered: UnansweredListener
     refuse_late: Refuser
 
 
@@ -94,7 +95,7 @@
             _CALLER_LIMITS,
             handlers.refuse_late,
         )
-        self._callers.on_ignored(handlers.record_ignored)
+        self._callers.on_unanswered(handlers.record_unanswered)
         self._peers = self._make(listen.peers, handlers.peers, _PEER_LIMITS)
         self._others = [
             self._make(listen.health, handlers.health),
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -51,7 +51,7 @@
 from bluebellslip._internal.proxy.response_sizes import ResponseSizes
 from bluebellslip._internal.proxy.server_gateway import ServerGateway
 from bluebellslip._internal.proxy.server_selection import ServerSelector
-from bluebellslip._internal.proxy.trace import IgnoredRequestRecorder
+from bluebellslip._internal.proxy.trace import UnansweredRequestRecorder
 from bluebellslip._internal.proxy.withdrawals import (
     WITHDRAWAL_QUERY,
     OpenAttempts,
@@ -349,7 +349,7 @@
         health=adapter.make_health_handler(node),
         servers=adapter.make_server_handler(node),
         metrics=MetricsHandler(environment.read_metrics),
-        record_ignored=IgnoredRequestRecorder(
+        record_unanswered=UnansweredRequestRecorder(
             adapter.metadata_headers, environment.counters
         ),
         refuse_late=data_plane.callers.refuse,
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/trace.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/trace.py
@@ -153,10 +153,10 @@
         }
 
 
-class IgnoredRequestRecorder:
+class UnansweredRequestRecorder:
     """Records the requests of callers that get no response.
 
-    They arrive on a connection that the node is closing.
+    Requests that are being served are left out; they have an outcome.
 
     Parameters
     ----------
@@ -172,15 +172,15 @@
         self._metadata_headers = metadata_headers
         self._counters = counters
 
-    def __call__(self, request: InboundRequest) -> None:
-        """Record a request."""
-        self._counters.add('requests_ignored')
+    def __call__(self, request: InboundRequest, outcome: str) -> None:
+        """Record a request and why it gets no response."""
+        self._counters.add('requests_unanswered', outcome=outcome)
         request_id = request.fields.get(self._metadata_headers.request_id, b'')
         logger.info(
-            'request_ignored',
+            'request_unanswered',
             extra={
                 'request': request_id.decode('latin-1'),
                 'target': request.target.decode('latin-1'),
-                'outcome': 'ignored',
+                'outcome': outcome,
             },
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -135,9 +135,11 @@
         'A request got an error response from the node, or no response.',
         (*_REQUEST, 'reason', 'detail'),
     ),
-    'request_ignored': Event(
-        'A request arrived on a connection that the node was closing; it was '
-        'not run, and its caller got no response.',
+    'request_unanswered': Event(
+        'The caller of a request got no response; the outcome says why: it '
+        'arrived on a connection that the node was closing (ignored), its '
+        'caller left before it was started (caller-left-waiting), or left '
+        'while the response waited for earlier ones (undelivered).',
         ('request', 'target', 'outcome'),
     ),
     'visit_failed': Event(
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/stdout_logs.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/stdout_logs.py
@@ -20,8 +20,8 @@
 
 REQUEST_EVENTS: Final = frozenset((
     'request_failed',
-    'request_ignored',
     'request_served',
+    'request_unanswered',
     'visit_failed',
     'visit_served',
 ))
@@ -30,9 +30,11 @@
 UNANSWERED_OUTCOMES: Final = frozenset((
     'broken-off',
     'caller-left',
+    'caller-left-waiting',
     'connection-closed',
     'cut-off',
     'ignored',
+    'undelivered',
 ))
 # A line costs about fifty microseconds, so this rate uses 0.5 % of a core.
 MAX_REQUEST_LINES_PER_SECOND: Final = 100
--- a/tests/functional/test_caller_connections.py
+++ b/tests/functional/test_caller_connections.py
@@ -9,7 +9,9 @@
 
 import pytest
 
+from bluebellslip._internal.calls.limits import CallerLimits
 from bluebellslip._internal.calls.listener import Listener
+from bluebellslip._internal.calls.request import InboundRequest
 from lib.calls import Caller
 from lib.scripted_listener import (
     LARGE_BYTES,
@@ -66,6 +68,32 @@
     assert not any(request.closed_by_node for request in handler.requests)
 
 
+async def test_each_request_of_a_caller_that_left_is_accounted_for() -> None:
+    """One is running, one is done behind it, and one waits for its turn."""
+    handler = ScriptedHandler()
+    unanswered: list[tuple[bytes, str]] = []
+
+    def record(request: InboundRequest, outcome: str) -> None:
+        unanswered.append((request.target, outcome))
+
+    async with listening(handler, CallerLimits(max_pipelined=2)) as listener:
+        listener.on_unanswered(record)
+        caller = await Caller.open(listener.address)
+        caller.writer.write(b''.join(map(encode_get, ('/1', '/2', '/3'))))
+        await wait_until(lambda: handler.has_started('/2'))
+        handler.allow('/2')
+        await asyncio.sleep(0.1)
+        caller.close()
+        await asyncio.sleep(0.1)
+        # Reading is paused for the waiting request.
+        listener.close_idle()
+        await wait_until(lambda: handler.has_cancelled('/1'))
+    assert unanswered == [
+        (b'/3', 'caller-left-waiting'),
+        (b'/2', 'undelivered'),
+    ]
+
+
 async def test_response_is_not_lost_when_input_follows_it() -> None:
     """Closing a socket with unread input would discard its unsent output."""
     handler = ScriptedHandler()
--- a/tests/unit/test_logs_and_metrics.py
+++ b/tests/unit/test_logs_and_metrics.py
@@ -92,12 +92,12 @@
         handler.emit(make_record('request_failed', outcome='503'))
     handler.emit(make_record('request_served', outcome='caller-left'))
     for _ in range(MAX_REQUEST_LINES_PER_SECOND * 2):
-        handler.emit(make_record('request_ignored', outcome='ignored'))
+        handler.emit(make_record('request_unanswered', outcome='ignored'))
     os.close(write)
     lines = os.fdopen(read).read().splitlines()
     assert lines.count('request_failed') == MAX_REQUEST_LINES_PER_SECOND
     assert lines.count('request_served') == 1
-    assert lines.count('request_ignored') == MAX_REQUEST_LINES_PER_SECOND - 1
+    assert lines.count('request_unanswered') == MAX_REQUEST_LINES_PER_SECOND - 1
 
 
 def test_stalled_reader_does_not_block_logging() -> None:
