Keep a version that never proves good within its canary share

Cause: since roll-outs wait for an idle old version, a target version that has handled few requests got all of them from nine tenths of the time on. One that rejects most requests handles few, but they count: at an even load it gets 0.136 of all, with 0.1 allowed.

Change: it gets all of them from 0.945 of the time on, which keeps the sum at 0.093 by calculation.

--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/plan.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/plan.py
@@ -19,8 +19,10 @@
 COMPLETE_AT: Final = 0.78
 DECISION_DEADLINE: Final = 0.95
 # Fraction from which the target version gets all requests although it has
-# handled few, so that the other versions are idle at the decision deadline.
-LATE_HAND_OVER_AT: Final = 0.9
+# handled few, so that the other versions begin to run dry before the decision
+# deadline. With the first share until then, it gets no more than the canary
+# share of all requests.
+LATE_HAND_OVER_AT: Final = 0.945
 # Longest wait, as a fraction, for the last requests at servers of the other
 # versions. A completion that is late costs more than a request that is cut.
 HAND_OVER_LIMIT: Final = 0.1
--- a/tests/unit/test_rollout_tracker.py
+++ b/tests/unit/test_rollout_tracker.py
@@ -172,6 +172,9 @@
     assert restarted.snapshot(learned).age >= 4 * SECOND
 
 
+_CANARY_SHARE = 0.1
+
+
 class HandOver:
     """A roll-out of 15 s, seen by a node beside neither version's server."""
 
@@ -180,7 +183,11 @@
         self.old = make_endpoint('a')
         endpoints = [self.old, make_endpoint('b', version=_NEW)]
         self.tracker = RolloutTracker(
-            self.clock, NodeId('me'), 1, 0.1, lambda service: endpoints
+            self.clock,
+            NodeId('me'),
+            1,
+            _CANARY_SHARE,
+            lambda service: endpoints,
         )
         self.tracker.is_loaded = True
         self.rollout = self.tracker.add_order(make_order(), dt.timedelta())
@@ -273,6 +280,17 @@
     assert hand_over.action is RolloutAction.COMPLETE
 
 
+def test_version_that_never_proves_good_gets_its_canary_share_at_most() -> None:
+    """All requests of the roll-out count, also those it has not handled."""
+    hand_over = HandOver(target_calls=0)
+    steps = 1000
+    shares = []
+    for step in range(steps):
+        hand_over.advance(step / steps)
+        shares.append(hand_over.rollout.share)
+    assert sum(shares) / steps <= _CANARY_SHARE
+
+
 def test_bad_version_gets_no_late_hand_over() -> None:
     hand_over = HandOver(target_calls=0)
     hand_over.rollout.is_bad = True
