--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
@@ -14,19 +14,15 @@
 from bluebellslip._internal.fleet.peer_table import Endpoint, PeerTable
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.identity import NodeId, ServiceName
-from bluebellslip._internal.proxy.estimates import (
-    compute_mean_hold_time,
-    find_shortest_hold_time,
-)
 from bluebellslip._internal.proxy.forwarding import (
     AttemptResult,
     RequestForwarder,
 )
 from bluebellslip._internal.proxy.request_cutoffs import make_stop_error
+from bluebellslip._internal.proxy.request_retries import RequestRetries
 from bluebellslip._internal.proxy.response_sizes import ResponseSizes
 from bluebellslip._internal.proxy.responses import BufferedResponse
 from bluebellslip._internal.proxy.retry_budget import SharedRetryBudget
-from bluebellslip._internal.proxy.retry_rules import FailedAttempt, may_retry
 from bluebellslip._internal.proxy.routed_request import (
     AttemptOptions,
     RoutedRequest,
@@ -110,9 +106,15 @@
     ) -> None:
         self._context = context
         self._routed = routed
-        self._max_servers = max_servers
-        self._budget = budget
         self._trace = trace
+        self._retries = RequestRetries(
+            context.clock,
+            context.peer_table,
+            routed,
+            max_servers,
+            budget,
+            trace,
+        )
         self._for_target = context.versions.choose_target(routed.service)
         self._refused: set[NodeId] = set()
         self._reached: set[NodeId] = set()
@@ -138,7 +140,9 @@
                 self._record_size(result.response)
                 return result.response
             self._update_target(result)
-            if not may_retry(self._describe_failure(result), self._spend_retry):
+            if not self._retries.allow(
+                result, len(self._list_untried()), len(self._reached)
+            ):
                 return self._finish(result)
 
     def _record_size(self, response: BufferedResponse | None) -> None:
@@ -164,26 +168,6 @@
             raise NoServerError('No server responded.')
         raise result.error
 
-    def _describe_failure(self, result: AttemptResult) -> FailedAttempt:
-        routed = self._routed
-        endpoints = self._context.peer_table.endpoints(routed.service)
-        reply = routed.request.reply
-        return FailedAttempt(
-            is_repeatable=routed.is_repeatable,
-            may_have_run=result.may_have_run,
-            reached=result.reached,
-            replayable=routed.upload.replayable and not reply.started,
-            untried=len(self._list_untried()),
-            servers_reached=len(self._reached),
-            max_servers=self._max_servers,
-            time_left=routed.cutoff - self._context.clock.elapsed(),
-            mean_hold_time=compute_mean_hold_time(endpoints, routed.route),
-            shortest_hold_time=find_shortest_hold_time(endpoints, routed.route),
-        )
-
-    def _spend_retry(self) -> bool:
-        return self._budget.try_spend(self._context.peer_table.size + 1)
-
     def _list_untried(self) -> list[Endpoint]:
         """Return the servers that may still be tried."""
         if self._context.forwarder.stopped:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -135,6 +135,7 @@
             routed = self._make_routed_request(table, rule, request)
             trace.route = rule.name
             trace.service = routed.service
+            trace.from_retry = routed.from_retry
             trace.revision = table.config.revision
             trace.time_left_ms = to_ms(routed.deadline - trace.started)
             await self._serve(routed, rule, trace)
@@ -375,13 +376,23 @@
         self._counters.observe(
             'request_seconds', spent.total_seconds(), route=trace.route
         )
+        self._count_decisions(trace)
         if error is not None:
             fields = trace.describe(outcome, spent)
             fields |= {'reason': error.kind.value, 'detail': str(error)}
             logger.info('request_failed', extra=fields)
-        elif len(trace.attempts) > 1 or is_sampled(trace.request_id):
+        elif trace.has_failed_attempt or is_sampled(trace.request_id):
             logger.info('request_served', extra=trace.describe(outcome, spent))
 
+    def _count_decisions(self, trace: RequestTrace) -> None:
+        for attempt in trace.attempts:
+            if attempt.decision:
+                self._counters.add(
+                    'failed_attempts',
+                    service=trace.service,
+                    decision=attempt.decision,
+                )
+
 
 def _choose_length(length: int | None, body: bytes, method: bytes) -> int:
     """Return the Content-Length to send; for HEAD, that of the server."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_budget.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_budget.py
@@ -8,6 +8,7 @@
 only DIRECT_RETRY_SHARE of its part of the limit.
 """
 
+import dataclasses
 import datetime as dt
 from collections import deque
 from typing import Final
@@ -52,6 +53,29 @@
         return self._total
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BudgetState:
+    """State of a node's retry budget for one service, for the log.
+
+    Parameters
+    ----------
+    requests
+        Requests in the window.
+    allowed
+        Retries that they and the reserve allow.
+    retries
+        Retries of these requests in the window.
+    calls
+        Calls in the window that count as retries, since their parent requests
+        were retried.
+    """
+
+    requests: int
+    allowed: float
+    retries: int
+    calls: int
+
+
 class SharedRetryBudget:
     """One node's share of the retry budget for one service.
 
@@ -82,6 +106,7 @@
         # One step more, so that every retry is counted for at least the full
         # length of the window.
         self._retries = _WindowCounter(step, _WINDOW_STEPS + 1)
+        self._calls = _WindowCounter(step, _WINDOW_STEPS + 1)
 
     def record_request(self, *, from_retry: bool = False) -> None:
         """Count a request.
@@ -93,7 +118,7 @@
             then counts as a retry.
         """
         now = self._clock.elapsed()
-        counter = self._retries if from_retry else self._requests
+        counter = self._calls if from_retry else self._requests
         # Discards the steps that have left the window.
         counter.read(now)
         counter.add(now)
@@ -106,10 +131,25 @@
         nodes
             Number of nodes that share the reserve.
         """
-        now = self._clock.elapsed()
-        allowed = self._requests.read(now) * self._ratio
-        allowed += self._reserve / max(1, nodes)
-        if self._retries.read(now) + 1 > allowed:
+        state = self.read_state(nodes)
+        if state.retries + state.calls + 1 > state.allowed:
             return False
-        self._retries.add(now)
+        self._retries.add(self._clock.elapsed())
         return True
+
+    def read_state(self, nodes: int) -> BudgetState:
+        """Return the state of the budget.
+
+        Parameters
+        ----------
+        nodes
+            Number of nodes that share the reserve.
+        """
+        now = self._clock.elapsed()
+        requests = self._requests.read(now)
+        return BudgetState(
+            requests=requests,
+            allowed=requests * self._ratio + self._reserve / max(1, nodes),
+            retries=self._retries.read(now),
+            calls=self._calls.read(now),
+        )
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_rules.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_rules.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import datetime as dt
+import enum
 from collections.abc import Callable
 from typing import Final
 
@@ -18,6 +19,28 @@
 MIN_TIME_SHARE: Final = 0.5
 
 
+@enum.unique
+class RetryDecision(enum.StrEnum):
+    """Whether a request is sent to another server, or why not.
+
+    ``RETRY`` uses the retry budget, ``NEXT_SERVER`` does not.
+    """
+
+    RETRY = 'retry'
+    NEXT_SERVER = 'next-server'
+    MAY_HAVE_RUN = 'may-have-run'
+    NOT_REPLAYABLE = 'not-replayable'
+    NO_SERVER_LEFT = 'no-server-left'
+    NO_TIME_LEFT = 'no-time-left'
+    MAX_SERVERS_REACHED = 'max-servers-reached'
+    BUDGET_SPENT = 'budget-spent'
+
+    @property
+    def allows_attempt(self) -> bool:
+        """Whether another server is tried."""
+        return self in {RetryDecision.RETRY, RetryDecision.NEXT_SERVER}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FailedAttempt:
     """State of a request after a failed attempt.
@@ -58,8 +81,10 @@
     shortest_hold_time: dt.timedelta
 
 
-def may_retry(attempt: FailedAttempt, try_spend: Callable[[], bool]) -> bool:
-    """Return whether the request may be sent to another server.
+def decide_retry(
+    attempt: FailedAttempt, try_spend: Callable[[], bool]
+) -> RetryDecision:
+    """Decide whether the request is sent to another server.
 
     Parameters
     ----------
@@ -69,17 +94,29 @@
         Takes a retry from the budget and returns whether the budget allowed it;
         called only if nothing else prevents the retry.
     """
-    if attempt.may_have_run and not attempt.is_repeatable:
-        return False
-    if not attempt.replayable or not attempt.untried:
-        return False
-    if attempt.time_left <= dt.timedelta():
-        return False
+    obstacle = _find_obstacle(attempt)
+    if obstacle is not None:
+        return obstacle
     if not attempt.reached:
-        return attempt.time_left > attempt.shortest_hold_time * MIN_TIME_SHARE
-    if attempt.servers_reached >= attempt.max_servers:
-        return False
-    return (
-        attempt.time_left > attempt.mean_hold_time * MIN_TIME_SHARE
-        and try_spend()
+        return RetryDecision.NEXT_SERVER
+    return RetryDecision.RETRY if try_spend() else RetryDecision.BUDGET_SPENT
+
+
+def _find_obstacle(attempt: FailedAttempt) -> RetryDecision | None:
+    """Return what prevents a retry, apart from the budget."""
+    if attempt.may_have_run and not attempt.is_repeatable:
+        return RetryDecision.MAY_HAVE_RUN
+    if not attempt.replayable:
+        return RetryDecision.NOT_REPLAYABLE
+    if not attempt.untried:
+        return RetryDecision.NO_SERVER_LEFT
+    if attempt.reached and attempt.servers_reached >= attempt.max_servers:
+        return RetryDecision.MAX_SERVERS_REACHED
+    hold_time = (
+        attempt.mean_hold_time
+        if attempt.reached
+        else attempt.shortest_hold_time
     )
+    if attempt.time_left <= hold_time * MIN_TIME_SHARE:
+        return RetryDecision.NO_TIME_LEFT
+    return None
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/trace.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/trace.py
@@ -10,6 +10,7 @@
 from bluebellslip._internal.calls.request import InboundRequest
 from bluebellslip._internal.fleet.peer_table import Endpoint
 from bluebellslip._internal.kernel.counters import Counters
+from bluebellslip._internal.proxy.retry_budget import BudgetState
 
 logger = logging.getLogger(__name__)
 
@@ -53,6 +54,9 @@
         Outcome of the attempt; ``open`` while it is running.
     spent_ms
         Duration of the attempt in milliseconds.
+    decision
+        Whether the request was retried after it failed, or why not; empty if
+        it did not fail.
     """
 
     node: str
@@ -64,6 +68,7 @@
     started: dt.timedelta
     outcome: str = 'open'
     spent_ms: float = 0
+    decision: str = ''
 
     @classmethod
     def from_endpoint(
@@ -99,6 +104,7 @@
             'begun_ms': to_ms(self.started - since),
             'outcome': self.outcome,
             'spent_ms': self.spent_ms,
+            'decision': self.decision,
         }
 
     def end(self, outcome: str, now: dt.timedelta) -> None:
@@ -127,6 +133,10 @@
         Time from its arrival to its deadline in milliseconds.
     attempts
         The attempts at servers.
+    from_retry
+        Whether it is a call of a server that runs a retried request.
+    budget
+        The retry budget that refused the last retry, if one did.
     """
 
     request_id: str
@@ -136,6 +146,15 @@
     revision: int = 0
     time_left_ms: float = 0
     attempts: list[AttemptTrace] = dataclasses.field(default_factory=list)
+    from_retry: bool = False
+    budget: BudgetState | None = None
+
+    @property
+    def has_failed_attempt(self) -> bool:
+        """Whether a server failed, or another one was tried."""
+        return len(self.attempts) > 1 or any(
+            attempt.decision for attempt in self.attempts
+        )
 
     def describe(self, outcome: str, spent: dt.timedelta) -> dict[str, object]:
         """Return the fields of the request's log line."""
@@ -147,6 +166,8 @@
             'outcome': outcome,
             'spent_ms': to_ms(spent),
             'time_left_ms': self.time_left_ms,
+            'from_retry': self.from_retry,
+            'budget': self.budget and dataclasses.asdict(self.budget),
             'attempts': [
                 attempt.describe(self.started) for attempt in self.attempts
             ],
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -34,6 +34,8 @@
     'outcome',
     'spent_ms',
     'time_left_ms',
+    'from_retry',
+    'budget',
     'attempts',
 )
 _ROLLOUT: Final = ('service', 'target', 'order', 'state', 'share')
@@ -128,7 +130,8 @@
     'beacon_refused': Event('A beacon cannot be used.', ('peer', 'reason')),
     'request_served': Event(
         'A server responded to a request; only a sample of the requests '
-        'served at the first attempt is logged.',
+        'served at the first attempt is logged. The decision of a failed '
+        'attempt says whether the request was retried, or why not.',
         _REQUEST,
     ),
     'request_failed': Event(
--- a/tests/unit/test_retry_rules.py
+++ b/tests/unit/test_retry_rules.py
@@ -10,7 +10,10 @@
 import pytest
 
 from bluebellslip._internal.proxy.estimates import find_shortest_hold_time
-from bluebellslip._internal.proxy.retry_rules import FailedAttempt, may_retry
+from bluebellslip._internal.proxy.retry_rules import (
+    FailedAttempt,
+    decide_retry,
+)
 from lib.fleet import MS, ROUTE, make_endpoint
 
 _REFUSED = FailedAttempt(
@@ -36,10 +39,10 @@
     is_repeatable: bool,
 ) -> None:
     refused = dataclasses.replace(_REFUSED, is_repeatable=is_repeatable)
-    assert may_retry(refused, bool)
+    assert decide_retry(refused, bool).allows_attempt
     for time_left in (dt.timedelta(), -MS):
         expired = dataclasses.replace(refused, time_left=time_left)
-        assert not may_retry(expired, lambda: True)
+        assert not decide_retry(expired, lambda: True).allows_attempt
 
 
 @pytest.mark.parametrize(
@@ -51,7 +54,7 @@
     attempt = dataclasses.replace(
         _REFUSED, time_left=time_left, shortest_hold_time=300 * MS
     )
-    assert may_retry(attempt, never_spend) is expected
+    assert decide_retry(attempt, never_spend).allows_attempt is expected
 
 
 def test_one_slow_server_keeps_no_request_from_the_others() -> None:
