--- a/tests/functional/test_platform_retries.py
+++ b/tests/functional/test_platform_retries.py
@@ -5,7 +5,10 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 
+import anyio
+import msgspec
 import pytest
 
 from bluebellslip._internal.models.mesh_settings import Bounds
@@ -33,9 +36,10 @@
 
 
 class Portal:
-    """Servers that call the store once in each run, and fail if it fails."""
+    """Servers that call the store in each run, and fail if a call fails."""
 
-    def __init__(self, store: SimulatedStore) -> None:
+    def __init__(self, store: SimulatedStore, calls: int = 1) -> None:
+        self._calls = calls
         self.nodes = [
             PlatformNode(
                 f'portal-{number}', 'portal', store, self._make(number)
@@ -51,9 +55,17 @@
             request: ReceivedRequest,
         ) -> None:
             self._runs += 1
-            call_id = f'{request.headers["x-request-id"]}.{self._runs}'
-            response = await self.nodes[number].call('/read/1', call_id)
-            status = 200 if response.status == 200 else 500
+            parent = request.headers['x-request-id']
+            call_ids = [
+                f'{parent}.{self._runs}{"-" * call}'
+                for call in range(self._calls)
+            ]
+            responses = [
+                await self.nodes[number].call('/read/1', call_id)
+                for call_id in call_ids
+            ]
+            is_failed = any(response.status != 200 for response in responses)
+            status = 500 if is_failed else 200
             writer.write(encode_signed_response(request, b'page', status))
 
         return handler
@@ -75,6 +87,83 @@
         writer.write(encode_not_executed())
 
 
+class SheddingPortal(Portal):
+    """Portal servers of which the first to get a request refuses it."""
+
+    def __init__(self, store: SimulatedStore, calls: int = 1) -> None:
+        self._refused: set[str] = set()
+        super().__init__(store, calls)
+
+    def _make(self, number: int) -> RequestHandler:
+        run = super()._make(number)
+
+        async def handler(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+            request: ReceivedRequest,
+        ) -> None:
+            request_id = request.headers['x-request-id']
+            if request_id in self._refused:
+                await run(reader, writer, request)
+                return
+            self._refused.add(request_id)
+            writer.write(encode_not_executed())
+
+        return handler
+
+
+def set_bounds(nodes: Sequence[PlatformNode], bounds: Bounds) -> None:
+    for node in nodes:
+        node.node._data_plane.callers.apply(bounds)
+
+
+def make_nodes(
+    store: SimulatedStore,
+    portal: Portal,
+    shedding: SheddingStore,
+    others: Sequence[PlatformNode] = (),
+) -> tuple[PlatformNode, list[PlatformNode]]:
+    """Return a node whose server gets no requests, and all nodes."""
+    front = PlatformNode('front', 'art', store, respond_signed(b'art'))
+    backs = [
+        PlatformNode(f'store-{number}', 'store', store, shedding.handle)
+        for number in range(2)
+    ]
+    nodes = [front, *others, *portal.nodes, *backs]
+    set_bounds(nodes, _BOUNDS)
+    store.put('op', 'config', _CONFIG)
+    return front, nodes
+
+
+async def test_request_whose_call_was_refused_is_not_retried() -> None:
+    """Its call was retried; another run would only repeat it once more."""
+    store, shedding = SimulatedStore(), SheddingStore()
+    front, nodes = make_nodes(store, Portal(store), shedding)
+    async with run_nodes(store, nodes):
+        response = await front.call('/page/1', 'r1')
+    assert response.status == 500
+    assert shedding.arrivals == ['r1.1', 'r1.1']
+
+
+async def test_calls_of_retried_requests_stay_within_the_limit_of_their_service() -> (  # ruff: ignore[line-too-long]
+    None
+):
+    """Each of nine nodes retries one request, and each run makes four calls."""
+    store, shedding = SimulatedStore(), SheddingStore()
+    portal = SheddingPortal(store, calls=4)
+    fronts = [
+        PlatformNode(f'front-{number}', 'art', store, respond_signed(b'art'))
+        for number in range(8)
+    ]
+    front, nodes = make_nodes(store, portal, shedding, fronts)
+    limit = 2 * len(nodes)
+    set_bounds(nodes, msgspec.structs.replace(_BOUNDS, retry_reserve=limit))
+    async with run_nodes(store, nodes), anyio.create_task_group() as group:
+        for number, node in enumerate((front, *fronts)):
+            group.start_soon(node.call, '/page/1', f'r{number}')
+    assert len(shedding.arrivals) <= limit
+
+
 async def test_call_of_a_retried_request_uses_the_budget_of_its_service() -> (
     None
 ):
