--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -49,6 +49,8 @@
 from bluebellslip._internal.proxy.ingress import PeerHandler
 from bluebellslip._internal.proxy.peer_queries import PeerQueries
 from bluebellslip._internal.proxy.response_sizes import ResponseSizes
+from bluebellslip._internal.proxy.retry_budgets import RetryBudgets
+from bluebellslip._internal.proxy.running_requests import RunningRequests
 from bluebellslip._internal.proxy.server_gateway import ServerGateway
 from bluebellslip._internal.proxy.server_selection import ServerSelector
 from bluebellslip._internal.proxy.trace import UnansweredRequestRecorder
@@ -78,6 +80,7 @@
     rollout_tracker: RolloutTracker
     store_health: StoreHealth
     watcher_selection: WatcherSelection
+    retry_budgets: RetryBudgets
 
     @classmethod
     def from_settings(
@@ -121,6 +124,9 @@
             ),
             store_health=store_health,
             watcher_selection=WatcherSelection(peer_table, store_health),
+            retry_budgets=RetryBudgets(
+                clock, settings.bounds, lambda: peer_table.size + 1
+            ),
         )
 
     def watches_store(self) -> bool:
@@ -167,6 +173,7 @@
             adapter.metadata_headers,
             version_selector,
             outcome_recorder,
+            RunningRequests(state.retry_budgets),
         )
         server_selector = ServerSelector(
             clock,
@@ -199,7 +206,6 @@
                 CallerSettings(
                     ServiceName(settings.service),
                     adapter.metadata_headers,
-                    settings.bounds,
                 ),
                 RoutingContext(
                     clock=clock,
@@ -210,6 +216,7 @@
                     ),
                     versions=version_selector,
                     sizes=ResponseSizes(),
+                    budgets=state.retry_budgets,
                 ),
                 state.holder,
                 environment.random,
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
@@ -22,7 +22,7 @@
 from bluebellslip._internal.proxy.request_retries import RequestRetries
 from bluebellslip._internal.proxy.response_sizes import ResponseSizes
 from bluebellslip._internal.proxy.responses import BufferedResponse
-from bluebellslip._internal.proxy.retry_budget import SharedRetryBudget
+from bluebellslip._internal.proxy.retry_budgets import RetryBudgets
 from bluebellslip._internal.proxy.routed_request import (
     AttemptOptions,
     RoutedRequest,
@@ -74,6 +74,7 @@
     forwarder: RequestForwarder
     versions: VersionChooser
     sizes: ResponseSizes
+    budgets: RetryBudgets
 
 
 class Attempts:
@@ -90,8 +91,6 @@
         The request.
     max_servers
         Maximum number of servers that the request may reach.
-    budget
-        Retry budget of the service.
     trace
         Records the attempts for the log.
     """
@@ -101,7 +100,6 @@
         context: RoutingContext,
         routed: RoutedRequest,
         max_servers: int,
-        budget: SharedRetryBudget,
         trace: RequestTrace,
     ) -> None:
         self._context = context
@@ -112,7 +110,7 @@
             context.peer_table,
             routed,
             max_servers,
-            budget,
+            context.budgets,
             trace,
         )
         self._for_target = context.versions.choose_target(routed.service)
@@ -134,6 +132,10 @@
             or when no server can be chosen for an attempt, even if an earlier
             one got a response with a server error.
         """
+        with self._retries:
+            return await self._run()
+
+    async def _run(self) -> BufferedResponse | None:
         while True:
             result = await self._attempt(self._choose())
             if result.error is None and not self._is_failure(result):
@@ -263,5 +265,7 @@
         endpoint.in_flight -= 1
         tried = self._reached if result.reached else self._refused
         tried.add(endpoint.node)
+        if result.reached:
+            self._retries.record_arrival()
         self.may_have_run = self.may_have_run or result.may_have_run
         trace.end(result.outcome, self._context.clock.elapsed())
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/caller_settings.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/caller_settings.py
@@ -4,7 +4,6 @@
 
 from bluebellslip._internal.calls.metadata_headers import MetadataHeaders
 from bluebellslip._internal.models.identity import ServiceName
-from bluebellslip._internal.models.mesh_settings import Bounds
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,10 +16,7 @@
         Service of the local server, sent to servers as the caller.
     metadata_headers
         Names of the headers that callers and servers use.
-    bounds
-        Limits of the deployment.
     """
 
     service: ServiceName
     metadata_headers: MetadataHeaders
-    bounds: Bounds
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -1,7 +1,6 @@
 """Outbound side: requests of clients and of the local server."""
 
 import asyncio
-import dataclasses
 import datetime as dt
 import logging
 from collections.abc import Callable
@@ -21,6 +20,7 @@
     MalformedError,
     NotFoundError,
     NotReadyError,
+    OverloadedError,
     TooLargeError,
 )
 from bluebellslip._internal.kernel.counters import Counters
@@ -42,7 +42,6 @@
 )
 from bluebellslip._internal.proxy.responses import BufferedResponse
 from bluebellslip._internal.proxy.retry_after import choose_retry_after
-from bluebellslip._internal.proxy.retry_budget import SharedRetryBudget
 from bluebellslip._internal.proxy.routed_request import (
     MAX_REPLAY_BYTES,
     RoutedRequest,
@@ -100,7 +99,6 @@
         self._holder = holder
         self._random = random_source
         self._counters = counters
-        self._budgets: dict[ServiceName, SharedRetryBudget] = {}
         self._caller_waits = CallerWaitEstimator(context.clock)
         self._running = running
         self._cutoffs = RequestCutoffs(context.clock)
@@ -108,9 +106,7 @@
 
     def apply(self, bounds: Bounds) -> None:
         """Apply new limits of the deployment from now on."""
-        if bounds != self._settings.bounds:
-            self._settings = dataclasses.replace(self._settings, bounds=bounds)
-            self._budgets.clear()
+        self._context.budgets.apply(bounds)
 
     def set_cutoff(self, latest: dt.timedelta) -> None:
         """Respond to all requests, running or new, by a time.
@@ -208,8 +204,8 @@
         deadline = now + timeout
         objective = now + rule.target_latency - spent
         request_id = self._read_id(request)
-        depth = int(self._running.has_parent(request_id))
-        if depth:
+        parent = self._running.find_parent(request_id)
+        if parent is not None:
             # The parent request waits until the deadline, so an earlier
             # response gains nothing.
             objective = deadline
@@ -225,8 +221,8 @@
             cutoff=deadline,
             objective=objective,
             caller=self._settings.service,
-            depth=depth,
-            from_retry=self._running.has_retried_parent(request_id),
+            depth=int(parent is not None),
+            parent=parent,
         )
 
     def _read_timeout_ms(self, request: InboundRequest) -> int | None:
@@ -236,28 +232,12 @@
         )
         return min(int(text), _MAX_TIMEOUT_MS) if text.isdigit() else None
 
-    def _get_budget(self, service: ServiceName) -> SharedRetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            bounds = self._settings.bounds
-            budget = SharedRetryBudget(
-                self._context.clock,
-                bounds.retry_ratio,
-                bounds.retry_reserve,
-                dt.timedelta(seconds=bounds.retry_window),
-            )
-            self._budgets[service] = budget
-        return budget
-
     async def _serve(
         self, routed: RoutedRequest, rule: RouteRule, trace: RequestTrace
     ) -> None:
-        budget = self._get_budget(routed.service)
-        budget.record_request(from_retry=routed.from_retry)
-        attempts = Attempts(
-            self._context, routed, rule.max_attempts, budget, trace
-        )
+        attempts = Attempts(self._context, routed, rule.max_attempts, trace)
         try:
+            self._count_request(routed)
             async with self._cutoffs.enforce(routed):
                 response = await attempts.run()
         except TimeoutError:
@@ -283,6 +263,24 @@
             routed.request, error, trace, may_have_run=attempts.may_have_run
         )
 
+    def _count_request(self, routed: RoutedRequest) -> None:
+        """Count a request in the retry budget of its service.
+
+        Raises
+        ------
+        OverloadedError
+            When it is a call of a retried request that the budget doesn't
+            allow.
+        """
+        if not routed.from_retry:
+            self._context.budgets.record_request(routed.service)
+        if routed.parent is None or routed.parent.record_call(routed.service):
+            return
+        raise OverloadedError(
+            'The retry budget does not allow this call of a retried request.',
+            context={'service': routed.service},
+        )
+
     def _count_outgoing(self, routed: RoutedRequest, *, failed: bool) -> None:
         if routed.service != self._settings.service:
             self._on_outgoing(failed)
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_retries.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_retries.py
@@ -7,7 +7,11 @@
     find_shortest_hold_time,
 )
 from bluebellslip._internal.proxy.forwarding import AttemptResult
-from bluebellslip._internal.proxy.retry_budget import SharedRetryBudget
+from bluebellslip._internal.proxy.retry_budget import (
+    RetryPurpose,
+    RetryReservation,
+)
+from bluebellslip._internal.proxy.retry_budgets import RetryBudgets
 from bluebellslip._internal.proxy.retry_rules import (
     FailedAttempt,
     RetryDecision,
@@ -20,18 +24,20 @@
 class RequestRetries:
     """Decides on the retries of one request and records the decisions.
 
+    A context manager: its end returns a retry that no server has received.
+
     Parameters
     ----------
     clock
         The node's clock.
     peer_table
-        The servers, and the nodes that share the budget.
+        The servers.
     routed
         The request.
     max_servers
         Maximum number of servers that the request may reach.
-    budget
-        Retry budget of the service.
+    budgets
+        The node's retry budgets.
     trace
         Records the decisions for the log.
     """
@@ -42,15 +48,23 @@
         peer_table: PeerTable,
         routed: RoutedRequest,
         max_servers: int,
-        budget: SharedRetryBudget,
+        budgets: RetryBudgets,
         trace: RequestTrace,
     ) -> None:
         self._clock = clock
         self._peer_table = peer_table
         self._routed = routed
         self._max_servers = max_servers
-        self._budget = budget
+        self._budgets = budgets
         self._trace = trace
+        self._reservation: RetryReservation | None = None
+
+    def __enter__(self) -> None:
+        """Do nothing: nothing is reserved before the first retry."""
+
+    def __exit__(self, *raised: object) -> None:
+        if self._reservation is not None:
+            self._reservation.release()
 
     def allow(
         self, result: AttemptResult, untried: int, servers_reached: int
@@ -68,19 +82,23 @@
         """
         decision = decide_retry(
             self._describe_failure(result, untried, servers_reached),
-            self._spend,
+            self._reserve,
         )
         self._trace.attempts[-1].decision = decision.value
         if decision is RetryDecision.BUDGET_SPENT:
-            self._trace.budget = self._budget.read_state(self._node_count)
+            self._trace.budget = self._budgets.read_state(self._routed.service)
         return decision.allows_attempt
 
-    @property
-    def _node_count(self) -> int:
-        return self._peer_table.size + 1
+    def record_arrival(self) -> None:
+        """Count an attempt that may have reached a server."""
+        if self._reservation is not None:
+            self._reservation.record_arrival()
 
-    def _spend(self) -> bool:
-        return self._budget.try_spend(self._node_count)
+    def _reserve(self) -> bool:
+        self._reservation = self._budgets.reserve(
+            self._routed.service, RetryPurpose.RETRY
+        )
+        return self._reservation is not None
 
     def _describe_failure(
         self, result: AttemptResult, untried: int, servers_reached: int
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_budget.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_budget.py
@@ -2,23 +2,43 @@
 
 Prevents retry storms: each node may retry a share of the requests that it has
 handled itself, so the sum over all nodes stays within the deployment's limit.
-The server that runs a retry calls other services again. Such a call counts as a
-retry at the called service: it is charged to that budget, even beyond the
-limit, since refusing it would waste the retry that makes it. So each node uses
-only DIRECT_RETRY_SHARE of its part of the limit.
+
+What counts is the arrivals of retries at servers. A retry is reserved before it
+is sent and counted when it has arrived, so one that waits for a slot of its
+server stays within the window of its arrival, and one that no server has
+received is returned.
+
+The server that runs a retry calls other services again, and these calls count
+as retries at the called services. The node beside that server reserves them
+before the retry runs; see ``proxy/call_reservations.py``.
 """
 
 import dataclasses
 import datetime as dt
+import enum
 from collections import deque
 from typing import Final
 
 from bluebellslip._internal.kernel.clock import Clock
 
-DIRECT_RETRY_SHARE: Final = 0.5
+# Share of the limit that nodes use; the rest covers the retries that a node
+# forgets when it starts again.
+USED_SHARE: Final = 0.85
+# Share of what a node may use that calls of retried requests may take. A call
+# that is retried where it failed saves a run of its parent request, so it comes
+# first.
+CALL_SHARE: Final = 0.5
 _WINDOW_STEPS: Final = 10  # the window slides by one step at a time
 
 
+@enum.unique
+class RetryPurpose(enum.Enum):
+    """Why an arrival counts as a retry."""
+
+    RETRY = 'retry'
+    CALL = 'call'
+
+
 class _WindowCounter:
     """Counts events in a sliding window of fixed steps.
 
@@ -64,10 +84,10 @@
     allowed
         Retries that they and the reserve allow.
     retries
-        Retries of these requests in the window.
+        Retries of these requests in the window, and those reserved.
     calls
         Calls in the window that count as retries, since their parent requests
-        were retried.
+        were retried, and those reserved.
     """
 
     requests: int
@@ -99,43 +119,48 @@
         window: dt.timedelta,
     ) -> None:
         self._clock = clock
-        self._ratio = ratio * DIRECT_RETRY_SHARE
-        self._reserve = reserve * DIRECT_RETRY_SHARE
+        self._ratio = ratio * USED_SHARE
+        self._reserve = reserve * USED_SHARE
         step = window / _WINDOW_STEPS
         self._requests = _WindowCounter(step, _WINDOW_STEPS)
         # One step more, so that every retry is counted for at least the full
         # length of the window.
-        self._retries = _WindowCounter(step, _WINDOW_STEPS + 1)
-        self._calls = _WindowCounter(step, _WINDOW_STEPS + 1)
-
-    def record_request(self, *, from_retry: bool = False) -> None:
-        """Count a request.
-
-        Parameters
-        ----------
-        from_retry
-            Whether it is a call of a server that runs a retried request; it
-            then counts as a retry.
-        """
+        self._arrived = {
+            purpose: _WindowCounter(step, _WINDOW_STEPS + 1)
+            for purpose in RetryPurpose
+        }
+        self._reserved = dict.fromkeys(RetryPurpose, 0)
+
+    def record_request(self) -> None:
+        """Count a request, which is not a call of a retried one."""
         now = self._clock.elapsed()
-        counter = self._calls if from_retry else self._requests
         # Discards the steps that have left the window.
-        counter.read(now)
-        counter.add(now)
+        self._requests.read(now)
+        self._requests.add(now)
 
-    def try_spend(self, nodes: int) -> bool:
-        """Spend one retry and return whether the budget allowed it.
+    def reserve(
+        self, nodes: int, purpose: RetryPurpose, amount: int = 1
+    ) -> 'RetryReservation | None':
+        """Reserve retries, or return None if the budget doesn't allow them.
 
         Parameters
         ----------
         nodes
             Number of nodes that share the reserve.
+        purpose
+            What they are for.
+        amount
+            Number of retries.
         """
         state = self.read_state(nodes)
-        if state.retries + state.calls + 1 > state.allowed:
-            return False
-        self._retries.add(self._clock.elapsed())
-        return True
+        if state.retries + state.calls + amount > state.allowed:
+            return None
+        if (
+            purpose is RetryPurpose.CALL
+            and state.calls + amount > state.allowed * CALL_SHARE
+        ):
+            return None
+        return RetryReservation(self, purpose, amount)
 
     def read_state(self, nodes: int) -> BudgetState:
         """Return the state of the budget.
@@ -145,11 +170,61 @@
         nodes
             Number of nodes that share the reserve.
         """
-        now = self._clock.elapsed()
-        requests = self._requests.read(now)
+        requests = self._requests.read(self._clock.elapsed())
         return BudgetState(
             requests=requests,
             allowed=requests * self._ratio + self._reserve / max(1, nodes),
-            retries=self._retries.read(now),
-            calls=self._calls.read(now),
+            retries=self._count(RetryPurpose.RETRY),
+            calls=self._count(RetryPurpose.CALL),
         )
+
+    def change_reserved(self, purpose: RetryPurpose, amount: int) -> None:
+        """Change the number of retries that are reserved."""
+        self._reserved[purpose] += amount
+
+    def record_arrival(self, purpose: RetryPurpose) -> None:
+        """Count a retry that a server has received."""
+        now = self._clock.elapsed()
+        counter = self._arrived[purpose]
+        counter.read(now)
+        counter.add(now)
+
+    def _count(self, purpose: RetryPurpose) -> int:
+        arrived = self._arrived[purpose].read(self._clock.elapsed())
+        return arrived + self._reserved[purpose]
+
+
+class RetryReservation:
+    """Retries that were taken from a budget and have not arrived yet.
+
+    Parameters
+    ----------
+    budget
+        The budget.
+    purpose
+        What they are for.
+    amount
+        Number of retries.
+    """
+
+    def __init__(
+        self, budget: SharedRetryBudget, purpose: RetryPurpose, amount: int
+    ) -> None:
+        self._budget = budget
+        self._purpose = purpose
+        self._left = amount
+        budget.change_reserved(purpose, amount)
+
+    def record_arrival(self) -> bool:
+        """Count one of the retries as arrived; return False if none is left."""
+        if not self._left:
+            return False
+        self._left -= 1
+        self._budget.change_reserved(self._purpose, -1)
+        self._budget.record_arrival(self._purpose)
+        return True
+
+    def release(self) -> None:
+        """Return the retries that have not arrived."""
+        self._budget.change_reserved(self._purpose, -self._left)
+        self._left = 0
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
@@ -14,6 +14,7 @@
 from bluebellslip._internal.models.config import ExecutionSemantics
 from bluebellslip._internal.models.identity import RouteName, ServiceName
 from bluebellslip._internal.models.servers import Lifetime
+from bluebellslip._internal.proxy.running_requests import RunningRequest
 
 ROUTING_HEADER: Final = b'bluebell-work'
 LOAD_HEADER: Final = b'bluebell-server-load'
@@ -74,8 +75,9 @@
         The service that it came from.
     depth
         Number of requests known to wait for this one.
-    from_retry
-        Whether it is a call of a server that runs a retried request.
+    parent
+        The request of the local server that it is a call of; none if it isn't
+        one, or comes from another node.
     """
 
     request: InboundRequest
@@ -90,7 +92,12 @@
     objective: dt.timedelta
     caller: str
     depth: int = 0
-    from_retry: bool = False
+    parent: RunningRequest | None = None
+
+    @property
+    def from_retry(self) -> bool:
+        """Whether it is a call of a server that runs a retried request."""
+        return self.parent is not None and self.parent.is_retry
 
     @property
     def is_repeatable(self) -> bool:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/running_requests.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/running_requests.py
@@ -7,49 +7,123 @@
 suffix. A call with any other id is treated as a client's.
 """
 
+import dataclasses
 from collections import Counter
 from typing import Final
 
+from bluebellslip._internal.exceptions import OverloadedError
+from bluebellslip._internal.models.identity import RouteName, ServiceName
+from bluebellslip._internal.proxy.call_reservations import (
+    CallHistory,
+    CallReservations,
+)
+from bluebellslip._internal.proxy.retry_budgets import RetryBudgets
+
 _SEPARATORS: Final = (b'.', b'-', b':', b'/')
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class RunningRequest:
+    """A request that the local server is running.
+
+    Parameters
+    ----------
+    request_id
+        Id that its caller sent.
+    route
+        The route that it matched.
+    retry_calls
+        The calls reserved for it if it is a retry; otherwise none.
+    calls
+        The calls that it has made, by service.
+    """
+
+    request_id: bytes
+    route: RouteName
+    retry_calls: CallReservations | None = None
+    calls: Counter[ServiceName] = dataclasses.field(default_factory=Counter)
+
+    @property
+    def is_retry(self) -> bool:
+        """Whether it was retried, so that its calls count as retries."""
+        return self.retry_calls is not None
+
+    def record_call(self, service: ServiceName) -> bool:
+        """Count a call; return whether the retry budget allows it."""
+        self.calls[service] += 1
+        return self.retry_calls is None or self.retry_calls.spend(service)
+
+
 class RunningRequests:
-    """Ids of the requests that the local server is running."""
+    """The requests that the local server is running.
 
-    def __init__(self) -> None:
-        self._ids: Counter[bytes] = Counter()
-        self._retried_ids: Counter[bytes] = Counter()
+    Parameters
+    ----------
+    budgets
+        The node's retry budgets.
+    """
 
-    def begin(self, request_id: bytes, *, is_retry: bool = False) -> None:
-        """Record that a request was sent to the server."""
-        self._ids[request_id] += 1
-        if is_retry:
-            self._retried_ids[request_id] += 1
+    def __init__(self, budgets: RetryBudgets) -> None:
+        self._budgets = budgets
+        self._call_history = CallHistory()
+        self._running: dict[bytes, list[RunningRequest]] = {}
+
+    def prepare(
+        self, request_id: bytes, route: RouteName, *, is_retry: bool
+    ) -> RunningRequest:
+        """Return the run of a request that will be sent to the server.
 
-    def end(self, request_id: bytes, *, is_retry: bool = False) -> None:
-        """Record that the server has finished a request."""
-        _decrement(self._ids, request_id)
-        if is_retry:
-            _decrement(self._retried_ids, request_id)
+        The calls that a retry is expected to make are reserved.
+
+        Raises
+        ------
+        OverloadedError
+            When a retry budget doesn't allow these calls.
+        """
+        run = RunningRequest(request_id, route)
+        if not is_retry:
+            return run
+        run.retry_calls = CallReservations(self._budgets)
+        refusing = run.retry_calls.reserve(self._call_history.find_most(route))
+        if refusing is not None:
+            raise OverloadedError(
+                'The retry budget does not allow the calls of this retry.',
+                context={'service': refusing},
+            )
+        return run
+
+    def begin(self, run: RunningRequest) -> None:
+        """Record that a request was sent to the server."""
+        self._running.setdefault(run.request_id, []).append(run)
 
-    def has_parent(self, request_id: bytes) -> bool:
-        """Return whether a request is a child call of a running request."""
-        return _has_parent(self._ids, request_id)
+    def end(self, run: RunningRequest) -> None:
+        """End a run and return the calls that it did not make."""
+        if run.retry_calls is not None:
+            run.retry_calls.release()
+        runs = self._running.get(run.request_id, [])
+        if run not in runs:
+            return
+        self._call_history.record(run.route, run.calls)
+        runs.remove(run)
+        if not runs:
+            del self._running[run.request_id]
 
-    def has_retried_parent(self, request_id: bytes) -> bool:
-        """Return whether a request is a child call of a running retry."""
-        return _has_parent(self._retried_ids, request_id)
+    def forget_calls(self) -> None:
+        """Discard what earlier runs called, when the server is replaced."""
+        self._call_history.clear()
 
+    def find_parent(self, request_id: bytes) -> RunningRequest | None:
+        """Return the running request that a request is a child call of.
 
-def _decrement(ids: Counter[bytes], request_id: bytes) -> None:
-    ids[request_id] -= 1
-    if ids[request_id] <= 0:
-        del ids[request_id]
+        If the server runs it several times, a retry is returned.
+        """
+        for separator in _SEPARATORS:
+            parent_id, found, _ = request_id.rpartition(separator)
+            runs = self._running.get(parent_id) if found else None
+            if runs:
+                return max(runs, key=_is_retry)
+        return None
 
 
-def _has_parent(ids: Counter[bytes], request_id: bytes) -> bool:
-    return any(
-        request_id.rpartition(separator)[0] in ids
-        for separator in _SEPARATORS
-        if separator in request_id
-    )
+def _is_retry(run: RunningRequest) -> bool:
+    return run.is_retry
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -44,7 +44,10 @@
     RoutedRequest,
     ServerLoad,
 )
-from bluebellslip._internal.proxy.running_requests import RunningRequests
+from bluebellslip._internal.proxy.running_requests import (
+    RunningRequest,
+    RunningRequests,
+)
 from bluebellslip._internal.proxy.server_waits import ServerWait, ServerWaits
 
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
@@ -104,6 +107,8 @@
         Decides whether the server's version may receive a request.
     recorder
         Records the outcomes of requests at the server.
+    running
+        The requests that the server is running.
     """
 
     def __init__(
@@ -114,6 +119,7 @@
         metadata_headers: MetadataHeaders,
         versions: VersionGate,
         recorder: ServerOutcomeRecorder,
+        running: RunningRequests,
     ) -> None:
         self._clock = clock
         self._server = server
@@ -121,10 +127,10 @@
         self._metadata_headers = metadata_headers
         self._versions = versions
         self._recorder = recorder
+        self._running = running
         self._gate = AdmissionGate(clock)
         self._failure_rate = 0.0
         self._hold_times = RouteHoldTimes()
-        self._running = RunningRequests()
         self._waits = ServerWaits()
         self._closed = False
         self._current_lifetime: object = None
@@ -265,6 +271,7 @@
         self._current_lifetime = info.lifetime
         self._failure_rate = 0.0
         self._hold_times.clear()
+        self._running.forget_calls()
         self._pool.forget(info.address)
 
 
@@ -297,6 +304,7 @@
         self._ticket: Ticket | None = None
         self._info: ServerInfo | None = None
         self._exchange: Exchange | None = None
+        self._run: RunningRequest | None = None
         self._started = dt.timedelta()
         self._request_status = RequestStatus.CANCELLED
         self.sent = False
@@ -325,10 +333,8 @@
     ) -> None:
         if self._exchange is not None:
             self._exchange.close()
-        if self.sent:
-            self._gateway.running.end(
-                self._routed.request_id, is_retry=self._options.is_retry
-            )
+        if self._run is not None:
+            self._gateway.running.end(self._run)
         if self._ticket is None:
             return
         if isinstance(error, ServerFailedError):
@@ -352,15 +358,18 @@
         BluebellError
             ``sent`` and ``not_run`` say whether the request may have run.
         """
+        self._run = self._gateway.running.prepare(
+            self._routed.request_id,
+            self._routed.route,
+            is_retry=self._options.is_retry,
+        )
         async with self.wait():
             info = await self._take_slot()
             exchange = await self._connect(info)
             self._check_cutoff()
             await self._check_caller()
         self.sent = True
-        self._gateway.running.begin(
-            self._routed.request_id, is_retry=self._options.is_retry
-        )
+        self._gateway.running.begin(self._run)
         head = await self._send(info, exchange)
         self._classify(head)
         return head
