--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
@@ -119,6 +119,11 @@
         self._failed_response: BufferedResponse | None = None
         self.may_have_run = False
 
+    @property
+    def has_reached_server(self) -> bool:
+        """Whether an attempt that has ended may have reached a server."""
+        return bool(self._reached)
+
     async def run(self) -> BufferedResponse | None:
         """Return a response, or none if it was streamed to the caller.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -255,8 +255,12 @@
             raise
         else:
             self._count_outgoing(routed, failed=False)
+            if response is not None and response.is_failure:
+                routed.record_failure()
             self._send_response(routed, response, trace)
             return
+        if attempts.has_reached_server:
+            routed.record_failure()
         if not self._cutoffs.ends_early(routed):
             self._count_outgoing(routed, failed=True)
         self._send_error(
@@ -276,6 +280,7 @@
             self._context.budgets.record_request(routed.service)
         if routed.parent is None or routed.parent.record_call(routed.service):
             return
+        routed.record_failure()
         raise OverloadedError(
             'The retry budget does not allow this call of a retried request.',
             context={'service': routed.service},
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
@@ -24,7 +24,10 @@
 from bluebellslip._internal.fleet.peer_table import Endpoint, LoadReport
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.identity import Address
-from bluebellslip._internal.proxy.ingress import REACHED_HEADER
+from bluebellslip._internal.proxy.ingress import (
+    CALL_FAILED_HEADER,
+    REACHED_HEADER,
+)
 from bluebellslip._internal.proxy.responses import (
     BufferedResponse,
     buffer_or_stream,
@@ -40,7 +43,10 @@
     encode_request,
     estimate_size,
 )
-from bluebellslip._internal.proxy.server_gateway import ServerGateway
+from bluebellslip._internal.proxy.server_gateway import (
+    ServerCall,
+    ServerGateway,
+)
 from bluebellslip._internal.proxy.server_selection import (
     mark_reachable,
     mark_unreachable,
@@ -60,7 +66,8 @@
     ``may_have_run`` if it may have run there. With neither a response nor an
     error, the response was streamed or the attempt was cancelled. ``refused``
     is set once the server's node has responded with an error, which says what
-    happened to the request.
+    happened to the request. ``call_failed`` is set if a call that the server
+    made for the request has failed.
     """
 
     response: BufferedResponse | None = None
@@ -68,6 +75,13 @@
     reached: bool = False
     may_have_run: bool = False
     refused: bool = False
+    call_failed: bool = False
+
+    def record_server_call(self, server_call: ServerCall) -> None:
+        """Record how far a request to the local server has got."""
+        self.reached = server_call.sent
+        self.may_have_run = server_call.sent and not server_call.not_run
+        self.call_failed = server_call.has_failed_call
 
     def record_delivery(self) -> None:
         """Record that the server's node may have passed the request on.
@@ -171,10 +185,7 @@
                 server_call.mark_timed_out()
                 raise
             finally:
-                result.reached = server_call.sent
-                result.may_have_run = (
-                    server_call.sent and not server_call.not_run
-                )
+                result.record_server_call(server_call)
 
     async def _forward_to_peer(
         self,
@@ -201,6 +212,7 @@
                 error = await _read_refusal(exchange.connection)
                 self._record_refusal(endpoint, error)
                 raise error
+            result.call_failed = CALL_FAILED_HEADER in head.fields
             result.response = await buffer_or_stream(
                 head, exchange.connection, routed.request.reply
             )
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
@@ -34,6 +34,10 @@
 # the request to another server counts as a retry.
 REACHED_HEADER: Final = b'bluebell-reached-server'
 _REACHED_FIELD: Final = (REACHED_HEADER, b'1')
+# Set on a response if a call that the server made for the request has failed,
+# so that the request is not retried for it.
+CALL_FAILED_HEADER: Final = b'bluebell-call-failed'
+_CALL_FAILED_FIELD: Final = (CALL_FAILED_HEADER, b'1')
 
 
 class PeerHandler:
@@ -129,8 +133,11 @@
         self, request: InboundRequest, server_call: ServerCall
     ) -> None:
         head = await server_call.run()
+        hints = [self._make_load_header()]
+        if server_call.has_failed_call:
+            hints.append(_CALL_FAILED_FIELD)
         await relay_response(
-            request, head, server_call.connection, (self._make_load_header(),)
+            request, head, server_call.connection, tuple(hints)
         )
 
     def _set_failure_hints(
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_retries.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_retries.py
@@ -110,6 +110,7 @@
             is_repeatable=routed.is_repeatable,
             may_have_run=result.may_have_run,
             reached=result.reached,
+            call_failed=result.call_failed,
             replayable=routed.upload.replayable and not reply.started,
             untried=untried,
             servers_reached=servers_reached,
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_rules.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_rules.py
@@ -32,6 +32,7 @@
     NOT_REPLAYABLE = 'not-replayable'
     NO_SERVER_LEFT = 'no-server-left'
     NO_TIME_LEFT = 'no-time-left'
+    CALL_FAILED = 'call-failed'
     MAX_SERVERS_REACHED = 'max-servers-reached'
     BUDGET_SPENT = 'budget-spent'
 
@@ -53,6 +54,9 @@
         Whether a server may have run it in this attempt.
     reached
         Whether it may have reached a server in this attempt.
+    call_failed
+        Whether a call that the server made for it has failed. The call was
+        retried where it failed; another run would repeat all calls.
     replayable
         Whether its whole body is still buffered and no response was begun.
     untried
@@ -72,6 +76,7 @@
     is_repeatable: bool
     may_have_run: bool
     reached: bool
+    call_failed: bool
     replayable: bool
     untried: int
     servers_reached: int
@@ -106,8 +111,15 @@
     """Return what prevents a retry, apart from the budget."""
     if attempt.may_have_run and not attempt.is_repeatable:
         return RetryDecision.MAY_HAVE_RUN
+    if attempt.call_failed:
+        return RetryDecision.CALL_FAILED
     if not attempt.replayable:
         return RetryDecision.NOT_REPLAYABLE
+    return _find_missing_server(attempt)
+
+
+def _find_missing_server(attempt: FailedAttempt) -> RetryDecision | None:
+    """Return why no other server can respond in time, if none can."""
     if not attempt.untried:
         return RetryDecision.NO_SERVER_LEFT
     if attempt.reached and attempt.servers_reached >= attempt.max_servers:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
@@ -104,6 +104,11 @@
         """Whether the request may run more than once."""
         return self.runs is ExecutionSemantics.IDEMPOTENT
 
+    def record_failure(self) -> None:
+        """Record in its parent that servers failed it, or the budget did."""
+        if self.parent is not None:
+            self.parent.has_failed_call = True
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptOptions:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/running_requests.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/running_requests.py
@@ -36,12 +36,16 @@
         The calls reserved for it if it is a retry; otherwise none.
     calls
         The calls that it has made, by service.
+    has_failed_call
+        Whether one of them failed at a server, after the retries that the
+        budget allowed.
     """
 
     request_id: bytes
     route: RouteName
     retry_calls: CallReservations | None = None
     calls: Counter[ServiceName] = dataclasses.field(default_factory=Counter)
+    has_failed_call: bool = False
 
     @property
     def is_retry(self) -> bool:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -322,6 +322,11 @@
             raise RuntimeError('the call has no connection yet')
         return self._exchange.connection
 
+    @property
+    def has_failed_call(self) -> bool:
+        """Whether a call that the server made for the request has failed."""
+        return self._run is not None and self._run.has_failed_call
+
     async def __aenter__(self) -> Self:
         return self
 
--- a/tests/unit/test_retry_rules.py
+++ b/tests/unit/test_retry_rules.py
@@ -20,6 +20,7 @@
     is_repeatable=False,
     may_have_run=False,
     reached=False,
+    call_failed=False,
     replayable=True,
     untried=3,
     servers_reached=0,
