--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
@@ -243,4 +243,5 @@
             server=source.read_server(),
             rollouts=source.read_rollouts(),
             store_era=source.read_store_era(),
+            known_nodes=self._peer_table.size + 1,
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
@@ -104,7 +104,8 @@
     configuration, 0 before the first. ``wants_reply`` is set when the node has
     just discovered the recipient, ``can_reach_store`` when its latest request
     to the store for the desired state succeeded. ``store_era`` is the latest
-    era of the store that the node knows, 0 if none.
+    era of the store that the node knows, 0 if none. ``known_nodes`` is the
+    number of nodes that it knows, itself included.
     """
 
     node: str
@@ -122,6 +123,7 @@
     server: ServerBeacon | None = None
     rollouts: tuple[RolloutBeacon, ...] = ()
     store_era: int = 0
+    known_nodes: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
@@ -199,6 +199,7 @@
         self._peers: dict[NodeId, Peer] = {}
         self._endpoints_by_service: dict[ServiceName, list[Endpoint]] = {}
         self._local_endpoint: Endpoint | None = None
+        self._announced_size = 0
 
     @property
     def peers(self) -> Iterable[Peer]:
@@ -210,6 +211,15 @@
         """Number of known peers."""
         return len(self._peers)
 
+    @property
+    def deployment_size(self) -> int:
+        """Number of nodes that this node or one of its peers knows.
+
+        A node that has just started hears of the others one by one, but the
+        first beacon tells how many there are.
+        """
+        return max(len(self._peers) + 1, self._announced_size)
+
     @property
     def newest_revision(self) -> int:
         """The newest revision of the configuration that a peer reported."""
@@ -334,6 +344,7 @@
         peer.silence_timeout = SILENCE_TIMEOUT * self._compute_timeout_factor(
             beacon
         )
+        self._announced_size = max(self._announced_size, beacon.known_nodes)
         self._update_endpoint(peer, beacon, now)
         return peer
 
@@ -354,6 +365,14 @@
                 and now - peer.last_beacon_at > PEER_RETENTION
             ):
                 del self._peers[node]
+        self._announced_size = max(
+            (
+                known.last_beacon.known_nodes
+                for known in self._peers.values()
+                if known.last_beacon
+            ),
+            default=0,
+        )
 
     def endpoints(self, service: ServiceName) -> list[Endpoint]:
         """Return the servers of a service that accept requests."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -125,7 +125,7 @@
             store_health=store_health,
             watcher_selection=WatcherSelection(peer_table, store_health),
             retry_budgets=RetryBudgets(
-                clock, settings.bounds, lambda: peer_table.size + 1
+                clock, settings.bounds, lambda: peer_table.deployment_size
             ),
         )
 
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -77,6 +77,7 @@
     domain: str = 'a',
     address: str = '10.0.0.9:7620',
     reach: Reach = Reach.DIRECT,
+    known_nodes: int = 0,
 ) -> Beacon:
     return Beacon(
         node=node,
@@ -91,6 +92,7 @@
         revision=revision,
         wants_reply=False,
         server=server,
+        known_nodes=known_nodes,
     )
 
 
--- a/tests/unit/test_peer_table.py
+++ b/tests/unit/test_peer_table.py
@@ -119,3 +119,18 @@
     peer_table.apply_beacon(make_beacon('one', revision=3))
     peer_table.apply_beacon(make_beacon('two', revision=8))
     assert peer_table.newest_revision == 8
+
+
+def test_first_beacon_tells_a_starting_node_how_many_nodes_there_are() -> None:
+    """It would take too large a part of limits that all nodes share."""
+    clock = ManualClock()
+    peer_table = make_table(clock)
+    assert peer_table.deployment_size == 1
+    peer_table.apply_beacon(make_beacon('one', known_nodes=76))
+    peer_table.apply_beacon(make_beacon('two', known_nodes=3))
+    assert peer_table.deployment_size == 76
+    peer_table.expire()
+    assert peer_table.deployment_size == 76
+    peer_table.apply_beacon(make_beacon('one', 2, known_nodes=4))
+    peer_table.expire()
+    assert peer_table.deployment_size == 4
