--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_budget.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_budget.py
@@ -119,8 +119,7 @@
         window: dt.timedelta,
     ) -> None:
         self._clock = clock
-        self._ratio = ratio * USED_SHARE
-        self._reserve = reserve * USED_SHARE
+        self.apply(ratio, reserve)
         step = window / _WINDOW_STEPS
         self._requests = _WindowCounter(step, _WINDOW_STEPS)
         # One step more, so that every retry is counted for at least the full
@@ -131,6 +130,11 @@
         }
         self._reserved = dict.fromkeys(RetryPurpose, 0)
 
+    def apply(self, ratio: float, reserve: int) -> None:
+        """Apply a new ratio and reserve from now on."""
+        self._ratio = ratio * USED_SHARE
+        self._reserve = reserve * USED_SHARE
+
     def record_request(self) -> None:
         """Count a request, which is not a call of a retried one."""
         now = self._clock.elapsed()
@@ -139,20 +143,20 @@
         self._requests.add(now)
 
     def reserve(
-        self, nodes: int, purpose: RetryPurpose, amount: int = 1
+        self, share: float, purpose: RetryPurpose, amount: int = 1
     ) -> 'RetryReservation | None':
         """Reserve retries, or return None if the budget doesn't allow them.
 
         Parameters
         ----------
-        nodes
-            Number of nodes that share the reserve.
+        share
+            This node's share of the reserve.
         purpose
             What they are for.
         amount
             Number of retries.
         """
-        state = self.read_state(nodes)
+        state = self.read_state(share)
         if state.retries + state.calls + amount > state.allowed:
             return None
         if (
@@ -162,18 +166,18 @@
             return None
         return RetryReservation(self, purpose, amount)
 
-    def read_state(self, nodes: int) -> BudgetState:
+    def read_state(self, share: float) -> BudgetState:
         """Return the state of the budget.
 
         Parameters
         ----------
-        nodes
-            Number of nodes that share the reserve.
+        share
+            This node's share of the reserve.
         """
         requests = self._requests.read(self._clock.elapsed())
         return BudgetState(
             requests=requests,
-            allowed=requests * self._ratio + self._reserve / max(1, nodes),
+            allowed=requests * self._ratio + self._reserve * share,
             retries=self._count(RetryPurpose.RETRY),
             calls=self._count(RetryPurpose.CALL),
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_budgets.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_budgets.py
@@ -17,6 +17,9 @@
 class RetryBudgets:
     """The retry budgets of one node, by service.
 
+    A node that starts again has forgotten the retries that it made before, so
+    it gets no part of the reserve until these have left the window.
+
     Parameters
     ----------
     clock
@@ -33,13 +36,31 @@
         self._clock = clock
         self._bounds = bounds
         self._count_nodes = count_nodes
+        self._forgot_at = clock.elapsed()
         self._budgets: dict[ServiceName, SharedRetryBudget] = {}
 
+    @property
+    def _window(self) -> dt.timedelta:
+        return dt.timedelta(seconds=self._bounds.retry_window)
+
+    @property
+    def _share(self) -> float:
+        """The node's share of the reserve."""
+        if self._clock.elapsed() - self._forgot_at < self._window:
+            return 0
+        return 1 / max(1, self._count_nodes())
+
     def apply(self, bounds: Bounds) -> None:
-        """Apply new limits of the deployment from now on."""
-        if bounds != self._bounds:
-            self._bounds = bounds
+        """Apply new limits of the deployment from now on.
+
+        What was counted stays, unless the length of the window has changed.
+        """
+        if bounds.retry_window != self._bounds.retry_window:
             self._budgets.clear()
+            self._forgot_at = self._clock.elapsed()
+        self._bounds = bounds
+        for budget in self._budgets.values():
+            budget.apply(bounds.retry_ratio, bounds.retry_reserve)
 
     def record_request(self, service: ServiceName) -> None:
         """Count a request to a service that is not a call of a retried one."""
@@ -49,11 +70,11 @@
         self, service: ServiceName, purpose: RetryPurpose, amount: int = 1
     ) -> RetryReservation | None:
         """Reserve retries at a service, or return None if it has too few."""
-        return self._get(service).reserve(self._count_nodes(), purpose, amount)
+        return self._get(service).reserve(self._share, purpose, amount)
 
     def read_state(self, service: ServiceName) -> BudgetState:
         """Return the state of a service's budget."""
-        return self._get(service).read_state(self._count_nodes())
+        return self._get(service).read_state(self._share)
 
     def _get(self, service: ServiceName) -> SharedRetryBudget:
         budget = self._budgets.get(service)
@@ -62,7 +83,7 @@
                 self._clock,
                 self._bounds.retry_ratio,
                 self._bounds.retry_reserve,
-                dt.timedelta(seconds=self._bounds.retry_window),
+                self._window,
             )
             self._budgets[service] = budget
         return budget
