--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -173,7 +173,7 @@
             adapter.metadata_headers,
             version_selector,
             outcome_recorder,
-            RunningRequests(state.retry_budgets),
+            RunningRequests(clock, state.retry_budgets),
         )
         server_selector = ServerSelector(
             clock,
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/running_requests.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/running_requests.py
@@ -8,10 +8,12 @@
 """
 
 import dataclasses
-from collections import Counter
+import datetime as dt
+from collections import Counter, deque
 from typing import Final
 
 from bluebellslip._internal.exceptions import OverloadedError
+from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.identity import RouteName, ServiceName
 from bluebellslip._internal.proxy.call_reservations import (
     CallHistory,
@@ -63,12 +65,16 @@
 
     Parameters
     ----------
+    clock
+        The node's clock.
     budgets
         The node's retry budgets.
     """
 
-    def __init__(self, budgets: RetryBudgets) -> None:
+    def __init__(self, clock: Clock, budgets: RetryBudgets) -> None:
+        self._clock = clock
         self._budgets = budgets
+        self._abandoned: deque[tuple[dt.timedelta, RunningRequest]] = deque()
         self._call_history = CallHistory()
         self._running: dict[bytes, list[RunningRequest]] = {}
 
@@ -98,6 +104,7 @@
 
     def begin(self, run: RunningRequest) -> None:
         """Record that a request was sent to the server."""
+        self._expire()
         self._running.setdefault(run.request_id, []).append(run)
 
     def end(self, run: RunningRequest) -> None:
@@ -112,6 +119,24 @@
         if not runs:
             del self._running[run.request_id]
 
+    def abandon(self, run: RunningRequest, until: dt.timedelta) -> None:
+        """End a run that the server may continue although nobody waits for it.
+
+        The calls of a retry still count as retries.
+
+        Parameters
+        ----------
+        run
+            The run.
+        until
+            Time on the node's clock at which the server ends it.
+        """
+        if run.retry_calls is None:
+            self.end(run)
+            return
+        run.retry_calls.release()
+        self._abandoned.append((until, run))
+
     def forget_calls(self) -> None:
         """Discard what earlier runs called, when the server is replaced."""
         self._call_history.clear()
@@ -121,6 +146,7 @@
 
         If the server runs it several times, a retry is returned.
         """
+        self._expire()
         for separator in _SEPARATORS:
             parent_id, found, _ = request_id.rpartition(separator)
             runs = self._running.get(parent_id) if found else None
@@ -128,6 +154,11 @@
                 return max(runs, key=_is_retry)
         return None
 
+    def _expire(self) -> None:
+        now = self._clock.elapsed()
+        while self._abandoned and self._abandoned[0][0] <= now:
+            self.end(self._abandoned.popleft()[1])
+
 
 def _is_retry(run: RunningRequest) -> bool:
     return run.is_retry
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -339,7 +339,7 @@
         if self._exchange is not None:
             self._exchange.close()
         if self._run is not None:
-            self._gateway.running.end(self._run)
+            self._end_run(self._run, completed=kind is None or self.not_run)
         if self._ticket is None:
             return
         if isinstance(error, ServerFailedError):
@@ -400,6 +400,13 @@
         if self.sent:
             self._request_status = RequestStatus.FAILED
 
+    def _end_run(self, run: RunningRequest, *, completed: bool) -> None:
+        running = self._gateway.running
+        if completed or not self.sent:
+            running.end(run)
+        else:
+            running.abandon(run, self._routed.deadline)
+
     def _make_ticket(self) -> Ticket:
         routed = self._routed
         # The queue takes its mean service time off the deadline.
--- a/tests/unit/test_admission_overload.py
+++ b/tests/unit/test_admission_overload.py
@@ -190,7 +190,10 @@
 
 
 def test_nested_call_is_recognised_by_the_id_of_its_parent() -> None:
-    running, run = RunningRequests(Mock()), RunningRequest(b'abc', _ROUTE)
+    running, run = (
+        RunningRequests(ManualClock(), Mock()),
+        RunningRequest(b'abc', _ROUTE),
+    )
     running.begin(run)
     assert running.find_parent(b'abc.1') is run
     assert running.find_parent(b'abcd.1') is None
@@ -200,7 +203,10 @@
 
 
 def test_calls_of_a_retry_are_told_from_those_of_its_first_run() -> None:
-    running, first = RunningRequests(Mock()), RunningRequest(b'abc', _ROUTE)
+    running, first = (
+        RunningRequests(ManualClock(), Mock()),
+        RunningRequest(b'abc', _ROUTE),
+    )
     retry = RunningRequest(b'abc', _ROUTE, CallReservations(Mock()))
     running.begin(first)
     assert running.find_parent(b'abc.1') is first
@@ -212,6 +218,19 @@
     assert running.find_parent(b'abc.1') is first
 
 
+def test_calls_of_a_retry_that_nobody_waits_for_count_as_retries() -> None:
+    """The server continues until the deadline; they would add to the budget."""
+    clock = ManualClock()
+    running = RunningRequests(clock, Mock())
+    retry = RunningRequest(b'abc', _ROUTE, CallReservations(Mock()))
+    running.begin(retry)
+    running.abandon(retry, SECOND)
+    clock.advance(SECOND - MS)
+    assert running.find_parent(b'abc.1') is retry
+    clock.advance(MS)
+    assert running.find_parent(b'abc.1') is None
+
+
 def test_timeouts_soon_after_a_refusal_are_not_recorded() -> None:
     clock = ManualClock()
     estimator = CallerWaitEstimator(clock)
