--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/server_publisher.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/server_publisher.py
@@ -102,8 +102,8 @@
             self._endpoint = endpoint
         endpoint.warmup_ends_at = info.warmup_ends_at
         endpoint.load = self._read_load(endpoint.in_flight)
-        endpoint.failure_rate = self._gateway.failure_rate
-        endpoint.hold_times = self._gateway.hold_times.read()
+        endpoint.failure_rate = self._gateway.measurements.failure_rate
+        endpoint.hold_times = self._gateway.measurements.hold_times.read()
         self._peer_table.replace_local_endpoint(endpoint)
 
     def make_beacon(self) -> ServerBeacon | None:
@@ -115,6 +115,7 @@
         if info is None or info.state is ServerState.GONE:
             return None
         load = self._gateway.load
+        measurements = self._gateway.measurements
         warmup_remaining = max(
             dt.timedelta(), info.warmup_ends_at - self._clock.elapsed()
         )
@@ -129,11 +130,11 @@
             in_use=load.in_use,
             waiting=load.waiting,
             hold_ms=load.hold_ms,
-            failure_rate=round(self._gateway.failure_rate, 3),
+            failure_rate=round(measurements.failure_rate, 3),
             warmup_remaining_ms=warmup_remaining // _MILLISECOND,
             hold_ms_by_route=tuple(
                 (route, round(hold_time / _MILLISECOND, 1))
-                for route, hold_time in self._gateway.hold_times.read().items()
+                for route, hold_time in measurements.hold_times.read().items()
             ),
         )
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
@@ -266,6 +266,7 @@
         load = decode_load(head.fields.get(LOAD_HEADER))
         if load is None:
             return
+        endpoint.failure_rate = load.failure_rate
         endpoint.load = LoadReport(
             in_use=load.in_use,
             waiting=load.waiting,
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
@@ -255,12 +255,16 @@
 
 
 class ServerLoad(msgspec.Struct, frozen=True, array_like=True):
-    """Load of a server as reported on responses; times in milliseconds."""
+    """Load of a server as reported on responses; times in milliseconds.
+
+    ``failure_rate`` is the recent share of failed and refused requests.
+    """
 
     in_use: int
     waiting: int
     slots: int
     hold_ms: float
+    failure_rate: float = 0
 
 
 _load_decoder = msgspec.json.Decoder(ServerLoad)
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -36,7 +36,6 @@
     ServiceName,
     VersionName,
 )
-from bluebellslip._internal.proxy.hold_times import RouteHoldTimes
 from bluebellslip._internal.proxy.latest_starts import find_latest_start
 from bluebellslip._internal.proxy.routed_request import (
     ROUTING_HEADER,
@@ -48,6 +47,7 @@
     RunningRequest,
     RunningRequests,
 )
+from bluebellslip._internal.proxy.server_measurements import ServerMeasurements
 from bluebellslip._internal.proxy.server_waits import ServerWait, ServerWaits
 
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
@@ -60,9 +60,6 @@
 # within this time: if the server has dropped the connection meanwhile, it would
 # be unknown whether the request ran.
 NON_IDEMPOTENT_MAX_IDLE_S: Final = 1.0
-# Weight of the newest outcome in the failure rate; averages about the last
-# thirty outcomes.
-_SMOOTHING: Final = 0.06
 
 
 class ServerOutcomeRecorder(Protocol):
@@ -129,8 +126,7 @@
         self._recorder = recorder
         self._running = running
         self._gate = AdmissionGate(clock)
-        self._failure_rate = 0.0
-        self._hold_times = RouteHoldTimes()
+        self._measurements = ServerMeasurements(clock)
         self._waits = ServerWaits()
         self._closed = False
         self._current_lifetime: object = None
@@ -171,14 +167,9 @@
         return self._server
 
     @property
-    def failure_rate(self) -> float:
-        """Smoothed share of failures among the latest responses."""
-        return self._failure_rate
-
-    @property
-    def hold_times(self) -> RouteHoldTimes:
-        """Hold times of requests at the server, by route."""
-        return self._hold_times
+    def measurements(self) -> ServerMeasurements:
+        """What was measured of the server's responses."""
+        return self._measurements
 
     @property
     def load(self) -> ServerLoad:
@@ -189,6 +180,7 @@
             gate.waiting,
             gate.slots,
             round(gate.service_time / _MILLISECOND, 1),
+            round(self._measurements.failure_rate, 3),
         )
 
     def close(self) -> None:
@@ -253,11 +245,7 @@
         latency: dt.timedelta,
     ) -> None:
         """Record the outcome of a request at the server."""
-        if status in {RequestStatus.SUCCEEDED, RequestStatus.FAILED}:
-            failed = float(status is RequestStatus.FAILED)
-            self._failure_rate += (failed - self._failure_rate) * _SMOOTHING
-        if status is RequestStatus.SUCCEEDED:
-            self._hold_times.record(routed.route, latency)
+        self._measurements.record(routed.route, status, latency)
         self._recorder.record(
             info.service,
             info.version,
@@ -269,8 +257,7 @@
 
     def _start_lifetime(self, info: ServerInfo) -> None:
         self._current_lifetime = info.lifetime
-        self._failure_rate = 0.0
-        self._hold_times.clear()
+        self._measurements.clear()
         self._running.forget_calls()
         self._pool.forget(info.address)
 
@@ -311,7 +298,7 @@
         self.not_run = False
         self.latest_start = find_latest_start(
             routed.cutoff,
-            gateway.hold_times.get(routed.route),
+            gateway.measurements.hold_times.get(routed.route),
             gateway.clock.elapsed(),
         )
 
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -330,7 +330,7 @@
         assert response.status == 502
         await stopping
         await wait_until(lambda: is_idle(back))
-        assert back.node._data_plane.gateway.failure_rate == 0
+        assert back.node._data_plane.gateway.measurements.failure_rate == 0
 
 
 async def test_request_that_has_not_run_anywhere_gets_503() -> None:
--- a/tests/lib/proxy_requests.py
+++ b/tests/lib/proxy_requests.py
@@ -45,7 +45,7 @@
     gateway = ServerGateway(
         clock, server, pool, METADATA_HEADERS, Mock(), Mock(), Mock()
     )
-    gateway.hold_times.record(ROUTE, hold_time)
+    gateway.measurements.hold_times.record(ROUTE, hold_time)
     return gateway
 
 
