--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
@@ -43,10 +43,8 @@
     encode_request,
     estimate_size,
 )
-from bluebellslip._internal.proxy.server_gateway import (
-    ServerCall,
-    ServerGateway,
-)
+from bluebellslip._internal.proxy.server_call import ServerCall
+from bluebellslip._internal.proxy.server_gateway import ServerGateway
 from bluebellslip._internal.proxy.server_selection import (
     mark_reachable,
     mark_unreachable,
@@ -175,7 +173,7 @@
         options: AttemptOptions,
         result: AttemptResult,
     ) -> None:
-        async with self._gateway.open(routed, options) as server_call:
+        async with ServerCall(self._gateway, routed, options) as server_call:
             try:
                 head = await server_call.run()
                 result.response = await buffer_or_stream(
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
@@ -23,10 +23,8 @@
     encode_load,
     estimate_size,
 )
-from bluebellslip._internal.proxy.server_gateway import (
-    ServerCall,
-    ServerGateway,
-)
+from bluebellslip._internal.proxy.server_call import ServerCall
+from bluebellslip._internal.proxy.server_gateway import ServerGateway
 
 logger = logging.getLogger(__name__)
 
@@ -83,8 +81,8 @@
             now,
         )
         time_left = peer_request.routed.deadline - now
-        async with self._gateway.open(
-            peer_request.routed, peer_request.options
+        async with ServerCall(
+            self._gateway, peer_request.routed, peer_request.options
         ) as server_call:
             try:
                 async with asyncio.timeout(time_left.total_seconds()):
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -1,31 +1,18 @@
 """Access to the local server, the backend server beside this node.
 
 Every request to that server passes through this module, which manages the
-server's slots, refuses new requests while the server is draining, and tracks
-which requests may have run.
+server's slots and refuses new requests while the server is draining.
 """
 
-import asyncio
 import datetime as dt
-from collections.abc import Mapping
-from types import TracebackType
-from typing import Final, Protocol, Self
+from typing import Final, Protocol
 
-from bluebellslip._internal.calls import headers as header_names
-from bluebellslip._internal.calls.admission import Ticket
 from bluebellslip._internal.calls.admission_gate import AdmissionGate
-from bluebellslip._internal.calls.exchange import Exchange
-from bluebellslip._internal.calls.headers import Header
 from bluebellslip._internal.calls.metadata_headers import MetadataHeaders
-from bluebellslip._internal.calls.outbound import OutboundConnection
 from bluebellslip._internal.calls.pool import ConnectionPool
-from bluebellslip._internal.calls.response_reader import ResponseHead
 from bluebellslip._internal.exceptions import (
-    BluebellError,
     DrainingError,
     NoServerError,
-    OverloadedError,
-    ServerFailedError,
     VersionStoppedError,
 )
 from bluebellslip._internal.fleet.local_server import LocalServer, ServerInfo
@@ -36,30 +23,16 @@
     ServiceName,
     VersionName,
 )
-from bluebellslip._internal.proxy.latest_starts import find_latest_start
 from bluebellslip._internal.proxy.routed_request import (
-    ROUTING_HEADER,
     AttemptOptions,
     RoutedRequest,
     ServerLoad,
 )
-from bluebellslip._internal.proxy.running_requests import (
-    RunningRequest,
-    RunningRequests,
-)
+from bluebellslip._internal.proxy.running_requests import RunningRequests
 from bluebellslip._internal.proxy.server_measurements import ServerMeasurements
-from bluebellslip._internal.proxy.server_waits import ServerWait, ServerWaits
+from bluebellslip._internal.proxy.server_waits import ServerWaits
 
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
-_MIN_SERVER_ERROR: Final = 500
-_SUCCESS: Final = range(200, 300)
-_MISDIRECTED: Final = 421
-_KEEP_ALIVE: Final = b'keep-alive'
-_TIMEOUT_FIELD: Final = b'timeout='
-# A request that must not run twice is sent only over a connection that was used
-# within this time: if the server has dropped the connection meanwhile, it would
-# be unknown whether the request ran.
-NON_IDEMPOTENT_MAX_IDLE_S: Final = 1.0
 
 
 class ServerOutcomeRecorder(Protocol):
@@ -192,12 +165,6 @@
         """Refuse waiting requests that the server can't run any more."""
         self._waits.refuse_unservable(self.check)
 
-    def open(
-        self, routed: RoutedRequest, options: AttemptOptions
-    ) -> 'ServerCall':
-        """Return a call to the server, to be used as a context manager."""
-        return ServerCall(self, routed, options)
-
     def check(
         self, routed: RoutedRequest, options: AttemptOptions
     ) -> ServerInfo:
@@ -260,271 +227,3 @@
         self._measurements.clear()
         self._running.forget_calls()
         self._pool.forget(info.address)
-
-
-class ServerCall:
-    """One request to the local server, from admission to the response's end.
-
-    ``sent`` is set once the server may have run the request, ``not_run`` if
-    the server has reported that it did not. ``latest_start`` is the time on
-    the node's clock after which the request is no longer passed on.
-
-    Parameters
-    ----------
-    gateway
-        Access to the server.
-    routed
-        The request.
-    options
-        Options of this attempt.
-    """
-
-    def __init__(
-        self,
-        gateway: ServerGateway,
-        routed: RoutedRequest,
-        options: AttemptOptions,
-    ) -> None:
-        self._gateway = gateway
-        self._routed = routed
-        self._options = options
-        self._ticket: Ticket | None = None
-        self._info: ServerInfo | None = None
-        self._exchange: Exchange | None = None
-        self._run: RunningRequest | None = None
-        self._started = dt.timedelta()
-        self._request_status = RequestStatus.CANCELLED
-        self.sent = False
-        self.not_run = False
-        self.latest_start = find_latest_start(
-            routed.cutoff,
-            gateway.measurements.hold_times.get(routed.route),
-            gateway.clock.elapsed(),
-        )
-
-    @property
-    def connection(self) -> OutboundConnection:
-        """The connection that carries the response."""
-        if self._exchange is None:
-            raise RuntimeError('the call has no connection yet')
-        return self._exchange.connection
-
-    @property
-    def has_failed_call(self) -> bool:
-        """Whether a call that the server made for the request has failed."""
-        return self._run is not None and self._run.has_failed_call
-
-    async def __aenter__(self) -> Self:
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        if self._exchange is not None:
-            self._exchange.close()
-        if self._run is not None:
-            self._end_run(self._run, completed=kind is None or self.not_run)
-        if self._ticket is None:
-            return
-        if isinstance(error, ServerFailedError):
-            self._request_status = RequestStatus.FAILED
-        ended = self._request_status in {
-            RequestStatus.SUCCEEDED,
-            RequestStatus.FAILED,
-        }
-        self._gateway.gate.release(self._ticket, is_typical=ended)
-        if self.sent and self._info is not None:
-            spent = self._gateway.clock.elapsed() - self._started
-            self._gateway.record(
-                self._routed, self._info, self._request_status, spent
-            )
-
-    async def run(self) -> ResponseHead:
-        """Wait for a slot, send the request and return the response head.
-
-        Raises
-        ------
-        BluebellError
-            ``sent`` and ``not_run`` say whether the request may have run.
-        """
-        self._run = self._gateway.running.prepare(
-            self._routed.request_id,
-            self._routed.route,
-            is_retry=self._options.is_retry,
-        )
-        async with self.wait():
-            info = await self._take_slot()
-            exchange = await self._connect(info)
-            self._check_cutoff()
-            await self._check_caller()
-        self.sent = True
-        self._gateway.running.begin(self._run)
-        head = await self._send(info, exchange)
-        self._classify(head)
-        return head
-
-    def wait(self) -> ServerWait:
-        """Return a wait before the request is passed on to the server."""
-        return self._gateway.waits.begin(self._routed, self._options)
-
-    def check_capacity(self) -> None:
-        """Check that the server is expected to have a slot in time.
-
-        Raises
-        ------
-        BluebellError
-            With the reason why the request would be refused; it did not run.
-        """
-        self._gateway.check(self._routed, self._options)
-        if not self._gateway.gate.accepts(self._make_ticket()):
-            raise OverloadedError('The server has no slot in time.')
-
-    def mark_timed_out(self) -> None:
-        """Count a sent request as failed because its deadline has passed."""
-        if self.sent:
-            self._request_status = RequestStatus.FAILED
-
-    def _end_run(self, run: RunningRequest, *, completed: bool) -> None:
-        running = self._gateway.running
-        if completed or not self.sent:
-            running.end(run)
-        else:
-            running.abandon(run, self._routed.deadline)
-
-    def _make_ticket(self) -> Ticket:
-        routed = self._routed
-        # The queue takes its mean service time off the deadline.
-        deadline = self.latest_start + self._gateway.gate.service_time
-        return Ticket(
-            priority=routed.priority,
-            depth=routed.depth,
-            deadline=min(deadline, routed.cutoff),
-            objective=routed.objective,
-            max_wait=self._options.max_wait,
-        )
-
-    async def _take_slot(self) -> ServerInfo:
-        """Wait for a slot and return the server that it belongs to."""
-        gateway = self._gateway
-        gateway.check(self._routed, self._options)
-        self._ticket = await gateway.gate.admit(self._make_ticket())
-        self._info = gateway.check(self._routed, self._options)
-        self._started = gateway.clock.elapsed()
-        if self._started > self.latest_start:
-            raise OverloadedError('The request has no time left to run.')
-        return self._info
-
-    def _check_cutoff(self) -> None:
-        """Check that the caller's node still waits for the request.
-
-        Its body may have arrived late, and the end of a connection arrives
-        only after the data on it.
-        """
-        if self._gateway.clock.elapsed() >= self._routed.cutoff:
-            raise OverloadedError(
-                'The request was not started before its cutoff.'
-            )
-
-    async def _check_caller(self) -> None:
-        """Cancel the request if its caller has closed the connection.
-
-        The connection itself notices that only after the data before the end.
-        """
-        request = self._routed.request
-        if not request.reply.writer.is_closed_by_caller:
-            return
-        request.cancel()
-        # The cancellation arrives here.
-        await asyncio.sleep(0)
-        raise OverloadedError('The caller of the request has left.')
-
-    async def _connect(self, info: ServerInfo) -> Exchange:
-        max_idle_s = (
-            None if self._routed.is_repeatable else NON_IDEMPOTENT_MAX_IDLE_S
-        )
-        echo = (
-            self._gateway.metadata_headers.request_id,
-            self._routed.request_id,
-        )
-        exchange = Exchange(
-            self._gateway.pool, info.address, echo if echo[1] else None
-        )
-        try:
-            await exchange.open(max_idle_s=max_idle_s)
-        except BluebellError:
-            self._gateway.server.record_connect(failed=True)
-            raise
-        self._gateway.server.record_connect(failed=False)
-        self._exchange = exchange
-        return exchange
-
-    async def _send(self, info: ServerInfo, exchange: Exchange) -> ResponseHead:
-        routed = self._routed
-        return await exchange.send(
-            routed.request, self._make_headers(info), routed.upload
-        )
-
-    def _make_headers(self, info: ServerInfo) -> list[Header]:
-        metadata_headers = self._gateway.metadata_headers
-        time_left = self._routed.deadline - self._gateway.clock.elapsed()
-        added = {
-            metadata_headers.deadline_ms: b'%d'
-            % max(1, time_left // _MILLISECOND),
-            metadata_headers.expected_server: info.lifetime.server.encode(),
-            metadata_headers.caller: self._routed.caller.encode(),
-        }
-        fields = [
-            header
-            for header in header_names.filter_request_headers(
-                self._routed.request.headers
-            )
-            if header[0] not in added and header[0] != ROUTING_HEADER
-        ]
-        fields.extend(added.items())
-        return fields
-
-    def _classify(self, head: ResponseHead) -> None:
-        """Classify a response as success or failure.
-
-        Raises
-        ------
-        OverloadedError
-            When the server reports that it did not run the request.
-        ServerFailedError
-            When a success lacks the server's signature or the request id.
-        """
-        self._update_idle_limit(head.fields)
-        fields = head.fields
-        metadata_headers = self._gateway.metadata_headers
-        if metadata_headers.not_run in fields or head.status == _MISDIRECTED:
-            self.not_run = True
-            self._request_status = RequestStatus.NOT_RUN
-            raise OverloadedError(
-                'The server did not run the request.',
-                context={'status': str(head.status)},
-            )
-        if head.status in _SUCCESS and not self._is_authentic(fields):
-            raise ServerFailedError(
-                "A successful response lacks the server's signature or the "
-                'request id.'
-            )
-        failed = head.status >= _MIN_SERVER_ERROR
-        self._request_status = (
-            RequestStatus.FAILED if failed else RequestStatus.SUCCEEDED
-        )
-
-    def _is_authentic(self, fields: Mapping[bytes, bytes]) -> bool:
-        metadata_headers = self._gateway.metadata_headers
-        echoed = fields.get(metadata_headers.request_id)
-        return metadata_headers.signature in fields and (
-            echoed == self._routed.request_id or not self._routed.request_id
-        )
-
-    def _update_idle_limit(self, fields: Mapping[bytes, bytes]) -> None:
-        _, found, rest = fields.get(_KEEP_ALIVE, b'').partition(_TIMEOUT_FIELD)
-        seconds = rest.partition(b',')[0].strip()
-        if found and seconds.isdigit():
-            self.connection.idle_limit = float(int(seconds))
--- a/tests/unit/test_late_starts.py
+++ b/tests/unit/test_late_starts.py
@@ -22,6 +22,7 @@
     ROUTING_HEADER,
     encode_request,
 )
+from bluebellslip._internal.proxy.server_call import ServerCall
 from lib.fleet import MS, SECOND
 from lib.proxy_requests import (
     BODY_BYTES,
@@ -58,7 +59,7 @@
         clock = ManualClock()
         gateway = make_gateway(clock, _HOLD_TIME)
         routed = make_routed_request(clock, SECOND)
-        async with gateway.open(routed, OPTIONS) as server_call:
+        async with ServerCall(gateway, routed, OPTIONS) as server_call:
             clock.advance(SECOND - _HOLD_TIME / 4)
             with pytest.raises(OverloadedError):
                 await server_call.run()
@@ -81,7 +82,7 @@
         clock = ManualClock()
         gateway = make_gateway(clock, _HOLD_TIME)
         routed = make_routed_request(clock, time_left)
-        async with gateway.open(routed, OPTIONS) as server_call:
+        async with ServerCall(gateway, routed, OPTIONS) as server_call:
             with pytest.raises(NoServerError):
                 await server_call.run()
 
@@ -94,10 +95,10 @@
         gateway = make_gateway(clock, _HOLD_TIME)
         gateway.gate.resize(1)
         first = make_routed_request(clock, 60 * SECOND)
-        async with gateway.open(first, OPTIONS) as holder:
+        async with ServerCall(gateway, first, OPTIONS) as holder:
             await gateway.gate.admit(holder._make_ticket())
             routed = make_routed_request(clock, SECOND)
-            async with gateway.open(routed, OPTIONS) as server_call:
+            async with ServerCall(gateway, routed, OPTIONS) as server_call:
                 with pytest.raises(OverloadedError):
                     await server_call.run()
         assert clock.elapsed() <= SECOND - _HOLD_TIME / 2
