--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/admission.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/admission.py
@@ -18,6 +18,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from bluebellslip._internal.calls.rate_limiter import RateLimiter
 from bluebellslip._internal.kernel.clock import Clock
 
 MAX_QUEUED_PER_SLOT: Final = 2.0
@@ -136,7 +137,8 @@
 class AdmissionQueue:
     """Slots of one server and the requests that wait for them.
 
-    ``in_use`` is the number of slots taken.
+    ``in_use`` is the number of slots taken. A request that waits for the
+    server's rate limit has no slot.
 
     Parameters
     ----------
@@ -150,6 +152,7 @@
         self._clock = clock
         self.slots = slots
         self.in_use = 0
+        self._limiter = RateLimiter(clock)
         self._service_time_estimate = ServiceTimeEstimate()
         self._arrival_numbers = itertools.count()
         self._entries: list[_Entry] = []
@@ -164,14 +167,43 @@
         """Average time that a request holds its slot."""
         return self._service_time_estimate.average
 
+    @property
+    def rate(self) -> float | None:
+        """Requests that may start a second; none without a limit."""
+        return self._limiter.rate
+
+    @property
+    def time_to_grant(self) -> dt.timedelta | None:
+        """Time until the rate limit admits the next waiting request.
+
+        None if no request waits, or all slots are in use.
+        """
+        if not self._entries or self.in_use >= self.slots:
+            return None
+        return self._limiter.estimate_wait(0)
+
+    @property
+    def is_rate_limited(self) -> bool:
+        """Whether a request would wait for the rate limit, not for a slot."""
+        return self.in_use < self.slots and not self._limiter.allows_start
+
     @property
     def _has_slot(self) -> bool:
-        return self.in_use < self.slots and not self._entries
+        return (
+            self.in_use < self.slots
+            and not self._entries
+            and self._limiter.allows_start
+        )
 
     def resize(self, slots: int) -> None:
         """Set the number of slots and admit waiting tickets to new ones."""
         self.slots = slots
-        self._grant()
+        self.grant()
+
+    def set_rate(self, rate: float | None) -> None:
+        """Limit the requests that start a second; none removes the limit."""
+        self._limiter.apply(rate)
+        self.grant()
 
     def accepts(self, ticket: Ticket) -> bool:
         """Return whether a ticket would be admitted or queued now."""
@@ -213,7 +245,20 @@
                 self._clock.elapsed() - ticket.started
             )
         self.in_use -= 1
-        self._grant()
+        self.grant()
+
+    def grant(self) -> None:
+        """Admit waiting tickets as far as slots and the rate limit allow."""
+        now = self._clock.elapsed()
+        while self._entries and self.in_use < self.slots:
+            if not self._limiter.allows_start:
+                return
+            entry = self._find_next(now)
+            if now >= entry.ticket.latest_start:
+                self._refuse(entry)
+            else:
+                self._entries.remove(entry)
+                self._admit(entry.ticket, now)
 
     def withdraw(self, ticket: Ticket) -> None:
         """Remove a waiting ticket whose request was cancelled."""
@@ -237,9 +282,7 @@
         """Return the expected wait of a request at the end of the queue."""
         if self._has_slot:
             return dt.timedelta()
-        return self._service_time_estimate.estimate_wait(
-            len(self._entries), self.slots
-        )
+        return self._estimate_wait_behind(len(self._entries))
 
     def _can_wait(self, ticket: Ticket, now: dt.timedelta) -> bool:
         wait = self._estimate_wait_of(ticket)
@@ -254,7 +297,16 @@
         ahead = sum(
             1 for entry in self._entries if entry.ticket.order <= ticket.order
         )
-        return self._service_time_estimate.estimate_wait(ahead, self.slots)
+        return self._estimate_wait_behind(ahead)
+
+    def _estimate_wait_behind(self, ahead: int) -> dt.timedelta:
+        """Return the wait behind other waiting requests."""
+        wait = self._limiter.estimate_wait(ahead)
+        if self.in_use + ahead < self.slots:
+            return wait
+        return max(
+            wait, self._service_time_estimate.estimate_wait(ahead, self.slots)
+        )
 
     def _accepts_late(self, now: dt.timedelta) -> bool:
         """Return whether another late request may wait for an idle slot."""
@@ -282,7 +334,7 @@
         while self._entries:
             last = max(self._entries, key=_rank)
             ahead = len(self._entries) - 1
-            wait = self._service_time_estimate.estimate_wait(ahead, self.slots)
+            wait = self._estimate_wait_behind(ahead)
             if now + wait + self.service_time <= last.ticket.deadline:
                 return
             self._refuse(last)
@@ -293,19 +345,10 @@
 
     def _admit(self, ticket: Ticket, now: dt.timedelta) -> None:
         self.in_use += 1
+        self._limiter.start()
         ticket.started = now
         ticket.change_state(TicketState.ADMITTED)
 
-    def _grant(self) -> None:
-        now = self._clock.elapsed()
-        while self._entries and self.in_use < self.slots:
-            entry = self._find_next(now)
-            if now >= entry.ticket.latest_start:
-                self._refuse(entry)
-            else:
-                self._entries.remove(entry)
-                self._admit(entry.ticket, now)
-
     def _find_next(self, now: dt.timedelta) -> _Entry:
         end = now + self.service_time
         return min(self._entries, key=lambda entry: entry.rank_at(end))
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/admission_gate.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/admission_gate.py
@@ -26,6 +26,7 @@
         self._clock = clock
         self._queue = AdmissionQueue(clock, slots=1)
         self._closed = False
+        self._grant_timer: asyncio.TimerHandle | None = None
 
     @property
     def load(self) -> float:
@@ -48,6 +49,11 @@
         """Total number of slots."""
         return self._queue.slots
 
+    @property
+    def rate(self) -> float | None:
+        """Requests that may start a second; none without a limit."""
+        return self._queue.rate
+
     @property
     def service_time(self) -> dt.timedelta:
         """Average time that a request holds its slot."""
@@ -82,6 +88,11 @@
         if slots != self._queue.slots:
             self._queue.resize(slots)
 
+    def set_rate(self, rate: float | None) -> None:
+        """Limit the requests that start a second; none removes the limit."""
+        self._queue.set_rate(rate)
+        self._schedule_grant()
+
     def accepts_call(self, call: Call) -> bool:
         """Return whether a call would be admitted or queued now."""
         return self.accepts(self._make_ticket(call))
@@ -113,21 +124,48 @@
             When the call can't start in time.
         """
         self.check_open()
+        is_rate_limited = self._queue.is_rate_limited
         self._queue.offer(ticket)
         if ticket.state is TicketState.WAITING:
+            self._schedule_grant()
             await self._wait(ticket)
         if ticket.state is TicketState.REFUSED:
             self.check_open()
-            raise OverloadedError(
-                'The server has no free slot to start this call in time.',
-                context={'slots': str(self._queue.slots)},
-                hint='Retry after the delay given in the retry-after header.',
-            )
+            raise self._make_refusal(is_rate_limited=is_rate_limited)
         return ticket
 
     def release(self, ticket: Ticket, *, is_typical: bool = True) -> None:
         """Free the slot of a ticket; see ``AdmissionQueue.release``."""
         self._queue.release(ticket, is_typical=is_typical)
+        self._schedule_grant()
+
+    def _make_refusal(self, *, is_rate_limited: bool) -> OverloadedError:
+        hint = 'Retry after the delay given in the retry-after header.'
+        if is_rate_limited:
+            return OverloadedError(
+                "The server's rate limit doesn't allow this call in time.",
+                context={'limit': f'{self._queue.rate} a second'},
+                hint=hint,
+            )
+        return OverloadedError(
+            'The server has no free slot to start this call in time.',
+            context={'slots': str(self._queue.slots)},
+            hint=hint,
+        )
+
+    def _schedule_grant(self) -> None:
+        """Admit the next waiting request once the rate limit allows it."""
+        delay = self._queue.time_to_grant
+        if self._grant_timer is not None or delay is None:
+            return
+        self._grant_timer = asyncio.get_running_loop().call_later(
+            delay.total_seconds(), self._grant
+        )
+
+    def _grant(self) -> None:
+        self._grant_timer = None
+        self._queue.grant()
+        self._schedule_grant()
 
     async def _wait(self, ticket: Ticket) -> None:
         loop = asyncio.get_running_loop()
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/metadata_headers.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/metadata_headers.py
@@ -21,6 +21,8 @@
         Running requests, waiting requests and slots of a server.
     not_run
         Marks the response to a request that the server did not run.
+    rate_limit
+        Requests a second that a server takes from all nodes together.
     caller
         Service that a request came from, set by the node beside the caller.
     """
@@ -31,4 +33,5 @@
     expected_server: bytes
     load: bytes
     not_run: bytes
+    rate_limit: bytes
     caller: bytes
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
@@ -20,7 +20,8 @@
     the server. ``hold_ms`` is the mean time in ms for which a request holds a
     slot, 0 before the first request, and ``hold_ms_by_route`` that mean for
     each of the most recently used routes. ``failure_rate`` is the recent share
-    of failed requests.
+    of failed requests. ``rate_limit`` is the server's limit in requests a
+    second, 0 if it has none, and None if that is unknown.
     """
 
     server: str
@@ -36,6 +37,7 @@
     failure_rate: float
     warmup_remaining_ms: int
     hold_ms_by_route: tuple[tuple[str, float], ...] = ()
+    rate_limit: float | None = None
 
 
 class RolloutBeacon(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
@@ -96,6 +96,9 @@
         Time on this node's clock at which the server's warm-up ends.
     failure_rate
         Share of its recent responses that were failures.
+    rate_limit
+        Requests a second that it takes from all nodes together, 0 if it takes
+        any number; none if unknown.
     hold_times
         Mean time for which a request holds a slot there, by route.
     in_flight
@@ -119,6 +122,7 @@
     load: LoadReport
     warmup_ends_at: dt.timedelta
     failure_rate: float = 0
+    rate_limit: float | None = None
     hold_times: dict[RouteName, dt.timedelta] = dataclasses.field(
         default_factory=dict
     )
@@ -151,6 +155,9 @@
         The server beside the peer; none unless the server accepts requests.
     silence_timeout
         Time without a beacon after which it counts as silent.
+    dropped_endpoint
+        The server that was last beside the peer, whose limit is remembered
+        while the peer starts again.
     """
 
     node: NodeId
@@ -160,6 +167,7 @@
     last_beacon: Beacon | None = None
     endpoint: Endpoint | None = None
     silence_timeout: dt.timedelta = SILENCE_TIMEOUT
+    dropped_endpoint: Endpoint | None = None
 
     @property
     def can_watch_store(self) -> bool:
@@ -424,6 +432,7 @@
             endpoint = _make_endpoint(peer, beacon, server, now)
             if endpoint is None:
                 return
+            _recall_rate_limit(peer, endpoint)
             peer.endpoint = endpoint
             self._endpoints_by_service.setdefault(endpoint.service, []).append(
                 endpoint
@@ -432,6 +441,8 @@
             milliseconds=server.warmup_remaining_ms
         )
         endpoint.failure_rate = server.failure_rate
+        if server.rate_limit is not None:
+            endpoint.rate_limit = server.rate_limit
         endpoint.hold_times = {
             RouteName(route): dt.timedelta(milliseconds=hold_time)
             for route, hold_time in server.hold_ms_by_route
@@ -443,6 +454,7 @@
             self._endpoints_by_service[peer.endpoint.service].remove(
                 peer.endpoint
             )
+            peer.dropped_endpoint = peer.endpoint
             peer.endpoint = None
 
 
@@ -481,6 +493,14 @@
     )
 
 
+def _recall_rate_limit(peer: Peer, endpoint: Endpoint) -> None:
+    """Take over a limit of the same server from before its node was silent."""
+    dropped = peer.dropped_endpoint
+    if dropped is not None and dropped.lifetime == endpoint.lifetime:
+        endpoint.rate_limit = dropped.rate_limit
+    peer.dropped_endpoint = None
+
+
 def _make_load_report(
     server: ServerBeacon, now: dt.timedelta, own_in_flight: int
 ) -> LoadReport:
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -112,6 +112,7 @@
             settings, adapter, environment, self._data_plane, self
         )
         self._state.holder.on_change(self._apply_config)
+        self._data_plane.gateway.on_notice(self._apply_server_change)
         self._connect_beacon_source()
         self._register_gauges(environment.counters.gauge)
 
@@ -305,6 +306,7 @@
         gauge('peers_alive', self._state.peer_table.count_alive)
         gauge('server_slots_in_use', lambda: gate.in_use)
         gauge('server_queue', lambda: gate.waiting)
+        gauge('server_rate_limit', lambda: gate.rate or 0)
         gauge(
             'requests_in_flight',
             lambda: self._data_plane.callers.in_flight.count,
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/server_publisher.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/server_publisher.py
@@ -102,6 +102,7 @@
             self._endpoint = endpoint
         endpoint.warmup_ends_at = info.warmup_ends_at
         endpoint.load = self._read_load(endpoint.in_flight)
+        endpoint.rate_limit = self._gateway.load.rate_limit
         endpoint.failure_rate = self._gateway.measurements.failure_rate
         endpoint.hold_times = self._gateway.measurements.hold_times.read()
         self._peer_table.replace_local_endpoint(endpoint)
@@ -136,6 +137,7 @@
                 (route, round(hold_time / _MILLISECOND, 1))
                 for route, hold_time in measurements.hold_times.read().items()
             ),
+            rate_limit=load.rate_limit,
         )
 
     def _read_load(self, own_in_flight: int) -> LoadReport:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
@@ -246,6 +246,7 @@
             choice.max_wait,
             self._for_target,
             is_retry=self._routed.from_retry or bool(self._reached),
+            rate_limit=endpoint.rate_limit,
         )
         time_left = self._routed.cutoff - clock.elapsed()
         trace = AttemptTrace.from_endpoint(
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/estimates.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/estimates.py
@@ -72,6 +72,25 @@
     return endpoint.hold_times.get(route)
 
 
+def estimate_capacity(endpoint: Endpoint, hold_time: dt.timedelta) -> float:
+    """Return how many requests a server can hold at a time.
+
+    These are its slots, or fewer if a rate limit keeps it from filling them.
+
+    Parameters
+    ----------
+    endpoint
+        The server.
+    hold_time
+        Mean time that a request holds a slot there.
+    """
+    slots = endpoint.load.slots
+    if not endpoint.rate_limit:
+        return slots
+    held = endpoint.rate_limit * max(hold_time, _MIN_DURATION).total_seconds()
+    return min(slots, held)
+
+
 def estimate_free_slots(
     endpoint: Endpoint, hold_time: dt.timedelta, now: dt.timedelta
 ) -> float:
@@ -91,21 +110,28 @@
     """
     load = endpoint.load
     sent_since = endpoint.in_flight - load.own_in_flight
-    finished = load.slots * (
+    capacity = estimate_capacity(endpoint, hold_time)
+    finished = capacity * (
         (now - load.received_at) / max(hold_time, _MIN_DURATION)
     )
     waiting = max(0, load.waiting - finished * NET_DRAIN_SHARE)
     occupied = max(endpoint.in_flight, load.in_use + waiting + sent_since)
-    return load.slots - occupied
+    return capacity - occupied
 
 
 def measure_utilization(endpoints: Sequence[Endpoint]) -> float:
     """Return the share of slots in use over all given servers."""
-    slots = sum(endpoint.load.slots for endpoint in endpoints)
+    capacities = [
+        estimate_capacity(
+            endpoint, endpoint.load.hold_time or DEFAULT_HOLD_TIME
+        )
+        for endpoint in endpoints
+    ]
     in_use = sum(
-        min(endpoint.load.in_use, endpoint.load.slots) for endpoint in endpoints
+        min(endpoint.load.in_use, capacity)
+        for endpoint, capacity in zip(endpoints, capacities, strict=True)
     )
-    return in_use / max(1, slots)
+    return in_use / max(1, sum(capacities))
 
 
 def blend_free_slots(
@@ -136,8 +162,9 @@
         (load.received_at - now) / max(hold_time, _MIN_DURATION)
     )
     by_report = estimate_free_slots(endpoint, hold_time, now)
-    by_average = load.slots * (1 - utilization)
-    own_limit = load.slots - endpoint.in_flight
+    capacity = estimate_capacity(endpoint, hold_time)
+    by_average = capacity * (1 - utilization)
+    own_limit = capacity - endpoint.in_flight
     return min(
         own_limit, report_weight * by_report + (1 - report_weight) * by_average
     )
@@ -147,10 +174,13 @@
     endpoint: Endpoint, hold_time: dt.timedelta, now: dt.timedelta
 ) -> dt.timedelta:
     """Return the time until a server has a free slot for one more request."""
-    missing_slots = 1 - estimate_free_slots(endpoint, hold_time, now)
+    capacity = estimate_capacity(endpoint, hold_time)
+    free = estimate_free_slots(endpoint, hold_time, now)
+    # A rate limit may leave less than one slot even to an idle server.
+    missing_slots = min(1, capacity) - free
     if missing_slots <= 0:
         return _ZERO
-    return hold_time * (missing_slots / endpoint.load.slots)
+    return hold_time * (missing_slots / capacity)
 
 
 def estimate_hold_time(
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
@@ -265,6 +265,8 @@
         if load is None:
             return
         endpoint.failure_rate = load.failure_rate
+        if load.rate_limit is not None:
+            endpoint.rate_limit = load.rate_limit
         endpoint.load = LoadReport(
             in_use=load.in_use,
             waiting=load.waiting,
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
@@ -125,12 +125,16 @@
     is_retry
         Whether the request may have reached another server before, or is a call
         of a server that runs a retried request.
+    rate_limit
+        The server's limit in requests a second as this node knows it, 0 if it
+        has none; none if unknown.
     """
 
     lifetime: Lifetime
     max_wait: dt.timedelta
     for_target: bool = False
     is_retry: bool = False
+    rate_limit: float | None = None
 
 
 class _RoutingHeader(msgspec.Struct, frozen=True, array_like=True):
@@ -154,6 +158,7 @@
     depth: int
     cutoff_left: float | None = None
     is_retry: bool = False
+    rate_limit: float | None = None
 
 
 _encoder = msgspec.json.Encoder()
@@ -182,6 +187,7 @@
             depth=routed.depth,
             cutoff_left=cutoff_left / _MILLISECOND,
             is_retry=options.is_retry,
+            rate_limit=options.rate_limit,
         )
     )
 
@@ -234,6 +240,7 @@
             max_wait=header.max_wait * _MILLISECOND,
             for_target=header.for_target,
             is_retry=header.is_retry,
+            rate_limit=header.rate_limit,
         )
         return cls(routed, options)
 
@@ -258,6 +265,8 @@
     """Load of a server as reported on responses; times in milliseconds.
 
     ``failure_rate`` is the recent share of failed and refused requests.
+    ``rate_limit`` is the server's limit in requests a second, 0 if it has none,
+    and None if that is unknown.
     """
 
     in_use: int
@@ -265,6 +274,7 @@
     slots: int
     hold_ms: float
     failure_rate: float = 0
+    rate_limit: float | None = None
 
 
 _load_decoder = msgspec.json.Decoder(ServerLoad)
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_call.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_call.py
@@ -145,6 +145,7 @@
         self.sent = True
         self._gateway.running.begin(self._run)
         head = await self._send(info, exchange)
+        self._gateway.apply_response(info, head)
         self._classify(head)
         return head
 
@@ -161,6 +162,7 @@
             With the reason why the request would be refused; it did not run.
         """
         self._gateway.check(self._routed, self._options)
+        self._gateway.learn_rate_limit(self._options)
         if not self._gateway.gate.accepts(self._make_ticket()):
             raise OverloadedError('The server has no slot in time.')
 
@@ -192,6 +194,7 @@
         """Wait for a slot and return the server that it belongs to."""
         gateway = self._gateway
         gateway.check(self._routed, self._options)
+        gateway.learn_rate_limit(self._options)
         self._ticket = await gateway.gate.admit(self._make_ticket())
         self._info = gateway.check(self._routed, self._options)
         self._started = gateway.clock.elapsed()
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -5,11 +5,13 @@
 """
 
 import datetime as dt
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from bluebellslip._internal.calls.admission_gate import AdmissionGate
 from bluebellslip._internal.calls.metadata_headers import MetadataHeaders
 from bluebellslip._internal.calls.pool import ConnectionPool
+from bluebellslip._internal.calls.response_reader import ResponseHead
 from bluebellslip._internal.exceptions import (
     DrainingError,
     NoServerError,
@@ -30,6 +32,7 @@
 )
 from bluebellslip._internal.proxy.running_requests import RunningRequests
 from bluebellslip._internal.proxy.server_measurements import ServerMeasurements
+from bluebellslip._internal.proxy.server_notices import ServerNotices
 from bluebellslip._internal.proxy.server_waits import ServerWaits
 
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
@@ -101,6 +104,8 @@
         self._gate = AdmissionGate(clock)
         self._measurements = ServerMeasurements(clock)
         self._waits = ServerWaits()
+        self._notices = ServerNotices(clock, metadata_headers)
+        self._on_notice: Callable[[], None] = _ignore_notice
         self._closed = False
         self._current_lifetime: object = None
 
@@ -154,8 +159,26 @@
             gate.slots,
             round(gate.service_time / _MILLISECOND, 1),
             round(self._measurements.failure_rate, 3),
+            self._notices.rate_limit,
         )
 
+    def on_notice(self, listener: Callable[[], None]) -> None:
+        """Call a listener when the server names or ends a limit."""
+        self._on_notice = listener
+
+    def learn_rate_limit(self, options: AttemptOptions) -> None:
+        """Take over the server's rate limit as another node remembers it."""
+        if options.lifetime == self._current_lifetime:
+            changed = self._notices.learn(options.lifetime, options.rate_limit)
+            self._apply_notices(changed=changed)
+
+    def apply_response(self, info: ServerInfo, head: ResponseHead) -> None:
+        """Apply what a response of the server says about the server itself."""
+        if info.lifetime != self._current_lifetime:
+            return
+        changed = self._notices.apply(info.lifetime, head)
+        self._apply_notices(changed=changed)
+
     def close(self) -> None:
         """Refuse new requests from now on; running ones may finish."""
         self._closed = True
@@ -222,8 +245,21 @@
             is_warm=self._clock.elapsed() >= info.warmup_ends_at,
         )
 
+    def _apply_notices(self, *, changed: bool) -> None:
+        rate_limit = self._notices.rate_limit or None
+        if rate_limit != self._gate.rate:
+            self._gate.set_rate(rate_limit)
+        if changed:
+            self._on_notice()
+
     def _start_lifetime(self, info: ServerInfo) -> None:
         self._current_lifetime = info.lifetime
         self._measurements.clear()
         self._running.forget_calls()
+        self._notices.begin_lifetime()
+        self._apply_notices(changed=False)
         self._pool.forget(info.address)
+
+
+def _ignore_notice() -> None:
+    """Do nothing: there is no listener."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -117,6 +117,17 @@
         'A message from the local server was received.',
         ('server', 'notice'),
     ),
+    'server_limit': Event(
+        'The local server named a limit in requests a second, changed it by '
+        'more than a tenth, or ended it; the source is one of its responses, '
+        'or a peer that remembers it.',
+        ('server', 'limit', 'earlier', 'source'),
+    ),
+    'server_limit_ignored': Event(
+        'The local server named a limit that is no decimal number; the '
+        'earlier one stays.',
+        ('server', 'found'),
+    ),
     'server_unreachable': Event(
         'Connections to the local server fail.', _SERVER
     ),
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -103,6 +103,7 @@
     state: ServerState = ServerState.READY,
     version: str = 'v1',
     in_use: int = 0,
+    rate_limit: float | None = None,
 ) -> ServerBeacon:
     return ServerBeacon(
         server=server,
@@ -117,6 +118,7 @@
         hold_ms=100,
         failure_rate=0,
         warmup_remaining_ms=0,
+        rate_limit=rate_limit,
     )
 
 
--- a/tests/lib/proxy_requests.py
+++ b/tests/lib/proxy_requests.py
@@ -33,6 +33,7 @@
     signature=b'x-server-signature',
     load=b'x-server-load',
     not_run=b'x-not-executed',
+    rate_limit=b'server-limit',
 )
 
 
