--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/metadata_headers.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/metadata_headers.py
@@ -1,6 +1,12 @@
 """Names of the headers that callers and backend servers use for metadata."""
 
 import dataclasses
+from collections.abc import Iterable
+from typing import Final
+
+from bluebellslip._internal.calls.headers import Header
+
+_LEAVING_VALUE: Final = b'1'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,6 +29,8 @@
         Marks the response to a request that the server did not run.
     rate_limit
         Requests a second that a server takes from all nodes together.
+    leaving
+        Marks the responses of a server that leaves.
     caller
         Service that a request came from, set by the node beside the caller.
     """
@@ -34,4 +42,12 @@
     load: bytes
     not_run: bytes
     rate_limit: bytes
+    leaving: bytes
     caller: bytes
+
+    def says_leaving(self, headers: Iterable[Header]) -> bool:
+        """Return whether a response says that its server leaves."""
+        return any(
+            name == self.leaving and text.strip() == _LEAVING_VALUE
+            for name, text in headers
+        )
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/local_server.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/local_server.py
@@ -198,6 +198,24 @@
         self._set_info(dataclasses.replace(info, state=ServerState.GONE))
         return MessageResult.TAKEN
 
+    def apply_leaving(self, lifetime: Lifetime) -> bool:
+        """Apply a response that says that the server leaves.
+
+        Returns
+        -------
+        bool
+            Whether the server was ready before.
+        """
+        info = self._info
+        if (
+            info is None
+            or info.lifetime != lifetime
+            or info.state is not ServerState.READY
+        ):
+            return False
+        self._set_info(dataclasses.replace(info, state=ServerState.DRAINING))
+        return True
+
     def record_connect(self, *, failed: bool) -> None:
         """Record whether a connection to the server was established."""
         if not failed:
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
@@ -4,6 +4,7 @@
 import datetime as dt
 import logging
 import math
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -40,6 +41,9 @@
 RELAYED_TIMEOUT_FACTOR: Final = 2
 # Longer than any link outage that the deployments are designed for.
 PEER_RETENTION: Final = dt.timedelta(seconds=60)
+# Servers that are remembered because they said that they leave, the latest
+# ones; more than a deployment has.
+MAX_LEAVING_SERVERS: Final = 4096
 
 
 @dataclasses.dataclass(slots=True)
@@ -208,6 +212,7 @@
         self._endpoints_by_service: dict[ServiceName, list[Endpoint]] = {}
         self._local_endpoint: Endpoint | None = None
         self._announced_size = 0
+        self._leaving: OrderedDict[NodeId, Lifetime] = OrderedDict()
 
     @property
     def peers(self) -> Iterable[Peer]:
@@ -386,6 +391,28 @@
         """Return the servers of a service that accept requests."""
         return self._endpoints_by_service.get(service, [])
 
+    def mark_leaving(self, endpoint: Endpoint) -> None:
+        """Use a server no more, since one of its responses says it leaves.
+
+        What the node beside it reports later doesn't undo that: it may have
+        started again and not know.
+        """
+        if self._leaving.get(endpoint.node) == endpoint.lifetime:
+            return
+        self._leaving[endpoint.node] = endpoint.lifetime
+        if len(self._leaving) > MAX_LEAVING_SERVERS:
+            self._leaving.popitem(last=False)
+        logger.info(
+            'peer_server_leaving',
+            extra={
+                'peer': endpoint.node,
+                'server': endpoint.lifetime.server,
+            },
+        )
+        peer = self._peers.get(endpoint.node)
+        if peer is not None and peer.endpoint is endpoint:
+            self._drop_endpoint(peer)
+
     def replace_local_endpoint(self, endpoint: Endpoint | None) -> None:
         """Replace the endpoint of the server beside this node.
 
@@ -426,6 +453,8 @@
             self._drop_endpoint(peer)
             return
         lifetime = Lifetime(server.born, server.server)
+        if self._leaving.get(peer.node) == lifetime:
+            return
         endpoint = peer.endpoint
         if endpoint is None or endpoint.lifetime != lifetime:
             self._drop_endpoint(peer)
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -212,7 +212,12 @@
                     peer_table=state.peer_table,
                     server_selector=server_selector,
                     forwarder=RequestForwarder(
-                        clock, peer_pool, gateway, open_attempts, body_pacer
+                        clock,
+                        peer_pool,
+                        gateway,
+                        state.peer_table,
+                        open_attempts,
+                        body_pacer,
                     ),
                     versions=version_selector,
                     sizes=ResponseSizes(),
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
@@ -21,7 +21,11 @@
     ErrorKind,
     NoServerError,
 )
-from bluebellslip._internal.fleet.peer_table import Endpoint, LoadReport
+from bluebellslip._internal.fleet.peer_table import (
+    Endpoint,
+    LoadReport,
+    PeerTable,
+)
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.identity import Address
 from bluebellslip._internal.proxy.ingress import (
@@ -118,6 +122,8 @@
         Connections to other nodes.
     gateway
         Access to the local server.
+    peer_table
+        The servers beside other nodes.
     open_attempts
         Tracks the requests that are sent to other nodes.
     pacer
@@ -129,6 +135,7 @@
         clock: Clock,
         peers: ConnectionPool,
         gateway: ServerGateway,
+        peer_table: PeerTable,
         open_attempts: OpenAttempts,
         pacer: BodyPacer,
     ) -> None:
@@ -136,6 +143,7 @@
         self._clock = clock
         self._peers = peers
         self._gateway = gateway
+        self._peer_table = peer_table
         self._pacer = pacer
 
     @property
@@ -210,11 +218,17 @@
                 error = await _read_refusal(exchange.connection)
                 self._record_refusal(endpoint, error)
                 raise error
+            self._check_leaving(endpoint, head)
             result.call_failed = CALL_FAILED_HEADER in head.fields
             result.response = await buffer_or_stream(
                 head, exchange.connection, routed.request.reply
             )
 
+    def _check_leaving(self, endpoint: Endpoint, head: ResponseHead) -> None:
+        """Use a server no more once its caller gets to know that it leaves."""
+        if self._gateway.metadata_headers.says_leaving(head.headers):
+            self._peer_table.mark_leaving(endpoint)
+
     def _record_refusal(self, endpoint: Endpoint, error: BluebellError) -> None:
         """Avoid a server that is leaving until its node's next beacons.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -163,7 +163,7 @@
         )
 
     def on_notice(self, listener: Callable[[], None]) -> None:
-        """Call a listener when the server names or ends a limit."""
+        """Call a listener when the server says that it leaves or is limited."""
         self._on_notice = listener
 
     def learn_rate_limit(self, options: AttemptOptions) -> None:
@@ -177,6 +177,8 @@
         if info.lifetime != self._current_lifetime:
             return
         changed = self._notices.apply(info.lifetime, head)
+        if self._metadata_headers.says_leaving(head.headers):
+            changed |= self._server.apply_leaving(info.lifetime)
         self._apply_notices(changed=changed)
 
     def close(self) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -128,6 +128,10 @@
         'earlier one stays.',
         ('server', 'found'),
     ),
+    'peer_server_leaving': Event(
+        'A response from the server beside another node says that it leaves.',
+        ('peer', 'server'),
+    ),
     'server_unreachable': Event(
         'Connections to the local server fail.', _SERVER
     ),
--- a/tests/functional/test_platform_limits.py
+++ b/tests/functional/test_platform_limits.py
@@ -7,11 +7,13 @@
 
 import asyncio
 import contextlib
+import dataclasses
 from collections.abc import AsyncGenerator
 
 import anyio
 import pytest
 
+from bluebellslip._internal.models.servers import ServerState
 from lib.limiting_server import LimitingServer
 from lib.simulated_platform import (
     PlatformNode,
@@ -113,3 +115,26 @@
         statuses = await send_steadily(fronts, 40, 1)
     assert len(leaving.arrivals) == arrived
     assert set(statuses) == {200}
+
+
+async def test_node_that_passed_on_that_a_server_leaves_remembers_it() -> None:
+    """The node beside the server has started again and knows nothing of it."""
+    leaving, other = LimitingServer(), LimitingServer()
+    leaving.leaving = True
+    async with run_mesh([leaving, other]) as (backs, fronts):
+        await send_steadily(fronts, 60, 1)
+        forgetful = backs[0].node._state.server
+        forgetful._info = dataclasses.replace(
+            forgetful._info, state=ServerState.READY
+        )
+        backs[0].node._apply_server_change()
+        await anyio.sleep(0.3)
+        arrived = len(leaving.arrivals)
+        told = {
+            number
+            for number, front in enumerate(fronts)
+            if front.node._state.peer_table._leaving
+        }
+        await send_steadily([fronts[number] for number in told], 60, 1)
+    assert told
+    assert len(leaving.arrivals) == arrived
--- a/tests/lib/proxy_requests.py
+++ b/tests/lib/proxy_requests.py
@@ -34,6 +34,7 @@
     load=b'x-server-load',
     not_run=b'x-not-executed',
     rate_limit=b'server-limit',
+    leaving=b'server-leaving',
 )
 
 
--- a/tests/unit/test_local_server.py
+++ b/tests/unit/test_local_server.py
@@ -15,7 +15,11 @@
 )
 from bluebellslip._internal.kernel.clock import ManualClock
 from bluebellslip._internal.models.identity import Address
-from bluebellslip._internal.models.servers import Heartbeat, ServerState
+from bluebellslip._internal.models.servers import (
+    Heartbeat,
+    Lifetime,
+    ServerState,
+)
 from lib.fleet import ORDERS, SECOND, SERVER_ADDRESS, make_heartbeat
 
 
@@ -130,3 +134,18 @@
     assert not server.is_usable
     server.apply_heartbeat(make_heartbeat(2))
     assert server.is_usable
+
+
+def test_response_that_says_that_the_server_leaves_outlasts_heartbeats() -> (
+    None
+):
+    server = make_server()
+    server.apply_heartbeat(make_heartbeat())
+    assert not server.apply_leaving(Lifetime(1, 'i-1'))
+    assert server.is_usable
+    assert server.apply_leaving(Lifetime(1000, 'i-1'))
+    assert not server.apply_leaving(Lifetime(1000, 'i-1'))
+    server.apply_heartbeat(make_heartbeat(2))
+    assert not server.is_usable
+    server.apply_heartbeat(make_heartbeat(born=2000))
+    assert server.is_usable
--- a/tests/unit/test_peer_table.py
+++ b/tests/unit/test_peer_table.py
@@ -13,7 +13,11 @@
     decode_beacon,
     encode_beacon,
 )
-from bluebellslip._internal.fleet.peer_table import SILENCE_TIMEOUT, PeerTable
+from bluebellslip._internal.fleet.peer_table import (
+    PEER_RETENTION,
+    SILENCE_TIMEOUT,
+    PeerTable,
+)
 from bluebellslip._internal.kernel.clock import ManualClock
 from bluebellslip._internal.models.identity import Address, NodeId
 from bluebellslip._internal.models.servers import ServerState
@@ -134,3 +138,25 @@
     peer_table.apply_beacon(make_beacon('one', 2, known_nodes=4))
     peer_table.expire()
     assert peer_table.deployment_size == 4
+
+
+def test_server_that_leaves_is_not_used_again_whatever_its_node_reports() -> (
+    None
+):
+    """The node may have started again and hear that the server is ready."""
+    clock = ManualClock()
+    peer_table = make_table(clock)
+    ready = make_server_beacon('i-1')
+    peer_table.apply_beacon(make_beacon('one', server=ready))
+    peer_table.mark_leaving(peer_table.endpoints(ORDERS)[0])
+    assert not peer_table.endpoints(ORDERS)
+    peer_table.apply_beacon(make_beacon('one', 2, server=ready))
+    peer_table.apply_beacon(make_beacon('one', 1, started=2, server=ready))
+    assert not peer_table.endpoints(ORDERS)
+    clock.advance(PEER_RETENTION + SILENCE_TIMEOUT)
+    peer_table.expire()
+    peer_table.apply_beacon(make_beacon('one', 2, started=2, server=ready))
+    assert not peer_table.endpoints(ORDERS)
+    replaced = make_server_beacon('i-2')
+    peer_table.apply_beacon(make_beacon('one', 3, started=2, server=replaced))
+    assert peer_table.endpoints(ORDERS)
