--- a/bench/soak.py
+++ b/bench/soak.py
@@ -21,6 +21,7 @@
 from bench.results import OUTPUT_DIRECTORY
 from bench.soak_checks import HistoryChecker, Rules
 from bench.soak_nodes import RunContext, SoakNode
+from bench.soak_notices import check_notices
 from bench.soak_plan import GRACE, Action, Event, SoakPlan, make_config
 from bench.soak_records import Finding, History
 from bench.soak_traffic import (
@@ -62,14 +63,12 @@
         )
         self._store = SimulatedStore()
         self._version = 0
+        self._servers = [
+            RecordingServer(node.name, self.history) for node in plan.nodes
+        ]
         self._nodes = [
-            SoakNode(
-                node,
-                self._context,
-                self._store,
-                RecordingServer(node.name, self.history).handle,
-            )
-            for node in plan.nodes
+            SoakNode(node, self._context, self._store, server.handle)
+            for node, server in zip(plan.nodes, self._servers, strict=True)
         ]
 
     async def run(self) -> None:
@@ -99,7 +98,8 @@
         counts = ', '.join(f'{ends[end]} {end}' for end in sorted(ends))
         return (
             f'seed {self._plan.seed}: {ends.total()} requests: {counts}; '
-            f'{len(self.history.stops)} stops; {len(findings)} findings'
+            f'{len(self.history.stops)} stops; '
+            f'{len(self.history.notices)} notices; {len(findings)} findings'
         )
 
     async def _run_traffic(self) -> None:
@@ -148,9 +148,24 @@
             await node.restart(event.pause_s)
         elif event.action is Action.RELOAD:
             await node.reload()
+        elif event.action in {Action.LIMIT, Action.LEAVE}:
+            await self._give_notice(event)
         else:
             self._configure()
 
+    async def _give_notice(self, event: Event) -> None:
+        """Let a server name a limit, or say that it leaves and be replaced.
+
+        Its heartbeats say that it is ready all the while.
+        """
+        server = self._servers[event.node]
+        is_leaving = event.action is Action.LEAVE
+        notice = server.begin_notice(None if is_leaving else event.rate)
+        await anyio.sleep(event.pause_s)
+        server.end_notice(notice)
+        if is_leaving:
+            self._nodes[event.node].server_born += 1
+
     def _configure(self) -> None:
         self._version += self._random.randint(1, 5)
         config = make_config(self._random, self._version)
@@ -163,6 +178,7 @@
     soak = Soak(plan, logs / f'seed-{seed}')
     anyio.run(soak.run)
     findings = HistoryChecker(soak.history, Rules()).check()
+    findings += check_notices(soak.history)
     for finding in findings:
         print(finding.format(seed))
     print(soak.summarize(findings), flush=True)
--- a/bench/soak_nodes.py
+++ b/bench/soak_nodes.py
@@ -54,6 +54,9 @@
 class SoakNode:
     """A node in a process of its own; its server stays in this process.
 
+    ``server_born`` is when the server says that it was started; a higher number
+    makes it another server.
+
     Parameters
     ----------
     plan
@@ -85,6 +88,7 @@
         self._file = context.directory / f'{plan.name}.json'
         self._log_path = context.directory / f'{plan.name}.log'
         self._log_path.unlink(missing_ok=True)
+        self.server_born = 1
         self._process: subprocess.Popen[bytes] | None = None
         self._ready = asyncio.Event()
         self._stopping = False
@@ -186,7 +190,9 @@
         while True:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 async with asyncio.timeout(_HEARTBEAT_S):
-                    await self._platform_node.send_heartbeat()
+                    await self._platform_node.send_heartbeat(
+                        born=self.server_born
+                    )
                     await self._check_ready()
             self._check_running()
             await anyio.sleep(_HEARTBEAT_S if self._ready.is_set() else 0.1)
--- a/bench/soak_plan.py
+++ b/bench/soak_plan.py
@@ -16,6 +16,11 @@
 _RESTART_S: Final = 2.0
 # Longest time between two signals of a series.
 _MAX_GAP_S: Final = 2.5
+# Time for which a server names a limit or says that it leaves.
+_NOTICE_S: Final = (2.0, 10.0)
+_MAX_NOTICE_GAP_S: Final = 12.0
+# Limits that servers name, in requests a second.
+_LIMITS: Final = (0, 15)
 _MAX_BODY_BYTES: Final = 300_000
 _DOMAINS: Final = 'ab'
 _READERS: Final = 'catalogue'
@@ -67,19 +72,24 @@
     STOP = 'stop'
     RELOAD = 'reload'
     CONFIGURE = 'configure'
+    LIMIT = 'limit'
+    LEAVE = 'leave'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Event:
-    """An action; ``pause_s`` is the time until a stopped node starts again.
+    """An action.
 
-    ``at_s`` counts in seconds from the start of the traffic.
+    ``at_s`` counts in seconds from the start of the traffic. ``pause_s`` is the
+    time until a stopped node starts again, or until a server ends its limit or
+    has left. ``rate`` is a limit in requests a second.
     """
 
     at_s: float
     action: Action
     node: int = 0
     pause_s: float = 0
+    rate: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,6 +118,7 @@
         events = [
             *_choose_stops(source, node_count, seconds),
             *_choose_changes(source, node_count, seconds),
+            *_choose_notices(Random(f'notices-{seed}'), node_count, seconds),
         ]
         return cls(
             seed,
@@ -193,3 +204,19 @@
         changes.append(Event(at_s, action, source.randrange(node_count)))
         at_s += source.uniform(0.5, 4)
     return changes
+
+
+def _choose_notices(
+    source: Random, node_count: int, end_s: float
+) -> list[Event]:
+    """Choose servers that name a limit or leave; one at a time for each."""
+    notices = []
+    for node in range(node_count):
+        at_s = source.uniform(0, _MAX_NOTICE_GAP_S)
+        while at_s < end_s:
+            lasts_s = source.uniform(*_NOTICE_S)
+            action = source.choice((Action.LIMIT, Action.LIMIT, Action.LEAVE))
+            rate = round(source.uniform(*_LIMITS), 1)
+            notices.append(Event(at_s, action, node, lasts_s, rate))
+            at_s += lasts_s + source.uniform(0, _MAX_NOTICE_GAP_S)
+    return notices
--- a/bench/soak_records.py
+++ b/bench/soak_records.py
@@ -77,6 +77,21 @@
     exited: dt.timedelta = dt.timedelta.max
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Notice:
+    """What the server beside ``node`` says in all its responses for a time.
+
+    ``limit`` is in requests a second; without one, the server leaves. A server
+    that has left starts again as another one. ``named`` is when the first
+    response says so.
+    """
+
+    node: str
+    limit: float | None
+    named: dt.timedelta = dt.timedelta.max
+    ended: dt.timedelta = dt.timedelta.max
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finding:
     """A violation of a rule; ``request_id`` is empty if it names none."""
@@ -107,6 +122,7 @@
         self.requests: list[Request] = []
         self.runs: list[ServerRun] = []
         self.stops: list[Stop] = []
+        self.notices: list[Notice] = []
         self.findings: list[Finding] = []
         self._clock = clock
         self._begun = clock.elapsed()
--- a/bench/soak_traffic.py
+++ b/bench/soak_traffic.py
@@ -13,6 +13,7 @@
 from bench.soak_plan import PROFILES, make_prefix
 from bench.soak_records import (
     History,
+    Notice,
     Request,
     RequestEnd,
     RouteKind,
@@ -54,6 +55,20 @@
     def __init__(self, node: str, history: History) -> None:
         self._node = node
         self._history = history
+        self._notice: Notice | None = None
+
+    def begin_notice(self, limit: float | None) -> Notice:
+        """Name a limit in all responses, or say that the server leaves."""
+        notice = Notice(self._node, limit)
+        self._history.notices.append(notice)
+        self._notice = notice
+        return notice
+
+    def end_notice(self, notice: Notice) -> None:
+        """Say nothing more of it."""
+        notice.ended = self._history.now
+        if self._notice is notice:
+            self._notice = None
 
     async def handle(
         self,
@@ -69,7 +84,18 @@
         await anyio.sleep(Random(request_id).uniform(*PROFILES[kind].run_s))
         run.ended = self._history.now
         body = describe_body(request_id, request.body)
-        writer.write(encode_signed_response(request, body))
+        response = encode_signed_response(request, body)
+        status, _, rest = response.partition(b'\r\n')
+        writer.write(b'\r\n'.join((status, *self._make_headers(), rest)))
+
+    def _make_headers(self) -> list[bytes]:
+        notice = self._notice
+        if notice is None:
+            return []
+        notice.named = min(notice.named, self._history.now)
+        if notice.limit is None:
+            return [b'Server-Leaving: 1']
+        return [f'Server-Limit: {notice.limit}'.encode()]
 
 
 class _RecordingCaller(Caller):
--- a/tests/functional/test_drain_soak.py
+++ b/tests/functional/test_drain_soak.py
@@ -1,9 +1,10 @@
 """A short soak: node processes that stop in series under load.
 
 It guards against requests that a stopping node has read and then drops, that
-run twice, or that are refused although they ran. No bound on time decides: a
-process may take as long as it needs to exit, and a lost request is told from
-one that crosses the close by seconds.
+run twice, or that are refused although they ran, and against servers that get
+more than the limit that they named, or requests after they left. No bound on
+time decides: a process may take as long as it needs to exit, and a lost request
+is told from one that crosses the close by seconds.
 """
 
 import datetime as dt
@@ -12,6 +13,7 @@
 import pytest
 from bench.soak import Soak
 from bench.soak_checks import HistoryChecker, Rules
+from bench.soak_notices import check_notices
 from bench.soak_plan import SoakPlan
 from bench.soak_records import RouteKind
 
@@ -37,6 +39,7 @@
     await soak.run()
     history = soak.history
     findings = HistoryChecker(history, _RULES).check()
+    findings += check_notices(history)
     lines = [finding.format(_SEED) for finding in findings]
     assert not lines
     interrupted_uploads = [
@@ -48,3 +51,4 @@
         and request.begun < stop.at < request.ended
     ]
     assert interrupted_uploads
+    assert any(notice.named < notice.ended for notice in history.notices)
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -8,9 +8,11 @@
 
 import pytest
 from bench.soak_checks import HistoryChecker, Rules
+from bench.soak_notices import check_notices
 from bench.soak_plan import SoakPlan
 from bench.soak_records import (
     History,
+    Notice,
     Request,
     RequestEnd,
     RouteKind,
@@ -184,3 +186,50 @@
     plan = SoakPlan.from_seed(5, 6, 30)
     assert plan == SoakPlan.from_seed(5, 6, 30)
     assert plan != SoakPlan.from_seed(6, 6, 30)
+
+
+def _check_notice(
+    limit: float | None, arrivals: list[tuple[str, float]], stops: list[Stop]
+) -> list[str]:
+    """Check a server that gives notice from 0 s to 20 s.
+
+    Each arrival is the caller's node and the time in seconds.
+    """
+    history = History(ManualClock())
+    history.notices.append(Notice('back', limit, _seconds(0), _seconds(20)))
+    history.stops += stops
+    for number, (node, at) in enumerate(arrivals):
+        request = _make_request(
+            RequestEnd.ANSWERED, at, at + 0.1, RouteKind.SAFE
+        )
+        request.request_id = f'r{number}'
+        request.node = node
+        headers = {'server-leaving': '1'} if limit is None else {}
+        request.response = ReceivedResponse(200, headers, _BODY)
+        history.requests.append(request)
+        history.runs.append(
+            ServerRun(f'r{number}', 'back', _seconds(at), _seconds(at + 0.1))
+        )
+    return [finding.text for finding in check_notices(history)]
+
+
+def test_requests_over_the_limit_of_a_server_are_found() -> None:
+    allowed = [('front', 4 + number / 10) for number in range(11)]
+    assert not _check_notice(1, allowed, [])
+    excess = [*allowed, ('other', 5)]
+    assert '12 requests' in _check_notice(1, excess, [])[0]
+    early = [('front', number / 100) for number in range(100)]
+    assert not _check_notice(1, early, [])
+    stop = Stop('other', _seconds(4.5), _seconds(5.5))
+    assert not _check_notice(1, excess, [stop])
+
+
+def test_requests_from_a_node_that_knows_that_a_server_leaves_are_found() -> (
+    None
+):
+    assert not _check_notice(None, [('front', 1), ('other', 5)], [])
+    assert not _check_notice(None, [('front', 1), ('front', 3)], [])
+    arrivals = [('front', 1), ('front', 3.2)]
+    assert 'leaves' in _check_notice(None, arrivals, [])[0]
+    stop = Stop('front', _seconds(2), _seconds(2.5))
+    assert not _check_notice(None, arrivals, [stop])
