--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -248,6 +248,8 @@
         except BluebellError as failure:
             response = None
             error = failure
+            if attempts.has_reached_server:
+                routed.record_failure()
         except asyncio.CancelledError:
             self._record_cancellation(
                 routed, trace, may_have_run=attempts.may_have_run
@@ -259,8 +261,6 @@
                 routed.record_failure()
             self._send_response(routed, response, trace)
             return
-        if attempts.has_reached_server:
-            routed.record_failure()
         if not self._cutoffs.ends_early(routed):
             self._count_outgoing(routed, failed=True)
         self._send_error(
--- a/tests/functional/test_platform_retries.py
+++ b/tests/functional/test_platform_retries.py
@@ -149,6 +149,33 @@
     assert shedding.arrivals == ['r1.1', 'r1.1']
 
 
+async def test_request_whose_call_timed_out_is_retried() -> None:
+    """The call was not retried: its own time was over."""
+    store = SimulatedStore()
+    arrivals: list[str] = []
+
+    async def outlast_the_first(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        request: ReceivedRequest,
+    ) -> None:
+        arrivals.append(request.headers['x-request-id'])
+        await asyncio.sleep(1 if len(arrivals) == 1 else 0)
+        writer.write(encode_signed_response(request, b'read'))
+
+    shedding = SheddingStore()
+    shedding.handle = outlast_the_first  # type: ignore[method-assign]
+    front, nodes = make_nodes(store, Portal(store), shedding)
+    set_bounds(nodes, msgspec.structs.replace(_BOUNDS, retry_reserve=15))
+    read = make_route_json('r-read', '/read/', 'store', timeout_s=0.4)
+    page = make_route_json('r-page', '/page/', 'portal', timeout_s=60)
+    store.put('op', 'config', make_document_json(4, page, read))
+    async with run_nodes(store, nodes):
+        response = await front.call('/page/1', 'r1')
+    assert response.status == 200
+    assert arrivals == ['r1.1', 'r1.2']
+
+
 async def test_calls_of_retried_requests_stay_within_the_limit_of_their_service() -> (  # ruff: ignore[line-too-long]
     None
 ):
