--- a/packages/bluebellslip/src/bluebellslip/_internal/models/mesh_settings.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/mesh_settings.py
@@ -75,7 +75,8 @@
     ``crossing_cost`` is the cost that the selection of a server adds for each
     kilobyte (1024 bytes) sent to another failure domain; a response in time
     is worth 1. ``link_mbps`` is the capacity of the instance's own link, in
-    megabits per second.
+    megabits per second. ``first_start`` says whether the whole deployment
+    starts for the first time; otherwise this node may have run before.
     """
 
     node: str
@@ -88,6 +89,7 @@
     heartbeat: Seconds = 1.5
     crossing_cost: Ratio = 0.05
     link_mbps: Rate = 1000
+    first_start: bool = True
     bounds: Bounds = Bounds()
 
     @property
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -125,7 +125,10 @@
             store_health=store_health,
             watcher_selection=WatcherSelection(peer_table, store_health),
             retry_budgets=RetryBudgets(
-                clock, settings.bounds, lambda: peer_table.deployment_size
+                clock,
+                settings.bounds,
+                lambda: peer_table.deployment_size,
+                may_have_run=not settings.first_start,
             ),
         )
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_budgets.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_budgets.py
@@ -28,15 +28,22 @@
         Limits of the deployment.
     count_nodes
         Returns the number of nodes that share the reserve of each budget.
+    may_have_run
+        Whether the node may have made retries before it started.
     """
 
     def __init__(
-        self, clock: Clock, bounds: Bounds, count_nodes: Callable[[], int]
+        self,
+        clock: Clock,
+        bounds: Bounds,
+        count_nodes: Callable[[], int],
+        *,
+        may_have_run: bool,
     ) -> None:
         self._clock = clock
         self._bounds = bounds
         self._count_nodes = count_nodes
-        self._forgot_at = clock.elapsed()
+        self._forgot_at = clock.elapsed() if may_have_run else None
         self._budgets: dict[ServiceName, SharedRetryBudget] = {}
 
     @property
@@ -46,7 +53,9 @@
     @property
     def _share(self) -> float:
         """The node's share of the reserve."""
-        if self._clock.elapsed() - self._forgot_at < self._window:
+        forgot_at = self._forgot_at
+        now = self._clock.elapsed()
+        if forgot_at is not None and now - forgot_at < self._window:
             return 0
         return 1 / max(1, self._count_nodes())
 
--- a/tests/functional/test_platform_retries.py
+++ b/tests/functional/test_platform_retries.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import datetime as dt
 from collections.abc import Sequence
 
 import anyio
@@ -118,7 +117,7 @@
     """Apply bounds as if the nodes had run for longer than their window."""
     for node in nodes:
         node.node._data_plane.callers.apply(bounds)
-        node.node._state.retry_budgets._forgot_at = -dt.timedelta(hours=1)
+        node.node._state.retry_budgets._forgot_at = None
 
 
 def make_nodes(
--- a/tests/unit/test_shared_retry_budget.py
+++ b/tests/unit/test_shared_retry_budget.py
@@ -79,11 +79,9 @@
         self._random = random
         self._healthy_for = healthy_for
         self.budgets = [
-            RetryBudgets(clock, _BOUNDS, count_nodes) for _ in range(_NODES)
+            RetryBudgets(clock, _BOUNDS, count_nodes, may_have_run=False)
+            for _ in range(_NODES)
         ]
-        # Only a node that has run for a window has its part of the reserve.
-        clock.advance(_WINDOW)
-        self._started = clock.elapsed()
         self.requests: list[dt.timedelta] = []
         self.retries: list[dt.timedelta] = []
 
@@ -111,7 +109,7 @@
         return self._is_accepted()
 
     def _is_accepted(self) -> bool:
-        is_healthy = self._clock.elapsed() < self._started + self._healthy_for
+        is_healthy = self._clock.elapsed() < self._healthy_for
         return is_healthy or self._random.random() < _ACCEPTED_SHARE
 
 
@@ -252,7 +250,7 @@
     """It has forgotten the retries that it made before."""
     clock = ManualClock()
     clock.advance(100 * SECOND)
-    budgets = RetryBudgets(clock, _BOUNDS, count_nodes)
+    budgets = RetryBudgets(clock, _BOUNDS, count_nodes, may_have_run=True)
     clock.advance(_WINDOW - MS)
     assert not spend_all(budgets)
     clock.advance(MS)
@@ -261,8 +259,7 @@
 
 def test_retries_are_remembered_when_limits_change() -> None:
     clock = ManualClock()
-    budgets = RetryBudgets(clock, _BOUNDS, count_nodes)
-    clock.advance(_WINDOW)
+    budgets = RetryBudgets(clock, _BOUNDS, count_nodes, may_have_run=False)
     assert spend_all(budgets) == 4
     budgets.apply(msgspec.structs.replace(_BOUNDS, grace=9))
     assert not spend_all(budgets)
