--- a/tests/functional/test_caller_connection_limits.py
+++ b/tests/functional/test_caller_connection_limits.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import datetime as dt
 import socket
 
@@ -14,6 +15,7 @@
 from bluebellslip._internal.calls.limits import CallerLimits
 from bluebellslip._internal.calls.lingering import IDLE_LINGER_S
 from bluebellslip._internal.calls.request import InboundRequest
+from bluebellslip._internal.calls.streams import MAX_DISCARDED_BYTES
 from lib.calls import Caller
 from lib.scripted_listener import (
     LARGE_BYTES,
@@ -206,3 +208,92 @@
             with pytest.raises(ConnectionResetError):
                 await caller.reader.read()
         caller.close()
+
+
+@pytest.mark.parametrize('excess', [1, 1000, 60_000, 150_000])
+async def test_connection_is_closed_if_a_refused_body_ends_over_its_limit(
+    excess: int,
+) -> None:
+    """The caller would wait on it for the response to its next request."""
+    handler = ScriptedHandler()
+    handler.allow('/1')
+    handler.allow('/2')
+    size = MAX_DISCARDED_BYTES + excess
+    head = (
+        b'POST /1 HTTP/1.1\r\nhost: shop\r\ncontent-length: %d\r\n\r\n' % size
+    )
+    async with listening(handler) as listener:
+        caller = await Caller.open(listener.address)
+        caller.writer.write(head)
+        await wait_until(lambda: handler.has_started('/1'))
+        caller.writer.write(b'x' * size)
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            refusal = await caller.receive()
+            await asyncio.sleep(0.1)
+            caller.writer.write(encode_get('/2'))
+            rest = await read_rest(caller)
+        caller.close()
+    assert refusal.body == b'/1'
+    assert not rest or rest.startswith(b'HTTP/1.1 200')
+
+
+async def read_rest(caller: Caller) -> bytes:
+    """Return what follows on a connection until its end or a response."""
+    with contextlib.suppress(ConnectionError):
+        return await caller.reader.read(1 << 16)
+    return b''
+
+
+async def test_connection_with_undelivered_output_is_not_idle() -> None:
+    """Its caller may use it again once it has received everything."""
+    handler = ScriptedHandler()
+    handler.bodies['/1'] = b'x' * LARGE_BYTES
+    handler.allow('/1')
+    handler.allow('/2')
+    limits = CallerLimits(idle_timeout=dt.timedelta(seconds=1))
+    async with listening(handler, limits) as listener:
+        caller = await open_slow_caller(listener)
+        caller.reader._transport.pause_reading()  # type: ignore[attr-defined]
+        caller.writer.write(encode_get('/1'))
+        await wait_until(lambda: handler.has_started('/1'))
+        await asyncio.sleep(1.2)
+        listener.close_idle()
+        caller.reader._transport.resume_reading()  # type: ignore[attr-defined]
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            first = await caller.receive()
+            caller.writer.write(encode_get('/2'))
+            second = await caller.receive()
+        caller.close()
+    assert len(first.body) == LARGE_BYTES
+    assert second.body == b'/2'
+
+
+async def test_connection_that_is_closing_counts_once_as_closed_idle() -> None:
+    handler = ScriptedHandler()
+    handler.allow('/1')
+    async with listening(handler) as listener:
+        caller = await Caller.open(listener.address)
+        async with asyncio.timeout(_HANG_TIMEOUT_S):
+            await caller.call('/1')
+        connection = next(iter(listener._state.connections))
+        connection.transport.close()
+        listener.shut_down()
+        for _ in range(3):
+            listener.shut_down()
+        assert listener.closed_idle == 0
+        caller.close()
+
+
+async def test_closed_listener_starts_no_request() -> None:
+    """A connection waits to be accepted when the listener is closed."""
+    handler = ScriptedHandler()
+    async with listening(handler) as listener:
+        connection = socket.create_connection((
+            listener.address.host,
+            listener.address.port,
+        ))
+        connection.sendall(encode_get('/1'))
+        listener.close()
+        await asyncio.sleep(0.1)
+        connection.close()
+    assert not handler.started
