--- a/tests/unit/test_local_server.py
+++ b/tests/unit/test_local_server.py
@@ -114,6 +114,105 @@
     assert info.lifetime.server == 'i-2'
 
 
+def test_server_that_starts_again_with_its_time_of_day_set_back_is_used() -> (
+    None
+):
+    clock = ManualClock()
+    server = make_server(clock)
+    server.apply_heartbeat(make_heartbeat(9, born=60_000))
+    clock.advance(SECOND / 2)
+    for sequence in (1, 2):
+        server.apply_heartbeat(
+            make_heartbeat(sequence, born=1000, server='i-2')
+        )
+        clock.advance(SECOND)
+    info = server.info
+    assert info is not None
+    assert info.lifetime.server == 'i-2'
+    assert server.is_usable
+
+
+def test_late_heartbeat_of_a_server_with_a_later_time_does_not_stay() -> None:
+    """The time of day was ahead when the earlier server started."""
+    clock = ManualClock()
+    server = make_server(clock)
+    server.apply_heartbeat(make_heartbeat(1, born=1000, server='i-2'))
+    clock.advance(SECOND / 2)
+    server.apply_heartbeat(make_heartbeat(40, born=60_000, server='i-1'))
+    for sequence in (2, 3):
+        clock.advance(SECOND)
+        server.apply_heartbeat(
+            make_heartbeat(sequence, born=1000, server='i-2')
+        )
+    info = server.info
+    assert info is not None
+    assert info.lifetime.server == 'i-2'
+
+
+def test_delayed_heartbeats_of_an_earlier_server_are_never_used() -> None:
+    clock = ManualClock()
+    server = make_server(clock)
+    for sequence in range(1, 5):
+        server.apply_heartbeat(
+            make_heartbeat(sequence, born=2000, server='i-2')
+        )
+        clock.advance(SECOND / 2)
+        late = make_heartbeat(40 + sequence, born=1000, server='i-1')
+        assert server.apply_heartbeat(late) is MessageResult.STALE
+        clock.advance(SECOND / 2)
+    late_burst = [
+        make_heartbeat(50 + index, born=1000, server='i-1')
+        for index in range(9)
+    ]
+    for late in late_burst:
+        assert server.apply_heartbeat(late) is MessageResult.STALE
+    assert server.is_usable
+
+
+def test_draining_server_stays_so_when_another_was_heard_in_between() -> None:
+    clock = ManualClock()
+    server = make_server(clock)
+    server.apply_heartbeat(
+        make_heartbeat(7, born=1000, state=ServerState.DRAINING)
+    )
+    server.apply_heartbeat(make_heartbeat(1, born=2000, server='i-0'))
+    for sequence in (8, 9, 10):
+        clock.advance(SECOND)
+        server.apply_heartbeat(make_heartbeat(sequence, born=1000))
+    assert not server.is_usable
+
+
+@pytest.mark.parametrize('step', [-3600, -2, 0, 2, 3600])
+def test_departed_server_is_not_used_whatever_the_time_of_day(
+    step: float,
+) -> None:
+    """The node has started again between the heartbeats and the departure."""
+    clock = ManualClock()
+    server = make_server(clock)
+    server.apply_departure('i-1')
+    born = int((clock.now().timestamp() + step) * 1000)
+    for sequence in (40, 41, 42):
+        clock.advance(SECOND)
+        heartbeat = make_heartbeat(sequence, born=born)
+        assert server.apply_heartbeat(heartbeat) is MessageResult.STALE
+    assert not server.is_usable
+
+
+@pytest.mark.parametrize('step', [-3600, -2, 0, 2, 3600])
+def test_server_that_starts_again_under_its_id_is_used_whatever_the_time(
+    step: float,
+) -> None:
+    clock = ManualClock()
+    server = make_server(clock)
+    server.apply_departure('i-1')
+    clock.advance(SECOND)
+    born = int((clock.now().timestamp() + step) * 1000)
+    for sequence in (1, 2):
+        server.apply_heartbeat(make_heartbeat(sequence, born=born))
+        clock.advance(SECOND)
+    assert server.is_usable
+
+
 def test_server_is_unusable_while_heartbeats_are_missing() -> None:
     clock = ManualClock()
     server = make_server(clock)
