Order the lives of a node by a number that its peers raise

Cause: beacons named the start of a node's process by its time of day, and peers ignored all beacons of an earlier start. A node that started again with its time of day set back was unheard for as long as peers remember it, 60 s. Change: a life has a number, from 1, and a random token. A peer that knows another life with the same or a higher number ignores the beacon and tells the sender that number; the sender goes on above it and sends its next round at once. Weighed: the revision of the registration row (needs the store, which may be down when many nodes start), and a random token with a list of ended lives (a late beacon of a life that a node has not seen would win).

--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
@@ -3,7 +3,6 @@
 import asyncio
 import datetime as dt
 import logging
-import time
 from collections.abc import Callable
 from random import Random
 from typing import Any, Final
@@ -21,7 +20,11 @@
     decode_beacon,
     encode_beacon,
 )
-from bluebellslip._internal.fleet.peer_table import PeerTable
+from bluebellslip._internal.fleet.node_lives import NodeLife
+from bluebellslip._internal.fleet.peer_table import (
+    PeerTable,
+    parse_beacon_address,
+)
 from bluebellslip._internal.fleet.recipients import BeaconRecipients
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.models.identity import Address, Locality, NodeId
@@ -93,16 +96,19 @@
         self._source = source
         self._random = random_source
         self._counters = counters
-        self._started = time.time_ns() // 1_000_000
+        self._life = NodeLife.from_random(random_source)
+        # Two processes under one name would otherwise answer each other's
+        # numbers without a pause.
+        self._life_raised_in_round = False
         self._sequence = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._listeners: list[Callable[[Beacon], None]] = []
         self._broadcast_requested = asyncio.Event()
 
     @property
-    def started(self) -> int:
-        """Unix time of the node's start in milliseconds."""
-        return self._started
+    def life(self) -> NodeLife:
+        """The life that the node's beacons name."""
+        return self._life
 
     def on_beacon(self, listener: Callable[[Beacon], None]) -> None:
         """Call a listener with every accepted beacon."""
@@ -157,6 +163,7 @@
                 ):
                     await self._broadcast_requested.wait()
             except TimeoutError:
+                self._life_raised_in_round = False
                 self._peer_table.expire()
 
     def broadcast(self, round_number: int, *, has_update: bool) -> None:
@@ -194,6 +201,12 @@
             self._counters.add('beacons_refused')
             logger.debug('beacon_refused', extra={'reason': str(error)})
             return
+        if beacon.known_life:
+            self._follow_life(beacon)
+        superseding = self._peer_table.find_superseding_life(beacon)
+        if superseding is not None:
+            self._report_life(beacon, superseding)
+            return
         peer = self._peer_table.apply_beacon(beacon)
         if peer is None:
             return
@@ -214,6 +227,30 @@
             min(BASE_BEACON_INTERVAL * scale, MAX_BEACON_INTERVAL), self._random
         )
 
+    def _follow_life(self, beacon: Beacon) -> None:
+        """Go on with a number above that of a life that a peer knows."""
+        if beacon.known_life < self._life.number:
+            return
+        self._life = self._life.follow(beacon.known_life)
+        logger.info(
+            'node_life_raised',
+            extra={'peer': beacon.node, 'life': self._life.number},
+        )
+        if not self._life_raised_in_round:
+            self._life_raised_in_round = True
+            self.request_broadcast()
+
+    def _report_life(self, beacon: Beacon, known: NodeLife) -> None:
+        """Tell a node that its beacon was ignored, and for which life."""
+        self._counters.add('beacons_superseded')
+        address = parse_beacon_address(beacon, beacon.beacons_address)
+        if address is None:
+            return
+        reply = msgspec.structs.replace(
+            self._make_beacon(), known_life=known.number
+        )
+        self._send(address, encode_beacon(reply))
+
     def _relay(self, beacon: Beacon) -> None:
         relayed = msgspec.structs.replace(beacon, reach=Reach.PASSED_ON)
         datagram = encode_beacon(relayed)
@@ -229,7 +266,7 @@
         source = self._source
         return Beacon(
             node=self._node,
-            started=self._started,
+            life_number=self._life.number,
             sequence=self._sequence,
             region=self._locality.region,
             failure_domain=self._locality.failure_domain,
@@ -244,4 +281,5 @@
             rollouts=source.read_rollouts(),
             store_era=source.read_store_era(),
             known_nodes=self._peer_table.size + 1,
+            life_token=self._life.token,
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from bluebellslip._internal.exceptions import PeerGarbledError
+from bluebellslip._internal.fleet.node_lives import NodeLife
 from bluebellslip._internal.models.servers import ServerState
 
 # Small enough, with headers, that no network fragments the datagram.
@@ -99,19 +100,21 @@
 class Beacon(msgspec.Struct, frozen=True, array_like=True):
     """State of a node, and of the server beside it, at one moment.
 
-    ``started`` is the Unix time of the node's start in milliseconds and
-    ``sequence`` rises with every beacon, so that late and duplicate beacons
-    are recognized. The node receives requests from peers on ``peers_address``,
-    and beacons on ``beacons_address``. ``revision`` is that of its active
-    configuration, 0 before the first. ``wants_reply`` is set when the node has
-    just discovered the recipient, ``can_reach_store`` when its latest request
-    to the store for the desired state succeeded. ``store_era`` is the latest
-    era of the store that the node knows, 0 if none. ``known_nodes`` is the
-    number of nodes that it knows, itself included.
+    ``life_number`` and ``life_token`` identify the life of the node, see
+    ``NodeLife``, and ``sequence`` rises with every beacon of a life, so that
+    late and duplicate beacons are recognized. The node receives requests from
+    peers on ``peers_address``, and beacons on ``beacons_address``. ``revision``
+    is that of its active configuration, 0 before the first. ``wants_reply`` is
+    set when the node has just discovered the recipient, ``can_reach_store``
+    when its latest request to the store for the desired state succeeded.
+    ``store_era`` is the latest era of the store that the node knows, 0 if none.
+    ``known_nodes`` is the number of nodes that it knows, itself included.
+    ``known_life`` is set when the recipient's own beacon was ignored: the
+    number of a life of the recipient that supersedes the one in that beacon.
     """
 
     node: str
-    started: int
+    life_number: int
     sequence: int
     region: str
     failure_domain: str
@@ -126,6 +129,13 @@
     rollouts: tuple[RolloutBeacon, ...] = ()
     store_era: int = 0
     known_nodes: int = 0
+    life_token: int = 0
+    known_life: int = 0
+
+    @property
+    def life(self) -> NodeLife:
+        """Life of the node that sent the beacon."""
+        return NodeLife(self.life_number, self.life_token)
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
@@ -16,6 +16,7 @@
     Reach,
     ServerBeacon,
 )
+from bluebellslip._internal.fleet.node_lives import NodeLife
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.identity import (
     Address,
@@ -329,6 +330,18 @@
             return peer
         return None
 
+    def find_superseding_life(self, beacon: Beacon) -> NodeLife | None:
+        """Return the known life of a beacon's sender that supersedes its life.
+
+        The sender is then either of an earlier life, or has started again and
+        doesn't know of the other one.
+        """
+        peer = self._peers.get(NodeId(beacon.node))
+        if peer is None or peer.last_beacon is None:
+            return None
+        known = peer.last_beacon.life
+        return known if beacon.life.is_superseded_by(known) else None
+
     def apply_beacon(self, beacon: Beacon) -> Peer | None:
         """Apply a beacon and return its sender, or none if it is ignored.
 
@@ -337,7 +350,7 @@
         node = NodeId(beacon.node)
         if node == self._node:
             return None
-        address = _parse_address(beacon, beacon.beacons_address)
+        address = parse_beacon_address(beacon, beacon.beacons_address)
         if address is None:
             return None
         peer = self._peers.get(node)
@@ -488,13 +501,16 @@
 
 
 def _is_not_newer(beacon: Beacon, latest: Beacon) -> bool:
-    return (beacon.started, beacon.sequence) <= (
-        latest.started,
+    if beacon.life.is_superseded_by(latest.life):
+        return True
+    return (beacon.life_number, beacon.sequence) <= (
+        latest.life_number,
         latest.sequence,
     )
 
 
-def _parse_address(beacon: Beacon, text: str) -> Address | None:
+def parse_beacon_address(beacon: Beacon, text: str) -> Address | None:
+    """Return an address that a beacon names, or none if it is invalid."""
     try:
         return Address.from_text(text)
     except MalformedError as error:
@@ -507,7 +523,7 @@
 def _make_endpoint(
     peer: Peer, beacon: Beacon, server: ServerBeacon, now: dt.timedelta
 ) -> Endpoint | None:
-    address = _parse_address(beacon, beacon.peers_address)
+    address = parse_beacon_address(beacon, beacon.peers_address)
     if address is None:
         return None
     return Endpoint(
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -118,7 +118,7 @@
             rollout_tracker=RolloutTracker(
                 clock,
                 node,
-                beacon_protocol.started,
+                beacon_protocol.life.token,
                 settings.bounds.canary_share,
                 peer_table.endpoints,
             ),
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/outcome_counts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/outcome_counts.py
@@ -30,14 +30,14 @@
     ----------
     node
         The node's name.
-    started
-        Unix time of the node's start in milliseconds.
+    life_token
+        Identifies the run of the node.
     is_target
         Whether the server runs the target version.
     """
 
     node: str
-    started: int
+    life_token: int
     is_target: bool
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/outcome_recorder.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/outcome_recorder.py
@@ -108,6 +108,6 @@
     ) -> CountSource:
         return CountSource(
             node or self._tracker.node,
-            self._tracker.started,
+            self._tracker.life_token,
             version == rollout.order.target,
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/tracker.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/tracker.py
@@ -56,8 +56,8 @@
         The node's clock.
     node
         The node's name.
-    started
-        Unix time of the node's start in milliseconds, as in its beacons.
+    life_token
+        Identifies this run of the node, as in its beacons.
     canary_share
         Maximum share of a service's requests that may reach a version that
         is not known to be good.
@@ -69,13 +69,13 @@
         self,
         clock: Clock,
         node: NodeId,
-        started: int,
+        life_token: int,
         canary_share: float,
         find_endpoints: Callable[[ServiceName], Sequence[Endpoint]],
     ) -> None:
         self._clock = clock
         self._node = node
-        self._started = started
+        self._life_token = life_token
         self._canary_share = canary_share
         self._find_endpoints = find_endpoints
         self._rollouts: dict[ServiceName, Rollout] = {}
@@ -92,9 +92,9 @@
         return self._node
 
     @property
-    def started(self) -> int:
-        """Unix time of the node's start in milliseconds, as in its beacons."""
-        return self._started
+    def life_token(self) -> int:
+        """Identifies this run of the node, as in its beacons."""
+        return self._life_token
 
     @property
     def rollouts(self) -> Iterable[Rollout]:
@@ -273,7 +273,7 @@
             self._mark_bad(rollout, 'peer', None)
         if reported.routes:
             rollout.counts.replace(
-                CountSource(beacon.node, beacon.started, reported.is_target),
+                CountSource(beacon.node, beacon.life_token, reported.is_target),
                 reported,
             )
 
@@ -281,7 +281,9 @@
         self, rollout: Rollout, version: VersionName | None, now: dt.timedelta
     ) -> RolloutBeacon:
         order = rollout.order
-        source = CountSource(self._node, self._started, version == order.target)
+        source = CountSource(
+            self._node, self._life_token, version == order.target
+        )
         counts = rollout.counts.read(source) if rollout.is_running else ()
         return RolloutBeacon(
             service=order.service,
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -142,6 +142,11 @@
         'A node sends no more beacons; its server gets no requests.',
         ('peer',),
     ),
+    'node_life_raised': Event(
+        'A peer knows an earlier life of this node, which goes on with a '
+        'higher number.',
+        ('peer', 'life'),
+    ),
     'beacon_refused': Event('A beacon cannot be used.', ('peer', 'reason')),
     'request_served': Event(
         'A server responded to a request; only a sample of the requests '
--- a/tests/lib/beacon_network.py
+++ b/tests/lib/beacon_network.py
@@ -35,6 +35,11 @@
         """Names of the nodes whose servers accept requests."""
         return {endpoint.node for endpoint in self.table.endpoints(ORDERS)}
 
+    @property
+    def registration(self) -> NodeRegistration:
+        """The node's row in the store."""
+        return NodeRegistration(self.name, self.address, self.domain)
+
     def start(self) -> None:
         """Start the process, which knows nothing of before."""
         self.source = BeaconSource()
@@ -93,10 +98,7 @@
     def introduce(self, node: BeaconNode) -> None:
         """Register the nodes with one of them, as read from the store."""
         node.protocol.add_registered(
-            tuple(
-                NodeRegistration(peer.name, peer.address, peer.domain)
-                for peer in self.nodes.values()
-            )
+            tuple(peer.registration for peer in self.nodes.values())
         )
         self.deliver_all()
 
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -70,7 +70,7 @@
     node: str,
     sequence: int = 1,
     *,
-    started: int = 1,
+    life: int = 1,
     state: NodeState = NodeState.SERVING,
     revision: int = 1,
     server: ServerBeacon | None = None,
@@ -81,7 +81,8 @@
 ) -> Beacon:
     return Beacon(
         node=node,
-        started=started,
+        life_number=life,
+        life_token=life,
         sequence=sequence,
         region='north',
         failure_domain=domain,
--- a/tests/unit/test_peer_table.py
+++ b/tests/unit/test_peer_table.py
@@ -60,9 +60,9 @@
 
 def test_beacon_after_a_restart_counts_whatever_its_sequence_number() -> None:
     peer_table = make_table()
-    peer_table.apply_beacon(make_beacon('one', 900, started=1))
+    peer_table.apply_beacon(make_beacon('one', 900, life=1))
     server = make_server_beacon('i-2')
-    peer_table.apply_beacon(make_beacon('one', 1, started=2, server=server))
+    peer_table.apply_beacon(make_beacon('one', 1, life=2, server=server))
     assert len(peer_table.endpoints(ORDERS)) == 1
 
 
@@ -151,12 +151,12 @@
     peer_table.mark_leaving(peer_table.endpoints(ORDERS)[0])
     assert not peer_table.endpoints(ORDERS)
     peer_table.apply_beacon(make_beacon('one', 2, server=ready))
-    peer_table.apply_beacon(make_beacon('one', 1, started=2, server=ready))
+    peer_table.apply_beacon(make_beacon('one', 1, life=2, server=ready))
     assert not peer_table.endpoints(ORDERS)
     clock.advance(PEER_RETENTION + SILENCE_TIMEOUT)
     peer_table.expire()
-    peer_table.apply_beacon(make_beacon('one', 2, started=2, server=ready))
+    peer_table.apply_beacon(make_beacon('one', 2, life=2, server=ready))
     assert not peer_table.endpoints(ORDERS)
     replaced = make_server_beacon('i-2')
-    peer_table.apply_beacon(make_beacon('one', 3, started=2, server=replaced))
+    peer_table.apply_beacon(make_beacon('one', 3, life=2, server=replaced))
     assert peer_table.endpoints(ORDERS)
