Tell lives of the local server apart by what goes on, not by clocks

Cause: a heartbeat that named an earlier start than the current one counted as outdated for good, so a server that started again with its time of day set back was refused; a delayed one that named a later start replaced the running server for good. A departure of an unknown server was compared, as this node's time of day, with the start that the server named. Change: ServerLives remembers lives with their sequence and state. An unheard life with a later start is taken at once; any other one when two of its heartbeats, three quarters of an interval apart, come with none of the current life in between. After the departure of an unknown server, heartbeats with more numbers than fit into the time since are ignored. The test of a server that left unknown compared the server's start with the node's time of day; it now asks for the second heartbeat of the new run, and refuses the old one for longer. Lifetimes have no order any more.

--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/local_server.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/local_server.py
@@ -9,9 +9,9 @@
 import datetime as dt
 import enum
 import logging
-from collections import OrderedDict
 from typing import Final
 
+from bluebellslip._internal.fleet.server_lives import ServerLives
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.identity import (
     Address,
@@ -33,11 +33,6 @@
 # unreachable, until its next heartbeat or successful connection. A single
 # failure may be due to a full accept queue.
 MAX_CONNECT_FAILURES: Final = 2
-# Departures of unknown servers that are kept, the latest ones, and how long:
-# the longest delay of a heartbeat, with a reserve.
-MAX_UNKNOWN_DEPARTURES: Final = 16
-UNKNOWN_DEPARTURE_LIFETIME: Final = dt.timedelta(seconds=15)
-_MILLISECONDS_PER_SECOND: Final = 1000
 
 
 @enum.unique
@@ -80,17 +75,6 @@
     warmup_ends_at: dt.timedelta
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Departure:
-    """When a server left, as Unix time in milliseconds, and its expiry.
-
-    ``expires_at`` is a time on the node's clock.
-    """
-
-    left_at: int
-    expires_at: dt.timedelta
-
-
 class LocalServer:
     """Tracks the state of the server beside the node.
 
@@ -121,7 +105,7 @@
         self._sequence = 0
         self._last_heard_at = dt.timedelta()
         self._connect_failures = 0
-        self._unknown_departures: OrderedDict[str, _Departure] = OrderedDict()
+        self._lives = ServerLives(clock, heartbeat_interval)
 
     @property
     def info(self) -> ServerInfo | None:
@@ -160,10 +144,7 @@
             or heartbeat.address != self._address
         ):
             return MessageResult.FOREIGN
-        info = self._info
-        if self._has_left(heartbeat.lifetime) or (
-            info is not None and self._is_stale(info, heartbeat)
-        ):
+        if not self._lives.accepts(heartbeat):
             return MessageResult.STALE
         now = self._clock.elapsed()
         self._sequence = heartbeat.sequence
@@ -176,7 +157,9 @@
                 address=heartbeat.address,
                 version=heartbeat.version,
                 slots=heartbeat.slots,
-                state=self._merge_state(info, heartbeat),
+                state=max(
+                    heartbeat.state, self._lives.find_state(heartbeat.lifetime)
+                ),
                 warmup_ends_at=now + heartbeat.warmup_remaining,
             )
         )
@@ -193,7 +176,7 @@
         """
         info = self._info
         if info is None or info.lifetime.server != server:
-            self._record_unknown_departure(server)
+            self._lives.record_unknown_departure(server)
             return MessageResult.STALE
         self._set_info(dataclasses.replace(info, state=ServerState.GONE))
         return MessageResult.TAKEN
@@ -228,46 +211,10 @@
         if self._connect_failures == MAX_CONNECT_FAILURES:
             logger.warning('server_unreachable', extra=self._build_log_fields())
 
-    def _record_unknown_departure(self, server: str) -> None:
-        """Remember that a server has left, for its late heartbeats.
-
-        A node that has started again gets departures of servers that it does
-        not know yet.
-        """
-        left_at = int(self._clock.now().timestamp() * _MILLISECONDS_PER_SECOND)
-        self._unknown_departures[server] = _Departure(
-            left_at, self._clock.elapsed() + UNKNOWN_DEPARTURE_LIFETIME
-        )
-        self._unknown_departures.move_to_end(server)
-        if len(self._unknown_departures) > MAX_UNKNOWN_DEPARTURES:
-            self._unknown_departures.popitem(last=False)
-        logger.info(
-            'departure_recorded', extra={'server': server, 'left_at': left_at}
-        )
-
-    def _has_left(self, lifetime: Lifetime) -> bool:
-        departure = self._unknown_departures.get(lifetime.server)
-        return (
-            departure is not None
-            and self._clock.elapsed() <= departure.expires_at
-            and lifetime.born < departure.left_at
-        )
-
-    def _is_stale(self, info: ServerInfo, heartbeat: Heartbeat) -> bool:
-        if heartbeat.lifetime == info.lifetime:
-            return heartbeat.sequence <= self._sequence
-        return heartbeat.lifetime < info.lifetime
-
-    def _merge_state(
-        self, info: ServerInfo | None, heartbeat: Heartbeat
-    ) -> ServerState:
-        if info is None or info.lifetime != heartbeat.lifetime:
-            return heartbeat.state
-        return max(info.state, heartbeat.state)
-
     def _set_info(self, info: ServerInfo) -> None:
         previous = self._info
         self._info = info
+        self._lives.record(info.lifetime, self._sequence, info.state)
         if previous is None or (previous.lifetime, previous.state) != (
             info.lifetime,
             info.state,
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/servers.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/servers.py
@@ -20,14 +20,15 @@
     GONE = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True, order=True)
+@dataclasses.dataclass(frozen=True, slots=True)
 class Lifetime:
-    """One run of a server process; a later run compares greater.
+    """One run of a server process.
 
     Parameters
     ----------
     born
-        Unix time of the start, in milliseconds.
+        Time of the start as the server names it, in milliseconds since 1970. A
+        later run may name an earlier time, see ``ServerLives``.
     server
         ID of the server, which may stay the same after a restart.
     """
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -105,9 +105,14 @@
         ('peer', 'reason'),
     ),
     'departure_recorded': Event(
-        'A server that the node does not know has left; its heartbeats from '
-        'before, in Unix milliseconds, will be ignored.',
-        ('server', 'left_at'),
+        'A server that the node does not know has left; its delayed '
+        'heartbeats will be ignored.',
+        ('server',),
+    ),
+    'server_life_unconfirmed': Event(
+        'A heartbeat of another run of the local server was received; the run '
+        'is taken when it sends more while the current one sends none.',
+        ('server', 'born', 'sequence'),
     ),
     'server_state': Event(
         'The local server changed its state or restarted.',
--- a/tests/unit/test_local_server.py
+++ b/tests/unit/test_local_server.py
@@ -5,6 +5,9 @@
 draining or gone.
 """
 
+import datetime as dt
+from random import Random
+
 import pytest
 
 from bluebellslip._internal.fleet.local_server import (
@@ -89,8 +92,10 @@
     clock.advance(SECOND)
     assert server.apply_heartbeat(make_heartbeat(5)) is MessageResult.STALE
     assert not server.is_usable
-    born = int(clock.now().timestamp() * 1000)
-    server.apply_heartbeat(make_heartbeat(1, born=born))
+    for sequence in (1, 2):
+        assert not server.is_usable
+        server.apply_heartbeat(make_heartbeat(sequence, born=2000))
+        clock.advance(SECOND)
     assert server.is_usable
 
 
@@ -213,6 +218,38 @@
     assert server.is_usable
 
 
+@pytest.mark.parametrize('seed', range(40))
+def test_lives_are_told_apart_under_clock_steps_and_delays(seed: int) -> None:
+    """Servers crash, leave and start again; heartbeats are up to 4 s late."""
+    random = Random(seed)
+    clock = ManualClock()
+    node = make_server(clock)
+    in_flight: list[tuple[dt.timedelta, Heartbeat]] = []
+    for life in range(12):
+        lifetime_s = random.randrange(5, 9)
+        born = 100_000 + 8000 * life + random.choice([-60_000, 0, 60_000])
+        name = random.choice(['i-1', f'i-{life}'])
+        for sequence in range(1, lifetime_s):
+            beat = make_heartbeat(sequence, born=born, server=name)
+            delay = random.choice([0, 0, 0, 1.5, 4]) * SECOND
+            in_flight.append((clock.elapsed(), beat))
+            if sequence < 4:
+                in_flight.append((clock.elapsed() + delay, beat))
+            due = [sent for sent in in_flight if sent[0] <= clock.elapsed()]
+            for sent in due:
+                in_flight.remove(sent)
+                node.apply_heartbeat(sent[1])
+            clock.advance(SECOND)
+        info = node.info
+        assert info is not None
+        assert info.lifetime == Lifetime(born, name)
+        if random.choice([True, False]):
+            node.apply_departure(name)
+            late = make_heartbeat(99, born=born, server=name)
+            node.apply_heartbeat(late)
+            assert not node.is_usable
+
+
 def test_server_is_unusable_while_heartbeats_are_missing() -> None:
     clock = ManualClock()
     server = make_server(clock)
