Report steps of the time of day, and order log lines without it

Cause: the order of log lines was that of the time of day, so a trace across a step showed effects before their causes, and nothing told that a clock was set. Change: each line has the steady uptime; explain gives all lines of a process the offset that most of them have.

--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -27,6 +27,7 @@
     make_listeners,
 )
 from bluebellslip._internal.nodes.stop_schedule import StopSchedule
+from bluebellslip._internal.telemetry.clock_steps import ClockStepMonitor
 
 logger = logging.getLogger(__name__)
 
@@ -102,6 +103,9 @@
         self._read_settings = read_settings
         self._clock = environment.clock
         self._started = environment.clock.elapsed()
+        self._clock_steps = ClockStepMonitor(
+            environment.clock, environment.counters
+        )
         self._draining = False
         self._remainder = UnfinishedWork()
         self._state = MeshState.from_settings(settings, environment)
@@ -321,6 +325,7 @@
         while True:
             await anyio.sleep(SWEEP_INTERVAL.total_seconds())
             self._listeners.close_idle()
+            self._clock_steps.check()
 
     async def _refresh_periodically(self) -> None:
         while True:
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -1,7 +1,9 @@
 """The log events of a mesh node: the meaning and the fields of each.
 
-Every line is one JSON object with ``time``, ``level``, ``node`` and
-``event``; the fields listed here are added to these.
+Every line is one JSON object with ``time``, ``uptime_s``, ``level``, ``node``
+and ``event``; the fields listed here are added to these. ``time`` is the time
+of day, which may be set; ``uptime_s`` is the steady time since the start of
+the process, in seconds.
 """
 
 import dataclasses
@@ -73,6 +75,11 @@
     'settings_refused': Event(
         'Invalid settings; the previous ones stay.', ('kind', 'reason')
     ),
+    'clock_stepped': Event(
+        'The time of day was set by this many seconds while the node runs, or '
+        'the instance was suspended; times of later log lines are moved.',
+        ('step_s',),
+    ),
     'store_lost': Event('The store does not respond.', ('reason',)),
     'store_regained': Event('The store responds again.', ('at',)),
     'orders_history_lost': Event(
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/request_trace.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/request_trace.py
@@ -34,6 +34,7 @@
     'malformed': 'it is not a valid request',
 }
 _JSON_START: Final = '{'
+_UPTIME: Final = 'uptime_s'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,6 +94,7 @@
 def build_request_trace(request: str, texts: Iterable[str]) -> RequestTrace:
     """Build the trace of a request from log lines."""
     lines = [line for line in map(parse_line, texts) if line is not None]
+    lines = _correct_times(lines)
     lines.sort(key=lambda line: line.time)
     request_lines = tuple(
         line for line in lines if line.fields.get('request') == request
@@ -109,6 +111,51 @@
     )
 
 
+def _correct_times(lines: Sequence[LogLine]) -> list[LogLine]:
+    """Return the lines with times that no step of a clock has moved.
+
+    All lines of a process get the offset that most of them have between the
+    time of day and the steady clock.
+    """
+    return [
+        line
+        for process_lines in _group_by_process(lines)
+        for line in _apply_common_offset(process_lines)
+    ]
+
+
+def _apply_common_offset(lines: Sequence[LogLine]) -> list[LogLine]:
+    timed = [line for line in lines if _UPTIME in line.fields]
+    begins = sorted(line.time - _read_uptime(line) for line in timed)
+    if not begins:
+        return list(lines)
+    begin = begins[len(begins) // 2]
+    return [
+        dataclasses.replace(line, time=begin + _read_uptime(line))
+        if _UPTIME in line.fields
+        else line
+        for line in lines
+    ]
+
+
+def _group_by_process(lines: Sequence[LogLine]) -> list[list[LogLine]]:
+    """Group lines by node, and by its processes, whose uptime begins anew."""
+    processes: list[list[LogLine]] = []
+    latest: dict[str, list[LogLine]] = {}
+    for line in lines:
+        group = latest.get(line.node)
+        if group is None or _read_uptime(line) < _read_uptime(group[-1]):
+            group = []
+            latest[line.node] = group
+            processes.append(group)
+        group.append(line)
+    return processes
+
+
+def _read_uptime(line: LogLine) -> dt.timedelta:
+    return dt.timedelta(seconds=line.fields.get(_UPTIME, 0))
+
+
 def _find_cause(request_lines: Sequence[LogLine]) -> str:
     for line in reversed(request_lines):
         if line.event == 'request_served':
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/stdout_logs.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/stdout_logs.py
@@ -12,7 +12,7 @@
 import stat
 import sys
 from collections import Counter
-from typing import Final
+from typing import Any, Final
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -113,20 +113,19 @@
         del self._pending[:written]
 
 
-def configure_stdout_logs(node: str) -> None:
-    """Write log lines of this process as JSON to standard output.
+class UptimeFormatter(JsonFormatter):
+    """Formats log lines as JSON with the time since the process started.
 
     Parameters
     ----------
+    clock
+        Steady clock of the process.
     node
         The node's name, added to every line.
     """
-    if not stat.S_ISREG(os.fstat(_STDOUT_DESCRIPTOR).st_mode):
-        os.set_blocking(_STDOUT_DESCRIPTOR, False)
-    sys.stdout.flush()
-    handler = NonBlockingHandler(_STDOUT_DESCRIPTOR, SystemClock())
-    handler.setFormatter(
-        JsonFormatter(
+
+    def __init__(self, clock: Clock, node: str) -> None:
+        super().__init__(
             ('levelname', 'message'),
             rename_fields={
                 'levelname': 'level',
@@ -136,5 +135,33 @@
             static_fields={'node': node},
             timestamp=True,
         )
-    )
+        self._clock = clock
+        self._started = clock.elapsed()
+
+    def add_fields(
+        self,
+        log_data: dict[str, Any],
+        record: logging.LogRecord,
+        message_dict: dict[str, Any],
+    ) -> None:
+        """Add the fields of a line."""
+        super().add_fields(log_data, record, message_dict)
+        uptime = self._clock.elapsed() - self._started
+        log_data['uptime_s'] = round(uptime.total_seconds(), 3)
+
+
+def configure_stdout_logs(node: str) -> None:
+    """Write log lines of this process as JSON to standard output.
+
+    Parameters
+    ----------
+    node
+        The node's name, added to every line.
+    """
+    if not stat.S_ISREG(os.fstat(_STDOUT_DESCRIPTOR).st_mode):
+        os.set_blocking(_STDOUT_DESCRIPTOR, False)
+    sys.stdout.flush()
+    clock = SystemClock()
+    handler = NonBlockingHandler(_STDOUT_DESCRIPTOR, clock)
+    handler.setFormatter(UptimeFormatter(clock, node))
     logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
--- a/tests/unit/test_logs_and_metrics.py
+++ b/tests/unit/test_logs_and_metrics.py
@@ -6,6 +6,7 @@
 """
 
 import ast
+import datetime as dt
 import fcntl
 import json
 import logging
@@ -17,6 +18,8 @@
 
 from bluebellslip._internal import telemetry
 from bluebellslip._internal.kernel.clock import ManualClock
+from bluebellslip._internal.kernel.counters import InMemoryCounters
+from bluebellslip._internal.telemetry.clock_steps import ClockStepMonitor
 from bluebellslip._internal.telemetry.events import EVENTS
 from bluebellslip._internal.telemetry.prometheus import (
     MAX_SERIES,
@@ -31,14 +34,31 @@
 from lib.fleet import SECOND
 
 _PACKAGES = ('control', 'fleet', 'mesh', 'proxy', 'rollouts')
-_MODULES = ('mesh_main', 'mesh_node', 'server_publisher', 'update_dispatcher')
+_MODULES = (
+    'nodes/mesh_main',
+    'nodes/mesh_node',
+    'nodes/server_publisher',
+    'nodes/update_dispatcher',
+    'telemetry/clock_steps',
+)
 _LEVELS = frozenset(('debug', 'info', 'warning', 'error'))
 
 
+class SteppedClock(ManualClock):
+    """A clock whose time of day can be set."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.step = dt.timedelta()
+
+    def now(self) -> dt.datetime:
+        return super().now() + self.step
+
+
 def list_events() -> set[str]:
     """Return the events that the mesh node and the platform adapter log."""
     root = Path(telemetry.__file__).parents[1]
-    files = [root / 'nodes' / f'{name}.py' for name in _MODULES]
+    files = [root / f'{name}.py' for name in _MODULES]
     for package in _PACKAGES:
         files.extend((root / package).glob('*.py'))
     platform = Path(__file__).parents[2] / 'platform'
@@ -182,6 +202,44 @@
     assert trace.left_out == 4
 
 
+@pytest.mark.parametrize('step', [-13, -5, 5, 40])
+def test_trace_is_in_order_although_a_clock_was_set(step: int) -> None:
+    """The time of day of a node was set for a part of its lines."""
+    lines = [
+        make_line(second, 'back', event, uptime_s=second + 100)
+        for second, event in enumerate(('one', 'two', 'three', 'four'), 10)
+    ]
+    moved = [
+        make_line(12, 'front', 'three', uptime_s=112, request='abc'),
+        make_line(13 + step, 'front', 'moved', uptime_s=113, request='abc'),
+        make_line(14, 'front', 'five', uptime_s=114, request='abc'),
+        make_line(1, 'front', 'after', uptime_s=0.5, request='xyz'),
+    ]
+    trace = build_request_trace('abc', lines + moved)
+    assert [line.event for line in trace.lines] == ['three', 'moved', 'five']
+    seconds = [line.time.second for line in trace.lines]
+    assert seconds == [12, 13, 14]
+
+
+def test_step_of_the_time_of_day_is_logged_and_counted(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    clock = SteppedClock()
+    counters = InMemoryCounters()
+    monitor = ClockStepMonitor(clock, counters)
+    clock.advance(SECOND)
+    monitor.check()
+    assert not caplog.records
+    clock.step -= 60 * SECOND
+    monitor.check()
+    monitor.check()
+    assert [
+        (line.message, line.step_s)  # type: ignore[attr-defined]
+        for line in caplog.records
+    ] == [('clock_stepped', -60)]
+    assert counters.sums['clock_steps'] == 1
+
+
 @pytest.mark.parametrize(
     ('event', 'expected'),
     [('request_served', 'served'), ('visit_failed', 'is missing')],
