Read all beacons that wait at once

Cause: asyncio's datagram transport reads one datagram in each iteration of the event loop. The number of beacons grows with the deployment.

--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Callable
 from random import Random
-from typing import Any, Final
+from typing import Final, Protocol
 
 import msgspec
 
@@ -20,6 +20,7 @@
     decode_beacon,
     encode_beacon,
 )
+from bluebellslip._internal.fleet.datagram_socket import DatagramSocket
 from bluebellslip._internal.fleet.node_lives import NodeLife
 from bluebellslip._internal.fleet.peer_table import (
     PeerTable,
@@ -53,7 +54,17 @@
         self.read_rollouts: Callable[[], tuple[RolloutBeacon, ...]] = tuple
 
 
-class BeaconProtocol(asyncio.DatagramProtocol):
+class DatagramSender(Protocol):
+    """Sends datagrams until it is closed."""
+
+    def sendto(self, datagram: bytes, to: tuple[str, int]) -> None:
+        """Send a datagram, or drop it."""
+
+    def close(self) -> None:
+        """Send no more datagrams."""
+
+
+class BeaconProtocol:
     """Sends and receives beacons on a UDP socket.
 
     Parameters
@@ -101,7 +112,7 @@
         # numbers without a pause.
         self._life_raised_in_round = False
         self._sequence = 0
-        self._transport: asyncio.DatagramTransport | None = None
+        self._sender: DatagramSender | None = None
         self._listeners: list[Callable[[Beacon], None]] = []
         self._broadcast_requested = asyncio.Event()
 
@@ -116,16 +127,19 @@
 
     async def open(self, listen: Address) -> None:
         """Bind the socket."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(listen.host, listen.port)
+        self.connect(
+            await DatagramSocket.open(listen, self.receive, self._count_error)
         )
 
+    def connect(self, sender: DatagramSender) -> None:
+        """Send beacons through an open socket."""
+        self._sender = sender
+
     def close(self) -> None:
         """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
-            self._transport = None
+        if self._sender is not None:
+            self._sender.close()
+            self._sender = None
 
     def request_broadcast(self) -> None:
         """Send the next round of beacons at once, to report an update."""
@@ -189,14 +203,10 @@
             for peer in relays:
                 self._send(peer.beacon_address, datagram)
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport; called by the event loop."""
-        self._transport = transport  # type: ignore[assignment]
-
-    def datagram_received(self, data: bytes, addr: tuple[Any, ...]) -> None:
-        """Process a received datagram; called by the event loop."""
+    def receive(self, datagram: bytes) -> None:
+        """Process a received datagram."""
         try:
-            beacon = decode_beacon(data)
+            beacon = decode_beacon(datagram)
         except PeerGarbledError as error:
             self._counters.add('beacons_refused')
             logger.debug('beacon_refused', extra={'reason': str(error)})
@@ -217,8 +227,7 @@
         for listener in self._listeners:
             listener(beacon)
 
-    def error_received(self, exc: Exception) -> None:
-        """Count a datagram that could not be sent; called by the event loop."""
+    def _count_error(self) -> None:
         self._counters.add('beacons_failed')
 
     def _next_interval(self) -> dt.timedelta:
@@ -258,8 +267,8 @@
             self._send(peer.beacon_address, datagram)
 
     def _send(self, to: Address, datagram: bytes) -> None:
-        if self._transport is not None:
-            self._transport.sendto(datagram, (to.host, to.port))
+        if self._sender is not None:
+            self._sender.sendto(datagram, (to.host, to.port))
 
     def _make_beacon(self, *, wants_reply: bool = False) -> Beacon:
         self._sequence += 1
--- a/tests/lib/beacon_network.py
+++ b/tests/lib/beacon_network.py
@@ -56,7 +56,7 @@
             Random(self._network.random.random()),
             InMemoryCounters(),
         )
-        self.protocol.connection_made(_Transport(self._network.send))  # type: ignore[arg-type]
+        self.protocol.connect(_Transport(self._network.send))
 
 
 class BeaconNetwork:
@@ -80,7 +80,7 @@
         """Deliver one of the datagrams in flight."""
         address, datagram = self.in_flight.pop(index)
         node = self._by_address[address]
-        node.protocol.datagram_received(datagram, ('10.0.0.0', 0))
+        node.protocol.receive(datagram)
 
     def deliver_all(self, limit: int = 10_000) -> None:
         """Deliver datagrams until none is in flight."""
@@ -113,4 +113,10 @@
 class _Transport:
     """Passes on what a node sends."""
 
-    sendto: Callable[[bytes, tuple[str, int]], None]
+    send: Callable[[bytes, tuple[str, int]], None]
+
+    def sendto(self, datagram: bytes, to: tuple[str, int]) -> None:
+        self.send(datagram, to)
+
+    def close(self) -> None:
+        """Do nothing: the network drops no datagrams."""
--- a/tests/unit/test_beacon_recipients.py
+++ b/tests/unit/test_beacon_recipients.py
@@ -76,7 +76,7 @@
             Random(name),
             InMemoryCounters(),
         )
-        beacon_protocol.connection_made(SimulatedTransport(self, name))  # type: ignore[arg-type]
+        beacon_protocol.connect(SimulatedTransport(self, name))
         self.peer_tables[name] = peer_table
         self.nodes[name] = beacon_protocol
         beacon_protocol.add_registered(tuple(self._list_registrations()))
@@ -91,7 +91,7 @@
             or self.random.random() < self.loss_rate
         ):
             return
-        self.nodes[receiver].datagram_received(datagram, (sender, _PORT))
+        self.nodes[receiver].receive(datagram)
 
     def run_rounds(self, rounds: int, *, has_update: bool = False) -> None:
         for _ in range(rounds):
