Give up work at a silent node only if its instance does not respond

Cause: whoever missed a node's beacons for 1.7 s ended all its requests that wait there and may run again, and ran them elsewhere. Change: a silent node gets no new requests, as before. Weighed: a longer silence (dead instances found late), witnesses among the peers (they miss the same beacons), the keepalive of the connection alone (3 s).

--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/datagram_socket.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/datagram_socket.py
@@ -60,11 +60,11 @@
         found = await asyncio.get_running_loop().getaddrinfo(
             listen.host, listen.port, type=socket.SOCK_DGRAM
         )
-        family, kind, protocol, *names = found[0]
+        family, kind, protocol = found[0][:3]
         udp_socket = socket.socket(family, kind, protocol)
         try:
             udp_socket.setblocking(False)
-            udp_socket.bind(names[-1])
+            udp_socket.bind(found[0][-1])
         except OSError:
             udp_socket.close()
             raise
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
@@ -114,8 +114,8 @@
     connect_failures
         Number of consecutive failures to connect to the node beside the server.
     silence_callbacks
-        Called when the node beside the server falls silent, to end requests
-        that wait for it.
+        Called when the node beside the server is silent and doesn't respond,
+        to end requests that wait for it.
     """
 
     node: NodeId
@@ -138,6 +138,11 @@
         default_factory=set
     )
 
+    def abandon(self) -> None:
+        """End the requests that wait for this server."""
+        for callback in tuple(self.silence_callbacks):
+            callback()
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Peer:
@@ -214,6 +219,8 @@
         self._local_endpoint: Endpoint | None = None
         self._announced_size = 0
         self._leaving: OrderedDict[NodeId, Lifetime] = OrderedDict()
+        # Called with the server beside a node that fell silent.
+        self.confirm_silence: Callable[[Endpoint], None] = Endpoint.abandon
 
     @property
     def peers(self) -> Iterable[Peer]:
@@ -382,10 +389,9 @@
                 continue
             if peer.endpoint is not None:
                 logger.warning('peer_silent', extra={'peer': node})
-                callbacks = tuple(peer.endpoint.silence_callbacks)
+                endpoint = peer.endpoint
                 self._drop_endpoint(peer)
-                for callback in callbacks:
-                    callback()
+                self.confirm_silence(endpoint)
             if (
                 peer.last_beacon_at is not None
                 and now - peer.last_beacon_at > PEER_RETENTION
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -21,6 +21,10 @@
 )
 from bluebellslip._internal.fleet.local_server import LocalServer
 from bluebellslip._internal.fleet.peer_table import PeerTable
+from bluebellslip._internal.fleet.silence_probes import (
+    SilenceProber,
+    is_responsive,
+)
 from bluebellslip._internal.mesh.holder import ConfigHolder
 from bluebellslip._internal.models.identity import (
     Address,
@@ -74,6 +78,7 @@
     locality: Locality
     holder: ConfigHolder
     peer_table: PeerTable
+    silence_prober: SilenceProber
     server: LocalServer
     beacon_source: BeaconSource
     beacon_protocol: BeaconProtocol
@@ -91,6 +96,8 @@
         node = NodeId(settings.node)
         locality = Locality(settings.region, settings.failure_domain)
         peer_table = PeerTable(clock, node, settings.failure_domain)
+        silence_prober = SilenceProber(is_responsive)
+        peer_table.confirm_silence = silence_prober.start
         beacon_source = BeaconSource()
         store_health = StoreHealth()
         beacon_protocol = BeaconProtocol(
@@ -107,6 +114,7 @@
             locality=locality,
             holder=ConfigHolder(environment.random),
             peer_table=peer_table,
+            silence_prober=silence_prober,
             server=LocalServer(
                 clock,
                 ServiceName(settings.service),
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -178,6 +178,7 @@
             control_plane.discovery.run,
             control_plane.coordinator.run,
             self._state.beacon_protocol.run,
+            self._state.silence_prober.run,
             self._data_plane.peer_config.run,
             self._close_idle_periodically,
             self._refresh_periodically,
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/silence.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/silence.py
@@ -1,4 +1,4 @@
-"""Ends the wait for a response when the server's node falls silent.
+"""Ends the wait for a response when the server's node is silent and gone.
 
 Handles nodes that lose power or are cut off with requests in flight: nothing
 resets their connections. A request that may run again can then be retried
@@ -14,10 +14,10 @@
 
 
 class SilenceTimeout:
-    """Ends a wait as soon as the server's node counts as silent.
+    """Ends a wait as soon as the server's node counts as gone.
 
-    A context manager that raises ``ServerFailedError`` when the node falls
-    silent before the response to the caller has started. It keeps waiting for
+    A context manager that raises ``ServerFailedError`` when the node is gone
+    before the response to the caller has started. It keeps waiting for
     the rest of a response that is already being streamed to the caller, and for
     a request that must not run twice, whose response may still arrive.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -151,9 +151,14 @@
         'A beacon from a silent or new node was received.', ('peer',)
     ),
     'peer_silent': Event(
-        'A node sends no more beacons; its server gets no requests.',
+        'A node sends no more beacons; its server gets no new requests.',
         ('peer',),
     ),
+    'peer_unresponsive': Event(
+        'The instance of a silent node accepts no connection; the requests '
+        'that wait there and may run again are ended.',
+        ('peer', 'requests'),
+    ),
     'node_life_raised': Event(
         'A peer knows an earlier life of this node, which goes on with a '
         'higher number.',
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/request_trace.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/request_trace.py
@@ -16,6 +16,7 @@
     'server_state',
     'server_unreachable',
     'peer_silent',
+    'peer_unresponsive',
     'rollout_bad',
     'rollout_state',
     'store_lost',
