Count a beacon as missed by the rounds in which its node is heard

Cause: above 80 peers, a node of another failure domain is heard every second or third round only, but counted as if it had missed a beacon 1.2 s after the last one, at a cost of 0.3. At 196 nodes, with a report each 2.4 s, that is half of the time for every sound remote server, so the draw among them was distorted. Change: an endpoint knows the number of rounds between its reports, and the limit is 1.2 s for each. Result: with 196 peers a server heard 2 s ago gets requests, and one heard 5 s ago none; before, neither did. With 12 peers nothing changes.

--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
@@ -116,6 +116,8 @@
     silence_callbacks
         Called when the node beside the server is silent and doesn't respond,
         to end requests that wait for it.
+    report_rounds
+        Number of rounds from one report to the next.
     """
 
     node: NodeId
@@ -137,6 +139,7 @@
     silence_callbacks: set[Callable[[], None]] = dataclasses.field(
         default_factory=set
     )
+    report_rounds: int = 1
 
     def abandon(self) -> None:
         """End the requests that wait for this server."""
@@ -456,7 +459,13 @@
         """Return the factor of SILENCE_TIMEOUT to use for a beacon's sender."""
         if beacon.reach is Reach.DIRECT:
             return 1
-        return RELAYED_TIMEOUT_FACTOR * self.remote_beacon_rounds
+        return RELAYED_TIMEOUT_FACTOR * self._count_rounds(beacon)
+
+    def _count_rounds(self, beacon: Beacon) -> int:
+        """Return in which rounds, every n-th, a beacon's sender is heard."""
+        if beacon.reach is Reach.DIRECT:
+            return 1
+        return self.remote_beacon_rounds
 
     def _update_endpoint(
         self, peer: Peer, beacon: Beacon, now: dt.timedelta
@@ -488,6 +497,7 @@
         endpoint.warmup_ends_at = now + dt.timedelta(
             milliseconds=server.warmup_remaining_ms
         )
+        endpoint.report_rounds = self._count_rounds(beacon)
         endpoint.failure_rate = server.failure_rate
         if server.rate_limit is not None:
             endpoint.rate_limit = server.rate_limit
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_selection.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_selection.py
@@ -57,7 +57,8 @@
 MAX_BACKOFF: Final = dt.timedelta(seconds=4)
 _MAX_DOUBLINGS: Final = 3
 # A node that has reported no load for longer than this, one and a half times
-# the maximum beacon interval, has lost a beacon or died. Until the node counts
+# the maximum beacon interval, for each round from one of its reports to the
+# next has lost a beacon or died. Until the node counts
 # as silent, other nodes are preferred, as if MISSED_BEACON_COST of the value of
 # its responses were lost.
 MISSED_BEACON_AFTER: Final = dt.timedelta(milliseconds=1200)
@@ -270,17 +271,16 @@
             fixed_cost += endpoint.failure_rate
         if now < endpoint.unreachable_until:
             fixed_cost += 1
-        if (
-            endpoint.address is not None
-            and now - endpoint.load.received_at > MISSED_BEACON_AFTER
-        ):
+        if _has_missed_beacon(endpoint, now):
             fixed_cost += MISSED_BEACON_COST
         return fixed_cost
 
 
 def _has_missed_beacon(endpoint: Endpoint, now: dt.timedelta) -> bool:
-    is_peer = endpoint.address is not None
-    return is_peer and now - endpoint.load.received_at > MISSED_BEACON_AFTER
+    if endpoint.address is None:
+        return False
+    longest = MISSED_BEACON_AFTER * endpoint.report_rounds
+    return now - endpoint.load.received_at > longest
 
 
 def estimate_loss(expected: dt.timedelta, requirements: Requirements) -> float:
--- a/tests/unit/test_silence.py
+++ b/tests/unit/test_silence.py
@@ -6,20 +6,23 @@
 """
 
 import asyncio
+import datetime as dt
 from random import Random
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
+from bluebellslip._internal.control.ports import NodeRegistration
 from bluebellslip._internal.exceptions import ServerFailedError
+from bluebellslip._internal.fleet.beacons import Reach
 from bluebellslip._internal.fleet.peer_table import (
     SILENCE_TIMEOUT,
     Endpoint,
     PeerTable,
 )
 from bluebellslip._internal.kernel.clock import ManualClock
-from bluebellslip._internal.models.identity import NodeId
+from bluebellslip._internal.models.identity import Address, NodeId
 from bluebellslip._internal.proxy.server_selection import (
     MISSED_BEACON_AFTER,
     Requirements,
@@ -118,3 +121,36 @@
         assert chosen.endpoint is on_time
     alone = server_selector.choose([overdue], requirements)
     assert alone is not None
+
+
+@pytest.mark.parametrize(
+    ('peers', 'age', 'is_used'),
+    [(12, 1.0, True), (12, 2.0, False), (196, 2.0, True), (196, 5.0, False)],
+)
+def test_node_heard_in_its_round_has_not_missed_a_beacon(
+    peers: int, age: float, *, is_used: bool
+) -> None:
+    """In a large mesh, nodes of other domains are not heard in each round."""
+    clock = ManualClock()
+    peer_table = PeerTable(clock, NodeId('me'), 'a')
+    address = Address('10.0.0.9', 7620)
+    for number in range(peers - 2):
+        peer_table.add_registered(
+            NodeRegistration(NodeId(f'n{number}'), address, 'c')
+        )
+    server = make_server_beacon()
+    for node, passed in (('earlier', age), ('now', 0)):
+        beacon = make_beacon(
+            node, server=server, domain='b', reach=Reach.PASSED_ON
+        )
+        peer_table.apply_beacon(beacon)
+        clock.advance(dt.timedelta(seconds=passed))
+    selector = ServerSelector(clock, Random(3), LOCAL_LOCALITY, 0.05)
+    requirements = Requirements(ROUTE, 2, 400 * MS, 1200 * MS)
+    choices = [
+        selector.choose(peer_table.endpoints(ORDERS), requirements)
+        for _ in range(100)
+    ]
+    nodes = {choice.endpoint.node for choice in choices if choice}
+    assert ('earlier' in nodes) is is_used
+    assert 'now' in nodes
