Compare signal handlers with those before the server's start

Cause: a test asserted Python's default handler of SIGINT. Change: the handlers of SIGINT, SIGTERM and SIGHUP must be the same objects as before the server was started; that also catches a handler for the two others. Result: passes with SIGINT ignored, where it failed, and with the default.

--- a/tests/functional/test_admin_server.py
+++ b/tests/functional/test_admin_server.py
@@ -134,9 +134,24 @@
     await _assert_responds(server.address)
 
 
-async def test_server_installs_no_signal_handlers(server: AdminPlugin) -> None:
+@pytest.fixture(name='signal_handlers')
+def read_signal_handlers() -> dict[signal.Signals, object]:
+    """Return the handlers before a server starts.
+
+    A process that is started in the background ignores SIGINT.
+    """
+    return {
+        number: signal.getsignal(number)
+        for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
+    }
+
+
+async def test_server_installs_no_signal_handlers(
+    signal_handlers: dict[signal.Signals, object], server: AdminPlugin
+) -> None:
     await _assert_responds(server.address)
-    assert signal.getsignal(signal.SIGINT) is signal.default_int_handler
+    for number, handler in signal_handlers.items():
+        assert signal.getsignal(number) is handler
 
 
 async def _wait_closed(address: Address) -> None:
