Set clocks in the soak, and check that all nodes hear each other

Cause: no test with real processes set the time of day. Change: each node process starts with an offset of an hour back to a minute ahead and is set up to three times more; servers that start again name an earlier or later start. At the end each node must hear all others within 5 s.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -30,10 +30,21 @@
     SoakClient,
 )
 from bluebellslip._internal.kernel.clock import SystemClock
+from bluebellslip._internal.models.identity import Address
+from lib.calls import Caller
 from lib.simulated_platform import SimulatedStore
 
 CLIENTS_PER_NODE: Final = 4
 _POLL_INTERVAL_S: Final = 0.1
+# Time for a node that has started again to hear of all others; the deployments
+# allow 3 s for nodes to appear in the store.
+_DISCOVERY_S: Final = 5.0
+
+
+# Changes of a server's start from one life to the next, in milliseconds. They
+# differ, so that no two lives name the same start.
+_BORN_STEPS: Final = (-60_007, -2011, 1, 5003, 60_013)
+_PEERS_METRIC: Final = 'bluebell_peers_alive '
 
 
 class Soak:
@@ -59,8 +70,10 @@
         self._plan = plan
         self._random = Random(f'run-{plan.seed}')
         self._context = RunContext(
-            self.history, directory, self._random, kill_after
+            plan.seed, self.history, directory, self._random, kill_after
         )
+        # Of its own, so that it changes no other choice of a seed.
+        self._born_random = Random(f'born-{plan.seed}')
         self._store = SimulatedStore()
         self._version = 0
         self._servers = [
@@ -82,6 +95,7 @@
             for starting in self._nodes:
                 await starting.wait_ready()
             await self._run_traffic()
+            await self._check_peers()
             async with anyio.create_task_group() as group:
                 for stopping in self._nodes:
                     group.start_soon(stopping.stop)
@@ -129,6 +143,21 @@
             for stopping in clients:
                 stopping.stop()
 
+    async def _check_peers(self) -> None:
+        """Report nodes that don't hear all others, whatever their clocks."""
+        for node in self._nodes:
+            await node.wait_ready()
+            heard = 0
+            with anyio.move_on_after(_DISCOVERY_S):
+                while heard != len(self._nodes) - 1:
+                    heard = await count_peers(node)
+                    await anyio.sleep(_POLL_INTERVAL_S)
+            if heard != len(self._nodes) - 1:
+                self.history.report(
+                    node.name,
+                    f'hears {heard} of {len(self._nodes) - 1} nodes',
+                )
+
     async def _wait_for_servers(self) -> None:
         """Wait until no server is at work."""
         while any(run.ended > self.history.now for run in self.history.runs):
@@ -164,7 +193,9 @@
         await anyio.sleep(event.pause_s)
         server.end_notice(notice)
         if is_leaving:
-            self._nodes[event.node].server_born += 1
+            self._nodes[event.node].server_born += self._born_random.choice(
+                _BORN_STEPS
+            )
 
     def _configure(self) -> None:
         self._version += self._random.randint(1, 5)
@@ -172,6 +203,18 @@
         self._store.put('op', 'config', config)
 
 
+async def count_peers(node: SoakNode) -> int:
+    """Return how many other nodes a node hears; 0 if it doesn't tell."""
+    caller = await Caller.open(Address.from_text(node.metrics))
+    response = await caller.call('/metrics')
+    caller.close()
+    return sum(
+        int(float(line.removeprefix(_PEERS_METRIC)))
+        for line in response.body.decode().splitlines()
+        if line.startswith(_PEERS_METRIC)
+    )
+
+
 def run_seed(seed: int, node_count: int, seconds: float, logs: Path) -> int:
     """Run one seed, print its findings and return their number."""
     plan = SoakPlan.from_seed(seed, node_count, seconds)
--- a/bench/soak_nodes.py
+++ b/bench/soak_nodes.py
@@ -16,6 +16,7 @@
 import anyio
 import msgspec
 
+from bench.soak_clock import STEPS_VARIABLE, choose_steps
 from bench.soak_plan import GRACE, NodePlan, choose_link_mbps
 from bench.soak_records import History, Stop
 from bluebellslip._internal.models.identity import Address
@@ -25,6 +26,7 @@
 
 _HEARTBEAT_S: Final = 0.5
 _POLL_INTERVAL_S: Final = 0.02
+_FIRST_BORN: Final = 1_000_000
 # Long enough to catch hangs only.
 _START_TIMEOUT_S: Final = 60
 
@@ -35,6 +37,8 @@
 
     Parameters
     ----------
+    seed
+        Seed of the run.
     history
         Records stops and findings.
     directory
@@ -45,6 +49,7 @@
         Time from SIGTERM to SIGKILL.
     """
 
+    seed: int
     history: History
     directory: Path
     random_source: Random
@@ -54,8 +59,9 @@
 class SoakNode:
     """A node in a process of its own; its server stays in this process.
 
-    ``server_born`` is when the server says that it was started; a higher number
-    makes it another server.
+    ``server_born`` is when the server says that it was started; another number,
+    also a lower one, makes it another server. ``metrics`` is the address at
+    which the node serves its metrics.
 
     Parameters
     ----------
@@ -88,7 +94,10 @@
         self._file = context.directory / f'{plan.name}.json'
         self._log_path = context.directory / f'{plan.name}.log'
         self._log_path.unlink(missing_ok=True)
-        self.server_born = 1
+        self.server_born = _FIRST_BORN
+        self.metrics = str(self._platform_node.listen.metrics)
+        # Of its own, so that it changes no other choice of a seed.
+        self._clock_random = Random(f'clock-{context.seed}-{plan.name}')
         self._process: subprocess.Popen[bytes] | None = None
         self._ready = asyncio.Event()
         self._stopping = False
@@ -165,8 +174,12 @@
         self._stopping = False
         with self._log_path.open('ab') as log:
             self._process = subprocess.Popen(
-                [sys.executable, '-m', 'bluebellslip_platform'],
-                env=os.environ | {SETTINGS_VARIABLE: str(self._file)},
+                [sys.executable, '-m', 'bench.soak_clock'],
+                env=os.environ
+                | {
+                    SETTINGS_VARIABLE: str(self._file),
+                    STEPS_VARIABLE: choose_steps(self._clock_random),
+                },
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
