--- a/tests/unit/test_logs_and_metrics.py
+++ b/tests/unit/test_logs_and_metrics.py
@@ -6,7 +6,6 @@
 """
 
 import ast
-import datetime as dt
 import fcntl
 import json
 import logging
@@ -32,6 +31,7 @@
     NonBlockingHandler,
 )
 from lib.fleet import SECOND
+from lib.stepped_clock import SteppedClock
 
 _PACKAGES = ('control', 'fleet', 'mesh', 'proxy', 'rollouts')
 _MODULES = (
@@ -44,17 +44,6 @@
 _LEVELS = frozenset(('debug', 'info', 'warning', 'error'))
 
 
-class SteppedClock(ManualClock):
-    """A clock whose time of day can be set."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.step = dt.timedelta()
-
-    def now(self) -> dt.datetime:
-        return super().now() + self.step
-
-
 def list_events() -> set[str]:
     """Return the events that the mesh node and the platform adapter log."""
     root = Path(telemetry.__file__).parents[1]
