--- a/tests/lib/calls.py
+++ b/tests/lib/calls.py
@@ -41,9 +41,16 @@
 )
 from lib.snapshots import make_snapshot
 
-# Depends on the process id, so that parallel test runs rarely use the same
-# address.
-HOST = f'127.0.0.{10 + os.getpid() % 240}'
+_BYTE = 256
+
+
+def make_host(process_id: int) -> str:
+    """Return a loopback address of a process's own, below 65,536 processes."""
+    high, low = divmod(process_id, _BYTE)
+    return f'127.27.{high % _BYTE}.{low}'
+
+
+HOST = make_host(os.getpid())
 _port_numbers = itertools.count(23_100)
 
 RequestHandler = Callable[
