Start the platform before the nodes of a test, and check its first change

Log of the node: its circuit breaker of the table opened 0.04 s after its start and closed 0.5 s later, since the platform's process listened after the nodes did. The first change was refused meanwhile, the test didn't look at the response, and waited for a revision that was never accepted. Change: nodes start when the platform responds; the first response is checked, so a refusal fails at once instead of hanging.

--- a/tests/functional/test_mesh_changes.py
+++ b/tests/functional/test_mesh_changes.py
@@ -146,7 +146,8 @@
 ) -> None:
     async with run_process_mesh(tmp_path) as running:
         first, second = running.instances
-        await running.put_config(first, 'change-1')
+        response = await running.put_config(first, 'change-1')
+        assert response.json_body['revision'] == 1
         await running.wait_applied(second, 1)
         document = add_service(make_document(), 'orphan')
         await _set_faults(running, Faults(delay_ms=200))
--- a/tests/lib/process_mesh.py
+++ b/tests/lib/process_mesh.py
@@ -99,14 +99,16 @@
 async def _start(process_mesh: ProcessMesh) -> None:
     mesh = process_mesh.mesh
     mesh.start_platform()
+    # Nodes that start before it open their circuit breakers, and refuse the
+    # first changes.
+    await _wait_responding(process_mesh, f'{mesh.platform_url}/counts')
     for instance in process_mesh.instances:
         mesh.start_node(instance)
-    urls = [
-        f'{mesh.platform_url}/counts',
-        *(
-            f'{mesh.admin_url(instance)}/v1/health'
-            for instance in process_mesh.instances
-        ),
-    ]
-    for url in urls:
-        assert await wait_responding(process_mesh.client, url, _HANG_TIMEOUT)
+    for started in process_mesh.instances:
+        await _wait_responding(
+            process_mesh, f'{mesh.admin_url(started)}/v1/health'
+        )
+
+
+async def _wait_responding(process_mesh: ProcessMesh, url: str) -> None:
+    assert await wait_responding(process_mesh.client, url, _HANG_TIMEOUT)
