Show a beacon that ends a node by the number of a life

Cause: a beacon may name the highest number that its encoding can hold; the node then goes on with one that can't be encoded, and its next round raises. Result: OverflowError in the next round.

--- a/tests/unit/test_node_lives.py
+++ b/tests/unit/test_node_lives.py
@@ -7,6 +7,7 @@
 import itertools
 import time
 
+import msgspec
 import pytest
 from hypothesis import settings
 from hypothesis.stateful import (
@@ -17,13 +18,16 @@
 )
 from hypothesis.strategies import booleans, integers, sampled_from
 
+from bluebellslip._internal.fleet.beacons import encode_beacon
 from lib.beacon_network import BeaconNetwork
-from lib.fleet import SECOND
+from lib.fleet import SECOND, make_beacon
 
 _NAMES = ('one', 'two', 'three')
 _OTHERS = {'two', 'three'}
 _MODEL_NAMES = ('one', 'two', 'three', 'four')
 _MAX_DELAYED = 60
+# The highest number that the encoding of beacons can hold.
+_MAX_NUMBER = 2**64 - 1
 
 
 def set_time_of_day(monkeypatch: pytest.MonkeyPatch, seconds: float) -> None:
@@ -130,3 +134,13 @@
 TestLivesUnderFaults.settings = settings(
     derandomize=True, deadline=None, max_examples=60, stateful_step_count=60
 )
+
+
+def test_node_goes_on_after_a_beacon_with_the_highest_number() -> None:
+    """No number above it can be sent."""
+    network = BeaconNetwork(_NAMES)
+    network.introduce_all()
+    beacon = make_beacon('two', 99, address=str(network.nodes['two'].address))
+    forged = msgspec.structs.replace(beacon, known_life=_MAX_NUMBER)
+    network.nodes['one'].protocol.receive(encode_beacon(forged))
+    network.broadcast()
