Log since when a node knows of a configuration, and how long it took

Change: a node records when it first heard of revisions that it lacks; beacons say for how long their sender has known its own. config_applied has known_ms and spent_ms, config_not_fetched spent_ms, and the gauge config_lag_seconds is new.

--- a/packages/bluebellslip/src/bluebellslip/_internal/control/desired_state.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/desired_state.py
@@ -1,6 +1,7 @@
 """Watches the platform's store for the state that operators want."""
 
 import asyncio
+import dataclasses
 import datetime as dt
 import logging
 from collections.abc import Callable
@@ -135,7 +136,7 @@
             self._expects_more_changes or not self._should_watch_store()
         )
         if self._position is None or skip_history:
-            return await self._store.read_desired_state()
+            return await self._read()
         wait = (
             dt.timedelta()
             if self._health.last_request_failed
@@ -143,6 +144,13 @@
         )
         return await self._store.watch_desired_state(self._position, wait)
 
+    async def _read(self) -> DesiredStateUpdate:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        update = await self._store.read_desired_state()
+        spent = dt.timedelta(seconds=loop.time() - started)
+        return dataclasses.replace(update, spent=spent)
+
     async def _handle_failure(self, error: BluebellError) -> None:
         self._health.record_failure(error)
         await asyncio.sleep(self._jitter.next_wait().total_seconds())
--- a/packages/bluebellslip/src/bluebellslip/_internal/control/peer_config.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/peer_config.py
@@ -35,6 +35,7 @@
 CHECK_INTERVAL: Final = dt.timedelta(milliseconds=200)
 _QUERY_TIMEOUT: Final = dt.timedelta(seconds=1)
 _OK: Final = 200
+_MILLISECOND: Final = dt.timedelta(milliseconds=1)
 _JSON: Final = (b'content-type', b'application/json')
 _DEFLATE: Final = (b'content-encoding', b'deflate')
 # zlib's fastest level, which suffices because routes are repetitive.
@@ -150,10 +151,14 @@
             if peer is not None:
                 await self._fetch(peer)
 
+    def _read_time(self) -> dt.timedelta:
+        return dt.timedelta(seconds=asyncio.get_running_loop().time())
+
     async def _fetch(self, peer: Peer) -> None:
         if peer.last_beacon is None:
             return
         query = ClientRequest(b'GET', b'/', ((QUERY_HEADER, CONFIG_QUERY),))
+        started = self._read_time()
         try:
             response = await send_request(
                 self._pool,
@@ -163,12 +168,18 @@
             )
             if response.status == _OK:
                 body = decompress_config(response.body)
-                self._holder.offer(self._decode(body), peer.node)
+                self._holder.offer(
+                    self._decode(body), peer.node, self._read_time() - started
+                )
                 await asyncio.sleep(COALESCE_DELAY.total_seconds())
         except (BluebellError, TimeoutError) as error:
             logger.warning(
                 'config_not_fetched',
-                extra={'peer': peer.node, 'reason': repr(error)},
+                extra={
+                    'peer': peer.node,
+                    'reason': repr(error),
+                    'spent_ms': (self._read_time() - started) // _MILLISECOND,
+                },
             )
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/control/ports.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/ports.py
@@ -51,6 +51,8 @@
     is_snapshot
         Whether this is the complete desired state, so that any order not in
         it was deleted.
+    spent
+        How long the read took; none if the store waited for a change.
     """
 
     config: ConfigRecord | None
@@ -58,6 +60,7 @@
     withdrawn: tuple[ServiceName, ...]
     position: int
     is_snapshot: bool = False
+    spent: dt.timedelta | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
@@ -40,6 +40,7 @@
 BASE_BEACON_INTERVAL: Final = dt.timedelta(milliseconds=500)
 NODES_AT_BASE_INTERVAL: Final = 24
 MAX_BEACON_INTERVAL: Final = dt.timedelta(milliseconds=800)
+_MILLISECOND: Final = dt.timedelta(milliseconds=1)
 
 
 class BeaconSource:
@@ -48,6 +49,7 @@
     def __init__(self) -> None:
         self.state = NodeState.SERVING
         self.read_revision: Callable[[], int] = int
+        self.read_revision_age: Callable[[], dt.timedelta] = dt.timedelta
         self.can_reach_store: Callable[[], bool] = bool
         self.read_store_era: Callable[[], int] = int
         self.read_server: Callable[[], ServerBeacon | None] = lambda: None
@@ -291,4 +293,5 @@
             store_era=source.read_store_era(),
             known_nodes=self._peer_table.size + 1,
             life_token=self._life.token,
+            revision_age_ms=source.read_revision_age() // _MILLISECOND,
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
@@ -111,6 +111,7 @@
     ``known_nodes`` is the number of nodes that it knows, itself included.
     ``known_life`` is set when the recipient's own beacon was ignored: the
     number of a life of the recipient that supersedes the one in that beacon.
+    ``revision_age_ms`` is how long the sender has known of ``revision``.
     """
 
     node: str
@@ -131,6 +132,7 @@
     known_nodes: int = 0
     life_token: int = 0
     known_life: int = 0
+    revision_age_ms: int = 0
 
     @property
     def life(self) -> NodeLife:
--- a/packages/bluebellslip/src/bluebellslip/_internal/mesh/holder.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/mesh/holder.py
@@ -1,14 +1,19 @@
 """Holds the active configuration of a node; its revision only increases."""
 
+import datetime as dt
 import logging
 from collections.abc import Callable
 from random import Random
+from typing import Final
 
+from bluebellslip._internal.mesh.config_news import ConfigNews
 from bluebellslip._internal.mesh.table import RoutingTable
 from bluebellslip._internal.models.mesh import ConfigRecord
 
 logger = logging.getLogger(__name__)
 
+_MILLISECOND: Final = dt.timedelta(milliseconds=1)
+
 
 class ConfigHolder:
     """Holds the newest configuration that the node has received.
@@ -17,10 +22,15 @@
     ----------
     random_source
         Randomizes the first destinations of the routing tables.
+    news
+        Records since when the revisions have been known.
     """
 
-    def __init__(self, random_source: Random) -> None:
+    def __init__(
+        self, random_source: Random, news: ConfigNews | None = None
+    ) -> None:
         self._random = random_source
+        self._news = news
         self._table: RoutingTable | None = None
         self._record: ConfigRecord | None = None
         self._listeners: list[Callable[[RoutingTable], None]] = []
@@ -40,11 +50,23 @@
         """The active revision; 0 before the first one."""
         return 0 if self._table is None else self._table.config.revision
 
+    @property
+    def age(self) -> dt.timedelta:
+        """How long the active revision has been known; zero if unknown."""
+        if self._news is None:
+            return dt.timedelta()
+        return self._news.find_age(self.revision) or dt.timedelta()
+
     def on_change(self, listener: Callable[[RoutingTable], None]) -> None:
         """Call a listener with every routing table that becomes active."""
         self._listeners.append(listener)
 
-    def offer(self, record: ConfigRecord, source: str) -> bool:
+    def offer(
+        self,
+        record: ConfigRecord,
+        source: str,
+        spent: dt.timedelta | None = None,
+    ) -> bool:
         """Activate a configuration if it is newer.
 
         Parameters
@@ -53,6 +75,8 @@
             The configuration.
         source
             Where it came from, for the log.
+        spent
+            How long the request for it took, for the log; none if unknown.
 
         Returns
         -------
@@ -63,6 +87,7 @@
         if revision <= self.revision:
             return False
         earlier = self.revision
+        known_for = self._record_news(revision)
         table = RoutingTable.from_config(record.config, self._random)
         self._record = record
         self._table = table
@@ -73,8 +98,18 @@
                 'earlier': earlier,
                 'source': source,
                 'routes': len(record.config.routes),
+                'known_ms': round(known_for / _MILLISECOND, 1),
+                'spent_ms': spent and round(spent / _MILLISECOND, 1),
             },
         )
         for listener in self._listeners:
             listener(table)
         return True
+
+    def _record_news(self, revision: int) -> dt.timedelta:
+        """Return how long a revision that is applied now has been known."""
+        if self._news is None:
+            return dt.timedelta()
+        self._news.record(revision)
+        self._news.forget_before(revision)
+        return self._news.find_age(revision) or dt.timedelta()
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -25,6 +25,7 @@
     SilenceProber,
     is_responsive,
 )
+from bluebellslip._internal.mesh.config_news import ConfigNews
 from bluebellslip._internal.mesh.holder import ConfigHolder
 from bluebellslip._internal.models.identity import (
     Address,
@@ -77,6 +78,7 @@
 
     locality: Locality
     holder: ConfigHolder
+    news: ConfigNews
     peer_table: PeerTable
     silence_prober: SilenceProber
     server: LocalServer
@@ -96,6 +98,7 @@
         node = NodeId(settings.node)
         locality = Locality(settings.region, settings.failure_domain)
         peer_table = PeerTable(clock, node, settings.failure_domain)
+        news = ConfigNews(clock)
         silence_prober = SilenceProber(is_responsive)
         peer_table.confirm_silence = silence_prober.start
         beacon_source = BeaconSource()
@@ -112,7 +115,8 @@
         )
         return cls(
             locality=locality,
-            holder=ConfigHolder(environment.random),
+            holder=ConfigHolder(environment.random, news),
+            news=news,
             peer_table=peer_table,
             silence_prober=silence_prober,
             server=LocalServer(
@@ -140,6 +144,10 @@
             ),
         )
 
+    def read_config_lag(self) -> dt.timedelta:
+        """Return how long a newer configuration than the active is known."""
+        return self.news.find_age(self.holder.revision + 1) or dt.timedelta()
+
     def watches_store(self) -> bool:
         """Return whether this node itself gets updates from the store."""
         return (
@@ -285,6 +293,7 @@
         update_dispatcher = UpdateDispatcher(
             environment.clock,
             state.holder,
+            state.news,
             state.rollout_tracker,
             state.beacon_protocol,
             state.watches_store,
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -295,6 +295,7 @@
             self._data_plane.server_publisher,
         )
         beacon_source.read_revision = lambda: self._state.holder.revision
+        beacon_source.read_revision_age = lambda: self._state.holder.age
         beacon_source.can_reach_store = lambda: (
             self._state.store_health.last_request_succeeded
         )
@@ -308,6 +309,10 @@
     ) -> None:
         gate = self._data_plane.gateway.gate
         gauge('config_revision', lambda: self._state.holder.revision)
+        gauge(
+            'config_lag_seconds',
+            lambda: self._state.read_config_lag().total_seconds(),
+        )
         gauge('peers_alive', self._state.peer_table.count_alive)
         gauge('server_slots_in_use', lambda: gate.in_use)
         gauge('server_queue', lambda: gate.waiting)
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/update_dispatcher.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/update_dispatcher.py
@@ -9,6 +9,7 @@
 from bluebellslip._internal.fleet.beacon_protocol import BeaconProtocol
 from bluebellslip._internal.fleet.beacons import Beacon
 from bluebellslip._internal.kernel.clock import Clock
+from bluebellslip._internal.mesh.config_news import ConfigNews
 from bluebellslip._internal.mesh.holder import ConfigHolder
 from bluebellslip._internal.mesh.table import RoutingTable
 from bluebellslip._internal.models.identity import ServiceName
@@ -31,6 +32,8 @@
         The node's clock.
     holder
         The applied configuration.
+    news
+        Records which later configurations exist.
     rollout_tracker
         The roll-outs.
     beacon_protocol
@@ -43,12 +46,14 @@
         self,
         clock: Clock,
         holder: ConfigHolder,
+        news: ConfigNews,
         rollout_tracker: RolloutTracker,
         beacon_protocol: BeaconProtocol,
         watches_store: Callable[[], bool],
     ) -> None:
         self._clock = clock
         self._holder = holder
+        self._news = news
         self._rollout_tracker = rollout_tracker
         self._beacon_protocol = beacon_protocol
         self._watches_store = watches_store
@@ -68,7 +73,9 @@
         A snapshot also withdraws the roll-outs that it doesn't contain.
         """
         config = update.config
-        has_changes = config is not None and self._holder.offer(config, 'store')
+        has_changes = config is not None and self._holder.offer(
+            config, 'store', update.spent
+        )
         for order in update.rollouts:
             if self._rollout_tracker.is_outdated(order):
                 continue
@@ -102,6 +109,10 @@
     def apply_beacon(self, beacon: Beacon) -> None:
         """Apply a beacon from another node."""
         if beacon.revision > self._holder.revision:
+            self._news.record(
+                beacon.revision,
+                dt.timedelta(milliseconds=max(0, beacon.revision_age_ms)),
+            )
             self._restart_stale_watch()
         self._rollout_tracker.apply_beacon(beacon)
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -104,12 +104,20 @@
         ('row', 'version', 'reason'),
     ),
     'config_applied': Event(
-        'A configuration was applied.',
-        ('revision', 'earlier', 'source', 'routes'),
+        'A configuration was applied, so long after the node first knew of it '
+        'or a later one; the request for it took ``spent_ms``.',
+        (
+            'revision',
+            'earlier',
+            'source',
+            'routes',
+            'known_ms',
+            'spent_ms',
+        ),
     ),
     'config_not_fetched': Event(
         'A newer configuration could not be fetched from a peer.',
-        ('peer', 'reason'),
+        ('peer', 'reason', 'spent_ms'),
     ),
     'departure_recorded': Event(
         'A server that the node does not know has left; its delayed '
--- a/tests/unit/test_update_dispatcher.py
+++ b/tests/unit/test_update_dispatcher.py
@@ -26,6 +26,7 @@
 )
 from bluebellslip._internal.kernel.clock import ManualClock
 from bluebellslip._internal.kernel.counters import InMemoryCounters
+from bluebellslip._internal.mesh.config_news import ConfigNews
 from bluebellslip._internal.mesh.holder import ConfigHolder
 from bluebellslip._internal.models.identity import (
     Address,
@@ -70,7 +71,9 @@
         InMemoryCounters(),
     )
     tracker = RolloutTracker(clock, NodeId('me'), 1, 0.1, peer_table.endpoints)
-    dispatcher = UpdateDispatcher(clock, holder, tracker, beacon_protocol, bool)
+    dispatcher = UpdateDispatcher(
+        clock, holder, ConfigNews(clock), tracker, beacon_protocol, bool
+    )
     watcher = CountingWatcher()
     dispatcher.attach_watcher(watcher)
     return dispatcher, holder, watcher
