--- a/tests/lib/simulated_platform.py
+++ b/tests/lib/simulated_platform.py
@@ -297,6 +297,7 @@
         domain: str = 'a',
         version: str = 'v1',
         slots: int = 4,
+        bounds: Bounds | None = None,
     ) -> None:
         self.name = name
         self.service = service
@@ -319,7 +320,7 @@
             server=str(self.server.address),
             listen=self.listen,
             store=StoreSettings(str(store.address)),
-            bounds=Bounds(),
+            bounds=bounds or Bounds(),
         )
         self.counters = InMemoryCounters()
         self.node = MeshNode(
