Close the simulated store's connections when a test ends

Cause: writers left open were closed by the garbage collector after their loop, which raised; inside ast.parse that ends in CPython's SystemError "AST constructor recursion depth mismatch". It stopped one run of all tests while it formatted a failure, and failed test_every_event_is_in_the_catalogue once. Change: the store closes each connection with its handler.

--- a/tests/lib/simulated_platform.py
+++ b/tests/lib/simulated_platform.py
@@ -115,7 +115,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(OSError, asyncio.IncompleteReadError),
+        ):
             while True:
                 head = (await reader.readuntil(b'\r\n\r\n')).decode()
                 length = 0
@@ -134,7 +137,6 @@
                     % (status, self._encode_era(), len(text), text)
                 )
                 await writer.drain()
-        writer.close()
 
     def _encode_era(self) -> bytes:
         if self.era is None:
