Fetch a configuration as soon as it is heard of, from the newest peer

Cause: waits in series, each started anew by every change. A watcher paused 0.5 s after a change; a neighbour looked every 0.2 s, and noted only the revision the first time; it fetched from any peer that was ahead, so about a third of the fetches brought a revision that was replaced already; it paused 0.5 s; and a peer that didn't respond took 1 s alone. A node that was behind stayed behind until the storm ended, and since it applied something each second, its lost watch was never restarted.

Change: a beacon with a newer revision starts the fetch. Two fetches, and two requests to the store, start at least 0.25 s apart instead of pausing after each. A node that is behind for 1 s reads the store, whatever it has applied meanwhile.

Why it works: what is left is one request of a watcher and one of its neighbour, and the age that decides is that of the oldest revision that the node lacks.

--- a/packages/bluebellslip/src/bluebellslip/_internal/control/desired_state.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/desired_state.py
@@ -29,9 +29,11 @@
 STANDBY_REFRESH_INTERVAL: Final = dt.timedelta(seconds=60)
 # How often a node on standby checks whether it has to watch the store itself.
 STANDBY_CHECK_INTERVAL: Final = dt.timedelta(milliseconds=250)
-# Pause after an update with changes, so that changes in quick succession are
-# read together; a quarter of the time allowed to apply a change.
-COALESCE_DELAY: Final = dt.timedelta(milliseconds=500)
+# Shortest time from one request to the next while changes come, so that changes
+# in quick succession are read together; a lone change is not delayed.
+MIN_REQUEST_INTERVAL: Final = dt.timedelta(milliseconds=250)
+# Changes that come closer than this on average are read, not watched.
+BURST_INTERVAL: Final = dt.timedelta(milliseconds=400)
 _MIN_RETRY_BOUND: Final = dt.timedelta(milliseconds=200)
 _MAX_RETRY_BOUND: Final = dt.timedelta(seconds=1)
 
@@ -73,6 +75,8 @@
         self._is_restarting = False
         self._is_on_standby = False
         self._expects_more_changes = False
+        self._requested_at = dt.timedelta()
+        self._changed_at = -BURST_INTERVAL
 
     def restart_watch(self) -> None:
         """Cancel a pending request and poll on a new connection.
@@ -93,11 +97,22 @@
             if update is None:
                 continue
             self._position = update.position
-            self._expects_more_changes = self._apply(update)
-            if self._expects_more_changes:
-                await asyncio.sleep(COALESCE_DELAY.total_seconds())
+            self._expects_more_changes = False
+            if self._apply(update):
+                await self._pause_after_change()
             await self._wait_on_standby()
 
+    async def _pause_after_change(self) -> None:
+        """Wait for further changes if the last ones came in a burst."""
+        now = self._read_time()
+        self._expects_more_changes = now - self._changed_at < BURST_INTERVAL
+        self._changed_at = now
+        pause = self._requested_at + MIN_REQUEST_INTERVAL - now
+        await asyncio.sleep(max(0, pause.total_seconds()))
+
+    def _read_time(self) -> dt.timedelta:
+        return dt.timedelta(seconds=asyncio.get_running_loop().time())
+
     async def _wait_on_standby(self) -> None:
         """Wait while neighbours watch the store, up to a refresh interval."""
         self._is_on_standby = True
@@ -108,6 +123,7 @@
         self._is_on_standby = False
 
     async def _poll_store(self) -> DesiredStateUpdate | None:
+        self._requested_at = self._read_time()
         self._request = asyncio.ensure_future(self._send_request())
         try:
             update = await self._request
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
@@ -246,11 +246,11 @@
 
     @property
     def newest_revision(self) -> int:
-        """The newest revision of the configuration that a peer reported."""
+        """The newest revision of the configuration that a live peer has."""
         return max(
             (
                 peer.last_beacon.revision
-                for peer in self._peers.values()
+                for peer in self.select_alive(self._peers.values())
                 if peer.last_beacon
             ),
             default=0,
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -205,10 +205,12 @@
             state.peer_table,
             peer_pool,
             adapter.decode_config,
-            settings.failure_domain,
+            state.news,
+            dt.timedelta(seconds=settings.bounds.config_apply),
             environment.random,
             state.watches_store,
         )
+        state.beacon_protocol.on_beacon(peer_config.note_beacon)
         open_attempts = OpenAttempts(peer_pool)
         return cls(
             gateway=gateway,
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/update_dispatcher.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/update_dispatcher.py
@@ -58,7 +58,7 @@
         self._beacon_protocol = beacon_protocol
         self._watches_store = watches_store
         self._watcher: DesiredStateWatcher | None = None
-        self._behind_since: dt.timedelta | None = None
+        self._next_restart_at = dt.timedelta()
         holder.on_change(self._announce_config)
         rollout_tracker.on_bad_version(self._announce_rollout)
         beacon_protocol.on_beacon(self.apply_beacon)
@@ -120,17 +120,18 @@
         """Restart the watch if the node lags for ``STALE_WATCH_TIMEOUT``.
 
         Cancelling the watch sooner could lose a response that is still
-        arriving over a slow link.
+        arriving over a slow link. A node that applies revisions but stays
+        behind reads the store too.
         """
         now = self._clock.elapsed()
-        if self._behind_since is None:
-            self._behind_since = now
-        if now - self._behind_since >= STALE_WATCH_TIMEOUT and self._watcher:
-            self._behind_since = now
+        lag = self._news.find_age(self._holder.revision + 1)
+        if lag is None or lag < STALE_WATCH_TIMEOUT:
+            return
+        if now >= self._next_restart_at and self._watcher is not None:
+            self._next_restart_at = now + STALE_WATCH_TIMEOUT
             self._watcher.restart_watch()
 
     def _announce_config(self, table: RoutingTable) -> None:
-        self._behind_since = None
         if self._watches_store():
             # Peers that don't watch the store themselves learn of a new
             # configuration from this node's beacons.
--- a/tests/unit/test_update_dispatcher.py
+++ b/tests/unit/test_update_dispatcher.py
@@ -92,6 +92,19 @@
     assert watcher.restarts == 0
 
 
+def test_store_is_read_by_a_node_that_never_catches_up() -> None:
+    """It applies a revision every 0.8 s, each already replaced for 1.4 s."""
+    clock = ManualClock()
+    dispatcher, holder, watcher = make_dispatcher(clock)
+    for revision in range(1, 20):
+        dispatcher.apply_beacon(make_beacon('one', revision, revision=revision))
+        clock.advance(200 * MS)
+        if revision % 4 == 0:
+            record = make_config(make_rule(), revision=max(1, revision - 7))
+            holder.offer(record, 'peer')
+    assert 1 <= watcher.restarts <= 3
+
+
 def test_stale_watch_is_restarted_when_peers_are_ahead() -> None:
     clock = ManualClock()
     dispatcher, _, watcher = make_dispatcher(clock)
