Refuse what a configuration known to be old can't decide

Cause, and its class: an answer from knowledge that the node itself knows to be old. Beacons told the node which revision its peers had, but only the fetch used that; requests were decided by whatever was active.

Change: ConfigFreshness says what the active configuration may decide. 404 needs the newest revision that a live peer has; otherwise 503 with Retry-After.

Why it works: 503 is true, since nothing ran, and sends the caller to a node that can decide; the age is that of the oldest change that is missing, so progress in a storm excuses nothing.

--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -25,6 +25,7 @@
     SilenceProber,
     is_responsive,
 )
+from bluebellslip._internal.mesh.config_freshness import ConfigFreshness
 from bluebellslip._internal.mesh.config_news import ConfigNews
 from bluebellslip._internal.mesh.holder import ConfigHolder
 from bluebellslip._internal.models.identity import (
@@ -79,6 +80,7 @@
     locality: Locality
     holder: ConfigHolder
     news: ConfigNews
+    freshness: ConfigFreshness
     peer_table: PeerTable
     silence_prober: SilenceProber
     server: LocalServer
@@ -99,6 +101,7 @@
         locality = Locality(settings.region, settings.failure_domain)
         peer_table = PeerTable(clock, node, settings.failure_domain)
         news = ConfigNews(clock)
+        holder = ConfigHolder(environment.random, news)
         silence_prober = SilenceProber(is_responsive)
         peer_table.confirm_silence = silence_prober.start
         beacon_source = BeaconSource()
@@ -115,8 +118,14 @@
         )
         return cls(
             locality=locality,
-            holder=ConfigHolder(environment.random, news),
+            holder=holder,
             news=news,
+            freshness=ConfigFreshness(
+                holder,
+                news,
+                lambda: peer_table.newest_revision,
+                dt.timedelta(seconds=settings.bounds.config_apply),
+            ),
             peer_table=peer_table,
             silence_prober=silence_prober,
             server=LocalServer(
@@ -146,7 +155,7 @@
 
     def read_config_lag(self) -> dt.timedelta:
         """Return how long a newer configuration than the active is known."""
-        return self.news.find_age(self.holder.revision + 1) or dt.timedelta()
+        return self.freshness.lag or dt.timedelta()
 
     def watches_store(self) -> bool:
         """Return whether this node itself gets updates from the store."""
@@ -244,7 +253,7 @@
                     sizes=ResponseSizes(),
                     budgets=state.retry_budgets,
                 ),
-                state.holder,
+                state.freshness,
                 environment.random,
                 environment.counters,
                 gateway.running,
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -125,6 +125,8 @@
         """Whether clients may send requests to this node."""
         if self._draining or self._state.holder.table is None:
             return False
+        if self._state.freshness.is_overdue:
+            return False
         if self._control_plane.discovery.has_read_nodes and self._knows_servers:
             return True
         return self._clock.elapsed() - self._started > MAX_STARTUP_WAIT
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -17,6 +17,7 @@
     BluebellError,
     DeadlineExceededError,
     DrainingError,
+    ErrorKind,
     MalformedError,
     NotFoundError,
     NotReadyError,
@@ -24,7 +25,7 @@
     TooLargeError,
 )
 from bluebellslip._internal.kernel.counters import Counters
-from bluebellslip._internal.mesh.holder import ConfigHolder
+from bluebellslip._internal.mesh.config_freshness import ConfigFreshness
 from bluebellslip._internal.mesh.table import RoutingTable
 from bluebellslip._internal.models.identity import ServiceName
 from bluebellslip._internal.models.mesh import RouteRule
@@ -41,7 +42,11 @@
     make_stop_error,
 )
 from bluebellslip._internal.proxy.responses import BufferedResponse
-from bluebellslip._internal.proxy.retry_after import choose_retry_after
+from bluebellslip._internal.proxy.retry_after import (
+    CATCH_UP_TIME,
+    choose_retry_after,
+    extend_retry_after,
+)
 from bluebellslip._internal.proxy.routed_request import (
     MAX_REPLAY_BYTES,
     RoutedRequest,
@@ -69,8 +74,8 @@
         Settings of this node.
     context
         Dependencies of the attempts.
-    holder
-        The active configuration.
+    freshness
+        The active configuration, and what it may still decide.
     random_source
         Randomizes Retry-After.
     counters
@@ -87,7 +92,7 @@
         self,
         settings: CallerSettings,
         context: RoutingContext,
-        holder: ConfigHolder,
+        freshness: ConfigFreshness,
         random_source: Random,
         counters: Counters,
         running: RunningRequests,
@@ -96,7 +101,7 @@
         self._on_outgoing = on_outgoing
         self._settings = settings
         self._context = context
-        self._holder = holder
+        self._freshness = freshness
         self._random = random_source
         self._counters = counters
         self._caller_waits = CallerWaitEstimator(context.clock)
@@ -160,9 +165,10 @@
         )
 
     def _get_table(self) -> RoutingTable:
-        table = self._holder.table
+        table = self._freshness.table
         if table is None:
             raise NotReadyError('The node holds no configuration yet.')
+        self._freshness.check_routing()
         return table
 
     def _find_rule(
@@ -176,6 +182,7 @@
             )
         rule = table.match(host, path)
         if rule is None:
+            self._freshness.check_final()
             raise NotFoundError(
                 'No route matches this request.',
                 context={'host': host, 'path': path},
@@ -332,11 +339,7 @@
                 request_id,
             ))
         if not may_have_run and error.kind in RETRYABLE_ERRORS:
-            after = choose_retry_after(
-                self._context.peer_table.endpoints(ServiceName(trace.service)),
-                self._context.clock.elapsed(),
-                self._random,
-            )
+            after = self._choose_retry_after(error, trace)
             fields.append((
                 header_names.RETRY_AFTER,
                 b'%.3f' % after.total_seconds(),
@@ -344,6 +347,17 @@
         reply.respond(status, fields, encode_error(error))
         self._record_outcome(trace, str(status), error)
 
+    def _choose_retry_after(
+        self, error: BluebellError, trace: RequestTrace
+    ) -> dt.timedelta:
+        if error.kind is ErrorKind.NOT_READY:
+            return extend_retry_after(CATCH_UP_TIME, self._random)
+        return choose_retry_after(
+            self._context.peer_table.endpoints(ServiceName(trace.service)),
+            self._context.clock.elapsed(),
+            self._random,
+        )
+
     def _make_timeout_error(
         self, routed: RoutedRequest, *, may_have_run: bool
     ) -> BluebellError:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_after.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_after.py
@@ -17,6 +17,8 @@
 # Longest random extension of Retry-After, as a multiple of its value before the
 # extension, so that callers refused together don't all retry at the same time.
 RETRY_AFTER_JITTER: Final = 1.0
+# Time in which a node usually gets a configuration that it lacks.
+CATCH_UP_TIME: Final = dt.timedelta(milliseconds=250)
 
 
 def choose_retry_after(
@@ -34,5 +36,11 @@
         Extends the time.
     """
     expected = estimate_retry_after(endpoints, MAX_RETRY_AFTER, now)
-    jitter_factor = 1 + RETRY_AFTER_JITTER * random_source.random()
-    return max(MIN_RETRY_AFTER, expected) * jitter_factor
+    return extend_retry_after(max(MIN_RETRY_AFTER, expected), random_source)
+
+
+def extend_retry_after(
+    expected: dt.timedelta, random_source: Random
+) -> dt.timedelta:
+    """Return a time extended at random."""
+    return expected * (1 + RETRY_AFTER_JITTER * random_source.random())
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -119,6 +119,11 @@
         'A newer configuration could not be fetched from a peer.',
         ('peer', 'reason', 'spent_ms'),
     ),
+    'config_overdue': Event(
+        'Requests are refused: live peers have had a newer configuration for '
+        'almost the time allowed to apply it.',
+        ('revision', 'newest', 'known_s'),
+    ),
     'departure_recorded': Event(
         'A server that the node does not know has left; its delayed '
         'heartbeats will be ignored.',
