--- a/tests/lib/calls.py
+++ b/tests/lib/calls.py
@@ -86,17 +86,31 @@
         self.address = find_free_address()
         self._handler = handler
         self._writers: set[asyncio.StreamWriter] = set()
+        self._listener: asyncio.Server | None = None
+
+    @property
+    def is_listening(self) -> bool:
+        return self._listener is not None
 
     @contextlib.asynccontextmanager
     async def serving(self) -> AsyncGenerator['FakeServer', None]:
-        server = await asyncio.start_server(
-            self._serve, self.address.host, self.address.port
-        )
+        await self.listen()
         try:
             yield self
         finally:
-            server.close()
-            self.abort_connections()
+            self.crash()
+
+    async def listen(self) -> None:
+        self._listener = await asyncio.start_server(
+            self._serve, self.address.host, self.address.port
+        )
+
+    def crash(self) -> None:
+        """Reset all connections and accept no more, until ``listen``."""
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        self.abort_connections()
 
     def abort_connections(self) -> None:
         for writer in tuple(self._writers):
--- a/tests/lib/simulated_platform.py
+++ b/tests/lib/simulated_platform.py
@@ -335,6 +335,7 @@
         )
         self._sequence = 0
         self.heartbeats_stopped = False
+        self.born = 1000
 
     @property
     def _listen_addresses(self) -> list[Address]:
@@ -365,9 +366,16 @@
     async def _send_heartbeats(self) -> None:
         while not self.heartbeats_stopped:
             await anyio.sleep(self.settings.heartbeat)
-            if not self.heartbeats_stopped:
+            if not self.heartbeats_stopped and self.server.is_listening:
                 await self.send_heartbeat()
 
+    async def restart_server(self) -> None:
+        """Start a new life of the local server."""
+        self.born += 1
+        self._sequence = 0
+        await self.server.listen()
+        await self.send_heartbeat()
+
     async def send_heartbeat(
         self, state: str = 'ready', **more: object
     ) -> ReceivedResponse:
@@ -382,7 +390,7 @@
             'state': state,
             'cold_remaining_s': 0,
             'seq': self._sequence,
-            'born': 1000,
+            'born': self.born,
         } | more
         return await self.call_server_api('PUT', json.dumps(heartbeat).encode())
 
