Send a request that ended three servers to no more

What callers saw: one request ended each server that ran it, and came again at any node.

Cause, and its class: what a request does to servers was known only inside one attempt. The next attempt, at any node, began anew.

Change: the node beside a server records which requests it was running when its connections broke and nothing listens at its address any more. Beacons carry pairs of a request's hash and a life of a server, merged by union. A request is fatal after three lives, unless a server has completed it: a completion by the same life before, or at any node after, clears it. The node beside the server refuses a fatal request before it waits for a slot, and looks again before it passes it on. A request under which a server has ended before is not sent to a second one within an attempt. Method, host, target, calling service and body make a request; a body is read as a whole only if the rest is suspected.

Why it works: every request that reaches a server passes the node beside it, and that node knows within a beacon. What ran beside a fatal request completes somewhere; the fatal one never does.

--- a/packages/bluebellslip/src/bluebellslip/_internal/claims/rows.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/claims/rows.py
@@ -3,12 +3,12 @@
 import dataclasses
 import datetime as dt
 import enum
-import hashlib
 from typing import Final
 
 import msgspec
 
 from bluebellslip._internal.models.identity import NodeId
+from bluebellslip._internal.utils.fingerprints import hash_parts
 
 CLAIM_RETENTION: Final = dt.timedelta(hours=24)
 MAX_STORED_RESPONSE_BYTES: Final = 64 * 1024
@@ -83,8 +83,4 @@
 
 def compute_fingerprint(method: bytes, target: bytes, body: bytes) -> bytes:
     """Return a hash that detects a different request under the same key."""
-    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
-    for part in (method, target, body):
-        digest.update(b'%d:' % len(part))
-        digest.update(part)
-    return digest.digest()
+    return hash_parts((method, target, body), _FINGERPRINT_BYTES)
--- a/packages/bluebellslip/src/bluebellslip/_internal/exceptions.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/exceptions.py
@@ -37,6 +37,7 @@
     VERSION_STOPPED = 'version-stopped'
     NO_SERVER = 'no-server'
     NOT_READY = 'not-ready'
+    QUARANTINED = 'quarantined'
     DEADLINE_EXCEEDED = 'deadline-exceeded'
     SERVER_FAILED = 'server-failed'
     PLATFORM_DOWN = 'platform-down'
@@ -278,6 +279,12 @@
     kind = ErrorKind.NO_SERVER
 
 
+class QuarantinedError(BluebellError):
+    """A request refused before it ran, because it ended servers earlier."""
+
+    kind = ErrorKind.QUARANTINED
+
+
 class DeadlineExceededError(BluebellError):
     """The deadline passed; the request may or may not have run."""
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
@@ -13,6 +13,7 @@
 from bluebellslip._internal.exceptions import PeerGarbledError
 from bluebellslip._internal.fleet.beacons import (
     Beacon,
+    FatalRequestBeacon,
     NodeState,
     Reach,
     RolloutBeacon,
@@ -54,6 +55,9 @@
         self.read_store_era: Callable[[], int] = int
         self.read_server: Callable[[], ServerBeacon | None] = lambda: None
         self.read_rollouts: Callable[[], tuple[RolloutBeacon, ...]] = tuple
+        self.read_fatal_requests: Callable[
+            [], tuple[FatalRequestBeacon, ...]
+        ] = tuple
 
 
 class DatagramSender(Protocol):
@@ -293,5 +297,6 @@
             store_era=source.read_store_era(),
             known_nodes=self._peer_table.size + 1,
             life_token=self._life.token,
+            fatal_requests=source.read_fatal_requests(),
             revision_age_ms=source.read_revision_age() // _MILLISECOND,
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
@@ -78,6 +78,21 @@
     latencies: tuple[tuple[int, int], ...]
 
 
+class FatalRequestBeacon(msgspec.Struct, frozen=True, array_like=True):
+    """A request under which servers ended.
+
+    ``head`` and ``whole`` are hashes of the request without and with its body,
+    ``lives`` identify the lives of servers, and ``age_s`` is the time since
+    this was last seen. ``is_cleared`` is set if the request has completed.
+    """
+
+    head: int
+    whole: int
+    lives: tuple[int, ...]
+    age_s: int
+    is_cleared: bool
+
+
 class NodeState(enum.IntEnum):
     """Whether a node accepts requests from peers."""
 
@@ -112,6 +127,7 @@
     ``known_life`` is set when the recipient's own beacon was ignored: the
     number of a life of the recipient that supersedes the one in that beacon.
     ``revision_age_ms`` is how long the sender has known of ``revision``.
+    ``fatal_requests`` are requests under which servers ended.
     """
 
     node: str
@@ -133,6 +149,7 @@
     life_token: int = 0
     known_life: int = 0
     revision_age_ms: int = 0
+    fatal_requests: tuple[FatalRequestBeacon, ...] = ()
 
     @property
     def life(self) -> NodeLife:
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -51,12 +51,14 @@
 from bluebellslip._internal.proxy.body_transfers import BodyTransferLimiter
 from bluebellslip._internal.proxy.caller_settings import CallerSettings
 from bluebellslip._internal.proxy.egress import CallerHandler
+from bluebellslip._internal.proxy.fatal_requests import FatalRequests
 from bluebellslip._internal.proxy.forwarding import RequestForwarder
 from bluebellslip._internal.proxy.ingress import PeerHandler
 from bluebellslip._internal.proxy.peer_queries import PeerQueries
 from bluebellslip._internal.proxy.response_sizes import ResponseSizes
 from bluebellslip._internal.proxy.retry_budgets import RetryBudgets
 from bluebellslip._internal.proxy.running_requests import RunningRequests
+from bluebellslip._internal.proxy.server_ends import ServerEndMonitor
 from bluebellslip._internal.proxy.server_gateway import ServerGateway
 from bluebellslip._internal.proxy.server_selection import ServerSelector
 from bluebellslip._internal.proxy.trace import UnansweredRequestRecorder
@@ -90,6 +92,7 @@
     store_health: StoreHealth
     watcher_selection: WatcherSelection
     retry_budgets: RetryBudgets
+    fatal_requests: FatalRequests
 
     @classmethod
     def from_settings(
@@ -151,6 +154,11 @@
                 lambda: peer_table.deployment_size,
                 may_have_run=not settings.first_start,
             ),
+            fatal_requests=_connect_fatal_requests(
+                FatalRequests(clock, environment.counters),
+                beacon_source,
+                beacon_protocol,
+            ),
         )
 
     def read_config_lag(self) -> dt.timedelta:
@@ -165,6 +173,20 @@
         )
 
 
+def _connect_fatal_requests(
+    fatal_requests: FatalRequests,
+    beacon_source: BeaconSource,
+    beacon_protocol: BeaconProtocol,
+) -> FatalRequests:
+    """Exchange by beacons what the nodes know of fatal requests."""
+    beacon_source.read_fatal_requests = fatal_requests.make_reports
+    fatal_requests.on_change(beacon_protocol.request_broadcast)
+    beacon_protocol.on_beacon(
+        lambda beacon: fatal_requests.merge(beacon.fatal_requests)
+    )
+    return fatal_requests
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DataPlane:
     """The components that requests pass through."""
@@ -202,6 +224,7 @@
             version_selector,
             outcome_recorder,
             RunningRequests(clock, state.retry_budgets),
+            ServerEndMonitor(state.fatal_requests),
         )
         server_selector = ServerSelector(
             clock,
@@ -252,6 +275,7 @@
                     versions=version_selector,
                     sizes=ResponseSizes(),
                     budgets=state.retry_budgets,
+                    fatal_requests=state.fatal_requests,
                 ),
                 state.freshness,
                 environment.random,
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -315,6 +315,7 @@
             'config_lag_seconds',
             lambda: self._state.read_config_lag().total_seconds(),
         )
+        gauge('fatal_requests', lambda: self._state.fatal_requests.count)
         gauge('peers_alive', self._state.peer_table.count_alive)
         gauge('server_slots_in_use', lambda: gate.in_use)
         gauge('server_queue', lambda: gate.waiting)
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
@@ -14,6 +14,7 @@
 from bluebellslip._internal.fleet.peer_table import Endpoint, PeerTable
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.identity import NodeId, ServiceName
+from bluebellslip._internal.proxy.fatal_requests import FatalRequests
 from bluebellslip._internal.proxy.forwarding import (
     AttemptResult,
     RequestForwarder,
@@ -75,6 +76,7 @@
     versions: VersionChooser
     sizes: ResponseSizes
     budgets: RetryBudgets
+    fatal_requests: FatalRequests
 
 
 class Attempts:
@@ -111,6 +113,7 @@
             routed,
             max_servers,
             context.budgets,
+            context.fatal_requests,
             trace,
         )
         self._for_target = context.versions.choose_target(routed.service)
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_retries.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_retries.py
@@ -1,12 +1,15 @@
 """The retries of one request, by the rules and the budget of its service."""
 
+from bluebellslip._internal.exceptions import ErrorKind
 from bluebellslip._internal.fleet.peer_table import PeerTable
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.proxy.estimates import (
     compute_mean_hold_time,
     find_shortest_hold_time,
 )
+from bluebellslip._internal.proxy.fatal_requests import FatalRequests
 from bluebellslip._internal.proxy.forwarding import AttemptResult
+from bluebellslip._internal.proxy.request_fingerprints import is_suspected
 from bluebellslip._internal.proxy.retry_budget import (
     RetryPurpose,
     RetryReservation,
@@ -38,6 +41,8 @@
         Maximum number of servers that the request may reach.
     budgets
         The node's retry budgets.
+    fatal_requests
+        The requests under which servers ended.
     trace
         Records the decisions for the log.
     """
@@ -49,6 +54,7 @@
         routed: RoutedRequest,
         max_servers: int,
         budgets: RetryBudgets,
+        fatal_requests: FatalRequests,
         trace: RequestTrace,
     ) -> None:
         self._clock = clock
@@ -56,6 +62,7 @@
         self._routed = routed
         self._max_servers = max_servers
         self._budgets = budgets
+        self._fatal_requests = fatal_requests
         self._trace = trace
         self._reservation: RetryReservation | None = None
 
@@ -94,6 +101,19 @@
         if self._reservation is not None:
             self._reservation.record_arrival()
 
+    def _is_suspected(self, result: AttemptResult) -> bool:
+        """Return whether the request may have ended the server.
+
+        The first server that ends under a request is no evidence yet.
+        """
+        if result.error is None:
+            return False
+        if result.error.kind is ErrorKind.QUARANTINED:
+            return True
+        return result.reached and is_suspected(
+            self._fatal_requests, self._routed
+        )
+
     def _reserve(self) -> bool:
         self._reservation = self._budgets.reserve(
             self._routed.service, RetryPurpose.RETRY
@@ -111,6 +131,7 @@
             may_have_run=result.may_have_run,
             reached=result.reached,
             call_failed=result.call_failed,
+            is_suspected=self._is_suspected(result),
             replayable=routed.upload.replayable and not reply.started,
             untried=untried,
             servers_reached=servers_reached,
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_rules.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/retry_rules.py
@@ -33,6 +33,7 @@
     NO_SERVER_LEFT = 'no-server-left'
     NO_TIME_LEFT = 'no-time-left'
     CALL_FAILED = 'call-failed'
+    FATAL = 'fatal'
     MAX_SERVERS_REACHED = 'max-servers-reached'
     BUDGET_SPENT = 'budget-spent'
 
@@ -57,6 +58,9 @@
     call_failed
         Whether a call that the server made for it has failed. The call was
         retried where it failed; another run would repeat all calls.
+    is_suspected
+        Whether a server has ended under the same request before, so that
+        another may end too.
     replayable
         Whether its whole body is still buffered and no response was begun.
     untried
@@ -77,6 +81,7 @@
     may_have_run: bool
     reached: bool
     call_failed: bool
+    is_suspected: bool
     replayable: bool
     untried: int
     servers_reached: int
@@ -111,6 +116,8 @@
     """Return what prevents a retry, apart from the budget."""
     if attempt.may_have_run and not attempt.is_repeatable:
         return RetryDecision.MAY_HAVE_RUN
+    if attempt.is_suspected:
+        return RetryDecision.FATAL
     if attempt.call_failed:
         return RetryDecision.CALL_FAILED
     if not attempt.replayable:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_call.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_call.py
@@ -18,11 +18,16 @@
 from bluebellslip._internal.exceptions import (
     BluebellError,
     OverloadedError,
+    QuarantinedError,
     ServerFailedError,
 )
 from bluebellslip._internal.fleet.local_server import ServerInfo
 from bluebellslip._internal.kernel.ports import RequestStatus
 from bluebellslip._internal.proxy.latest_starts import find_latest_start
+from bluebellslip._internal.proxy.request_fingerprints import (
+    hash_head,
+    make_fingerprint,
+)
 from bluebellslip._internal.proxy.routed_request import (
     ROUTING_HEADER,
     AttemptOptions,
@@ -75,6 +80,7 @@
         self._exchange: Exchange | None = None
         self._run: RunningRequest | None = None
         self._started = dt.timedelta()
+        self._head = hash_head(routed)
         self._request_status = RequestStatus.CANCELLED
         self.sent = False
         self.not_run = False
@@ -107,6 +113,8 @@
     ) -> None:
         if self._exchange is not None:
             self._exchange.close()
+        if self.sent and self._info is not None:
+            self._record_end(self._info, error)
         if self._run is not None:
             self._end_run(self._run, completed=kind is None or self.not_run)
         if self._ticket is None:
@@ -137,11 +145,14 @@
             self._routed.route,
             is_retry=self._options.is_retry,
         )
+        await self._check_quarantine()
         async with self.wait():
             info = await self._take_slot()
             exchange = await self._connect(info)
             self._check_cutoff()
             await self._check_caller()
+            # Another server may have ended under it during the wait.
+            await self._check_quarantine()
         self.sent = True
         self._gateway.running.begin(self._run)
         head = await self._send(info, exchange)
@@ -178,6 +189,38 @@
         else:
             running.abandon(run, self._routed.deadline)
 
+    def _record_end(
+        self, info: ServerInfo, error: BaseException | None
+    ) -> None:
+        """Record whether the server completed the request or broke it off."""
+        request = make_fingerprint(self._routed, self._head)
+        if request is None or self.not_run:
+            return
+        server_ends = self._gateway.server_ends
+        if isinstance(error, ServerFailedError):
+            server_ends.record_break(info, request)
+        elif error is None:
+            server_ends.fatal_requests.record_completion(request)
+
+    async def _check_quarantine(self) -> None:
+        """Check that the request has not ended several servers before.
+
+        Raises
+        ------
+        QuarantinedError
+            When it has; it did not run.
+        """
+        fatal_requests = self._gateway.server_ends.fatal_requests
+        if not fatal_requests.knows_head(self._head):
+            return
+        await self._routed.upload.buffer()
+        request = make_fingerprint(self._routed, self._head)
+        if request is not None and fatal_requests.is_fatal(request):
+            raise QuarantinedError(
+                'Servers ended each time they ran this request.',
+                context={'fingerprint': f'{request.whole:016x}'},
+            )
+
     def _make_ticket(self) -> Ticket:
         routed = self._routed
         # The queue takes its mean service time off the deadline.
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -31,6 +31,7 @@
     ServerLoad,
 )
 from bluebellslip._internal.proxy.running_requests import RunningRequests
+from bluebellslip._internal.proxy.server_ends import ServerEndMonitor
 from bluebellslip._internal.proxy.server_measurements import ServerMeasurements
 from bluebellslip._internal.proxy.server_notices import ServerNotices
 from bluebellslip._internal.proxy.server_waits import ServerWaits
@@ -82,6 +83,8 @@
         Records the outcomes of requests at the server.
     running
         The requests that the server is running.
+    server_ends
+        Records the requests during which the server ended.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         versions: VersionGate,
         recorder: ServerOutcomeRecorder,
         running: RunningRequests,
+        server_ends: ServerEndMonitor,
     ) -> None:
         self._clock = clock
         self._server = server
@@ -101,6 +105,7 @@
         self._versions = versions
         self._recorder = recorder
         self._running = running
+        self._server_ends = server_ends
         self._gate = AdmissionGate(clock)
         self._measurements = ServerMeasurements(clock)
         self._waits = ServerWaits()
@@ -129,6 +134,11 @@
         """The requests that the server is running."""
         return self._running
 
+    @property
+    def server_ends(self) -> ServerEndMonitor:
+        """Records the requests during which the server ended."""
+        return self._server_ends
+
     @property
     def waits(self) -> ServerWaits:
         """The requests that wait to be passed on to the server."""
@@ -258,6 +268,7 @@
         self._current_lifetime = info.lifetime
         self._measurements.clear()
         self._running.forget_calls()
+        self._server_ends.begin_lifetime(info.lifetime)
         self._notices.begin_lifetime()
         self._apply_notices(changed=False)
         self._pool.forget(info.address)
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -124,6 +124,20 @@
         'almost the time allowed to apply it.',
         ('revision', 'newest', 'known_s'),
     ),
+    'server_ended_running': Event(
+        'The local server ended while it ran requests; those that it had not '
+        'completed before are suspected.',
+        ('suspects', 'fingerprints'),
+    ),
+    'fatal_request_found': Event(
+        'Several servers have ended under a request; it is refused from now '
+        'on.',
+        ('fingerprint',),
+    ),
+    'fatal_request_cleared': Event(
+        'A suspected request has completed, so it is not the cause.',
+        ('fingerprint',),
+    ),
     'departure_recorded': Event(
         'A server that the node does not know has left; its delayed '
         'heartbeats will be ignored.',
--- a/tests/lib/proxy_requests.py
+++ b/tests/lib/proxy_requests.py
@@ -14,10 +14,12 @@
 from bluebellslip._internal.kernel.counters import InMemoryCounters
 from bluebellslip._internal.models.config import ExecutionSemantics
 from bluebellslip._internal.models.servers import Lifetime
+from bluebellslip._internal.proxy.fatal_requests import FatalRequests
 from bluebellslip._internal.proxy.routed_request import (
     AttemptOptions,
     RoutedRequest,
 )
+from bluebellslip._internal.proxy.server_ends import ServerEndMonitor
 from bluebellslip._internal.proxy.server_gateway import ServerGateway
 from lib.calls import find_free_address
 from lib.fleet import ORDERS, ROUTE, SECOND, make_heartbeat
@@ -45,7 +47,14 @@
     server.apply_heartbeat(make_heartbeat(address=address, slots=1))
     pool = ConnectionPool(InMemoryCounters())
     gateway = ServerGateway(
-        clock, server, pool, METADATA_HEADERS, Mock(), Mock(), Mock()
+        clock,
+        server,
+        pool,
+        METADATA_HEADERS,
+        Mock(),
+        Mock(),
+        Mock(),
+        ServerEndMonitor(FatalRequests(clock, InMemoryCounters())),
     )
     gateway.measurements.hold_times.record(ROUTE, hold_time)
     return gateway
--- a/tests/unit/test_retry_rules.py
+++ b/tests/unit/test_retry_rules.py
@@ -21,6 +21,7 @@
     may_have_run=False,
     reached=False,
     call_failed=False,
+    is_suspected=False,
     replayable=True,
     untried=3,
     servers_reached=0,
