Write a roll-out's status only while the store has its order

Callers of a service saw failures of a version that was never tried: v3 was ordered while the answer to "v2 is completed" was lost. The store performed that write 1 s later, every node took it for the end of v3's roll-out, and v3 got all requests, without a first small share, and was never evaluated.

Cause: the write was conditional on the status row alone, although it was decided on the order, which can be replaced while the write is under way. A reader could not tell either: any status newer than the order counted as the order's own.

The store now decides, in the same transaction: the write is conditional on the order's row as well. A node that is told that the order is gone reads the desired state again and doesn't repeat the write. The status names the version of the order's row, so that a reader takes only the status of its own order, whatever another writer, an older node or a restored copy has left there; v2, then v3, then v2 again are three orders. A read of the statuses that began before an order arrived no longer counts as a read of that order's status.

One test compares the whole status row and has the new field.

--- a/packages/bluebellslip/src/bluebellslip/_internal/control/ports.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/ports.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from bluebellslip._internal.exceptions import BluebellError
+from bluebellslip._internal.exceptions import BluebellError, ErrorKind
 from bluebellslip._internal.models.identity import (
     Address,
     NodeId,
@@ -34,6 +34,15 @@
     """
 
 
+class OrderReplacedError(BluebellError):
+    """The order that a write was for was replaced or withdrawn meanwhile.
+
+    Nothing was stored. The desired state has to be read again.
+    """
+
+    kind = ErrorKind.CONFLICT
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DesiredStateUpdate:
     """The desired state set by operators, or the changes to it.
@@ -146,7 +155,14 @@
     async def store_status(self, change: StatusChange) -> RolloutStatus:
         """Store a status and return the status that is now stored.
 
-        If another node wrote first, that node's status is returned.
+        If another node wrote first, that node's status is returned. The store
+        may perform the write seconds later, but only while it has the order
+        and the expected status.
+
+        Raises
+        ------
+        OrderReplacedError
+            When the store no longer has the order.
         """
 
     async def read_nodes(self) -> tuple[NodeRegistration, ...]:
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/rollouts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/rollouts.py
@@ -5,6 +5,7 @@
 import enum
 
 from bluebellslip._internal.models.identity import ServiceName, VersionName
+from bluebellslip._internal.models.store_revisions import get_era, get_version
 
 
 @enum.unique
@@ -56,10 +57,28 @@
     state
         State of the roll-out.
     revision
-        Version of the stored status.
+        Revision of the stored status.
+    order_version
+        The store's version of the order whose status this is; none if the
+        status doesn't say.
     """
 
     service: ServiceName
     target: VersionName
     state: RolloutState
     revision: int
+    order_version: int | None = None
+
+    def belongs_to(self, order: RolloutOrder) -> bool:
+        """Return whether this is the status of an order.
+
+        A version of a service may be ordered several times, so its name alone
+        doesn't tell.
+        """
+        if get_era(self.revision) != get_era(order.revision):
+            return False
+        if self.target != order.target:
+            return False
+        if self.order_version is None:
+            return self.revision > order.revision
+        return self.order_version == get_version(order.revision)
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -371,6 +371,7 @@
                 adapter.store,
                 state.peer_table.find_rank,
                 state.beacon_protocol.request_broadcast,
+                watcher.restart_watch,
             ),
             update_dispatcher=update_dispatcher,
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/coordinator.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/coordinator.py
@@ -3,7 +3,8 @@
 Every node can determine the next status. The live node whose name sorts first
 writes it; each further node takes over after a delay in case those before it
 cannot. A write is conditional on the previous status, so that a roll-out is
-never recorded as both completed and rolled back.
+never recorded as both completed and rolled back, and on the order, so that a
+write that the store performs late never counts for the next order.
 """
 
 import asyncio
@@ -12,7 +13,11 @@
 from collections.abc import Callable
 from typing import Final
 
-from bluebellslip._internal.control.ports import ControlStore, StatusChange
+from bluebellslip._internal.control.ports import (
+    ControlStore,
+    OrderReplacedError,
+    StatusChange,
+)
 from bluebellslip._internal.exceptions import BluebellError
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.rollouts import RolloutState
@@ -52,6 +57,8 @@
         Returns how many live nodes come before this one by name.
     on_status_change
         Called after statuses were read or written.
+    on_order_replaced
+        Called when the store has another order than this node knows.
     """
 
     def __init__(
@@ -61,12 +68,14 @@
         store: ControlStore,
         find_rank: Callable[[], int],
         on_status_change: Callable[[], None],
+        on_order_replaced: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._tracker = tracker
         self._store = store
         self._find_rank = find_rank
         self._on_status_change = on_status_change
+        self._on_order_replaced = on_order_replaced
         self._pending_since: dict[int, tuple[RolloutState, dt.timedelta]] = {}
 
     async def run(self) -> None:
@@ -87,13 +96,17 @@
 
     async def read_statuses(self) -> None:
         """Read the statuses of all roll-outs from the store."""
+        # The read may be older than an order that arrives during it.
+        rollouts = tuple(self._tracker.rollouts)
         for status in await self._store.read_statuses():
             self._tracker.apply_status(status)
-        self._tracker.mark_statuses_known()
+        for rollout in rollouts:
+            rollout.is_status_known = True
 
     async def _reconcile(self, rollout: Rollout) -> None:
-        if not self._tracker.is_order_current(rollout):
-            # The store has lost the order; the operators write it again.
+        if rollout.is_replaced or not self._tracker.is_order_current(rollout):
+            # The next order is not known yet, or the store has lost this one
+            # and the operators write it again.
             return
         if not rollout.is_status_known:
             await self.read_statuses()
@@ -106,6 +119,10 @@
             status = await self._store.store_status(
                 StatusChange(rollout.order, state, rollout.status_revision)
             )
+        except OrderReplacedError:
+            rollout.is_replaced = True
+            self._on_order_replaced()
+            raise
         except BluebellError:
             # The write may have taken effect: read before the next attempt.
             rollout.is_status_known = False
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/rollout.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/rollout.py
@@ -27,6 +27,8 @@
         if it has none.
     is_status_known
         Whether the stored status was read, by this node or by a peer.
+    is_replaced
+        Whether the store no longer has the order; the next one is not known.
     is_bad
         Whether any node found the target version bad; never cleared.
     counts
@@ -47,6 +49,7 @@
     status_revision: int = 0
     stored_state: RolloutState | None = None
     is_status_known: bool = False
+    is_replaced: bool = False
     is_bad: bool = False
     counts: RolloutOutcomeCounts = dataclasses.field(
         default_factory=RolloutOutcomeCounts
@@ -76,6 +79,7 @@
         self.status_revision = 0
         self.stored_state = None
         self.is_status_known = False
+        self.is_replaced = False
 
 
 def build_log_fields(rollout: Rollout) -> dict[str, object]:
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/tracker.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/tracker.py
@@ -165,20 +165,14 @@
         rollout = self._rollouts.get(status.service)
         if rollout is None or status.revision <= rollout.status_revision:
             return
-        # Across eras, revisions do not tell whose status it is.
-        if get_era(status.revision) > get_era(rollout.order.revision):
+        if get_era(status.revision) != get_era(rollout.order.revision):
             return
         rollout.status_revision = status.revision
-        # A status older than the order belongs to an earlier order.
-        if status.revision > rollout.order.revision:
+        rollout.stored_state = None
+        if status.belongs_to(rollout.order):
             rollout.stored_state = status.state
             self._apply_state(rollout, status.state)
 
-    def mark_statuses_known(self) -> None:
-        """Record that the statuses of all known orders were read."""
-        for rollout in self._rollouts.values():
-            rollout.is_status_known = True
-
     def apply_beacon(self, beacon: Beacon) -> None:
         """Apply the roll-outs reported in a peer's beacon.
 
@@ -285,6 +279,12 @@
             self._node, self._life_token, version == order.target
         )
         counts = rollout.counts.read(source) if rollout.is_running else ()
+        # The status of another order is not reported: peers take a status that
+        # is newer than the order for its own.
+        is_foreign = (
+            rollout.stored_state is None
+            and rollout.status_revision > order.revision
+        )
         return RolloutBeacon(
             service=order.service,
             revision=order.revision,
@@ -292,7 +292,7 @@
             duration_ms=order.duration // _MILLISECOND,
             age_ms=(now - rollout.ordered_at) // _MILLISECOND,
             state=_STATES.index(rollout.state),
-            status_revision=rollout.status_revision,
+            status_revision=0 if is_foreign else rollout.status_revision,
             is_status_known=rollout.is_status_known,
             is_bad=rollout.is_bad,
             is_target=source.is_target,
--- a/tests/functional/test_platform_restore.py
+++ b/tests/functional/test_platform_restore.py
@@ -195,12 +195,13 @@
         for _ in range(20):
             assert await is_served_by_target(nodes[0])
             await asyncio.sleep(0.05)
-        store.put('op', 'rollout/store', _ORDER)
+        order_version = store.put('op', 'rollout/store', _ORDER)
         await wait_until(lambda: has_rollout_state(store, 'completed'))
     assert store.read('status', 'rollout/store') == {
         'target': 'v2',
         'state': 'completed',
         'service': 'store',
+        'order_ver': order_version,
     }
 
 
--- a/tests/lib/simulated_platform.py
+++ b/tests/lib/simulated_platform.py
@@ -179,10 +179,7 @@
         for condition in body['expected_rev']:
             row_key = (condition['table'], condition['key'])
             if self._rows.get(row_key, (0, None))[0] != condition['ver']:
-                rows = (
-                    [self._encode_row(row_key)] if row_key in self._rows else []
-                )
-                return 412, {'rows': rows, 'ver': self._version}
+                return 412, self._list_expected(body['expected_rev'])
         for row in body['upserts']:
             self._write(row['table'], row['key'], row['value'])
             if row['table'] == 'status':
@@ -192,6 +189,15 @@
             self._write(row_key['table'], row_key['key'], None)
         return 200, {'ver': self._version, 'now_s': 1.5}
 
+    def _list_expected(self, conditions: list[JsonObject]) -> JsonObject:
+        row_keys = [(row['table'], row['key']) for row in conditions]
+        rows = [
+            self._encode_row(row_key)
+            for row_key in row_keys
+            if row_key in self._rows
+        ]
+        return {'rows': rows, 'ver': self._version}
+
     def _encode_row(self, row_key: tuple[str, str]) -> JsonObject:
         version, text = self._rows[row_key]
         row = {
--- a/tests/unit/test_rollout_coordinator.py
+++ b/tests/unit/test_rollout_coordinator.py
@@ -109,7 +109,7 @@
         self.rollout = self.tracker.add_order(_ORDER, dt.timedelta())
         self.is_down = False
         self.coordinator = RolloutCoordinator(
-            clock, self.tracker, store, lambda: rank, lambda: None
+            clock, self.tracker, store, lambda: rank, lambda: None, lambda: None
         )
 
     async def step(self) -> None:
