Remember that a version was rolled back after the next order

Cause: what was found about a version was kept with the order and dropped with it. It belongs to the service. Beacons carry the decided ones, for nodes that started again or heard of the bad outcome only after the next order; a stored "rolled back" of an earlier order is heeded too. An order for the version again starts a new trial.

--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
@@ -16,6 +16,7 @@
     FatalRequestBeacon,
     NodeState,
     Reach,
+    RetiredVersionBeacon,
     RolloutBeacon,
     ServerBeacon,
     decode_beacon,
@@ -58,6 +59,9 @@
         self.read_fatal_requests: Callable[
             [], tuple[FatalRequestBeacon, ...]
         ] = tuple
+        self.read_retired_versions: Callable[
+            [], tuple[RetiredVersionBeacon, ...]
+        ] = tuple
 
 
 class DatagramSender(Protocol):
@@ -298,5 +302,6 @@
             known_nodes=self._peer_table.size + 1,
             life_token=self._life.token,
             fatal_requests=source.read_fatal_requests(),
+            retired_versions=source.read_retired_versions(),
             revision_age_ms=source.read_revision_age() // _MILLISECOND,
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
@@ -93,6 +93,21 @@
     is_cleared: bool
 
 
+class RetiredVersionBeacon(msgspec.Struct, frozen=True, array_like=True):
+    """A version whose order was replaced or withdrawn after its decision.
+
+    ``revision`` identifies the order, and ``age_s`` is the time since then.
+    ``is_completed`` is set if the roll-out was completed; otherwise the version
+    was rolled back or found bad.
+    """
+
+    service: str
+    version: str
+    revision: int
+    is_completed: bool
+    age_s: int
+
+
 class NodeState(enum.IntEnum):
     """Whether a node accepts requests from peers."""
 
@@ -127,7 +142,8 @@
     ``known_life`` is set when the recipient's own beacon was ignored: the
     number of a life of the recipient that supersedes the one in that beacon.
     ``revision_age_ms`` is how long the sender has known of ``revision``.
-    ``fatal_requests`` are requests under which servers ended.
+    ``fatal_requests`` are requests under which servers ended, and
+    ``retired_versions`` versions whose order was replaced or withdrawn.
     """
 
     node: str
@@ -150,6 +166,7 @@
     known_life: int = 0
     revision_age_ms: int = 0
     fatal_requests: tuple[FatalRequestBeacon, ...] = ()
+    retired_versions: tuple[RetiredVersionBeacon, ...] = ()
 
     @property
     def life(self) -> NodeLife:
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/rollouts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/rollouts.py
@@ -5,7 +5,11 @@
 import enum
 
 from bluebellslip._internal.models.identity import ServiceName, VersionName
-from bluebellslip._internal.models.store_revisions import get_era, get_version
+from bluebellslip._internal.models.store_revisions import (
+    get_era,
+    get_version,
+    make_revision,
+)
 
 
 @enum.unique
@@ -69,6 +73,13 @@
     revision: int
     order_version: int | None = None
 
+    @property
+    def order_revision(self) -> int:
+        """Revision of the order, or one between it and the next order."""
+        if self.order_version is None:
+            return self.revision
+        return make_revision(get_era(self.revision), self.order_version)
+
     def belongs_to(self, order: RolloutOrder) -> bool:
         """Return whether this is the status of an order.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -305,6 +305,9 @@
         beacon_source.read_rollouts = lambda: (
             self._state.rollout_tracker.make_beacons(publisher.version)
         )
+        beacon_source.read_retired_versions = (
+            self._state.rollout_tracker.retired.make_reports
+        )
 
     def _register_gauges(
         self, gauge: Callable[[str, Callable[[], float]], None]
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/rollout.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/rollout.py
@@ -5,6 +5,7 @@
 
 from bluebellslip._internal.models.rollouts import RolloutOrder, RolloutState
 from bluebellslip._internal.rollouts.outcome_counts import RolloutOutcomeCounts
+from bluebellslip._internal.rollouts.retired_versions import RolloutEnd
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -70,6 +71,15 @@
             return False
         return self.is_bad or self.state is RolloutState.ROLLED_BACK
 
+    @property
+    def end(self) -> RolloutEnd:
+        """What is known of the target version if the order ends now."""
+        if self.state is RolloutState.COMPLETED:
+            return RolloutEnd.COMPLETED
+        if self.excludes_target:
+            return RolloutEnd.ROLLED_BACK
+        return RolloutEnd.UNDECIDED
+
     def renew_order(self, order: RolloutOrder) -> None:
         """Replace the order by the same one under a revision of a later era.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/tracker.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/tracker.py
@@ -36,6 +36,11 @@
     compute_share,
     decide,
 )
+from bluebellslip._internal.rollouts.retired_versions import (
+    RetiredVersion,
+    RetiredVersions,
+    RolloutEnd,
+)
 from bluebellslip._internal.rollouts.rollout import (
     Rollout,
     build_log_fields,
@@ -83,6 +88,7 @@
         self._withdrawn: dict[str, int] = {}
         self._store_era = 0
         self._history = OrderHistory()
+        self.retired = RetiredVersions(clock)
         # Whether this node, or a peer that reports to it, has read all orders.
         self.is_loaded = False
 
@@ -130,11 +136,12 @@
             if current.order.revision == order.revision:
                 current.ordered_at = min(current.ordered_at, now - age)
             return current
+        self.retired.forget(order.service, order.target, order.revision)
         if current is not None and is_stored_again(current.order, order):
             current.renew_order(order)
             return current
         if current is not None:
-            self._history.add(current.order)
+            self._retire(current)
         rollout = Rollout(order, now - age)
         self._rollouts[order.service] = rollout
         logger.info('rollout_ordered', extra=build_log_fields(rollout))
@@ -149,7 +156,7 @@
         rollout = self._rollouts.pop(service, None)
         if rollout is not None:
             self._withdrawn[service] = rollout.order.revision
-            self._history.add(rollout.order)
+            self._retire(rollout)
             logger.info('rollout_withdrawn', extra={'service': service})
 
     def apply_restore(self, era: int) -> None:
@@ -172,6 +179,13 @@
         if status.belongs_to(rollout.order):
             rollout.stored_state = status.state
             self._apply_state(rollout, status.state)
+        elif status.state is RolloutState.ROLLED_BACK:
+            self._retire_earlier(
+                status.service,
+                status.target,
+                status.order_revision,
+                RolloutEnd.ROLLED_BACK,
+            )
 
     def apply_beacon(self, beacon: Beacon) -> None:
         """Apply the roll-outs reported in a peer's beacon.
@@ -179,9 +193,18 @@
         A peer that has a configuration also knows all orders.
         """
         self.is_loaded = self.is_loaded or beacon.revision > 0
+        self.retired.merge(
+            report
+            for report in beacon.retired_versions
+            if not self._is_ordered_again(
+                report.service, report.version, report.revision
+            )
+        )
         for reported in beacon.rollouts:
             if reported.revision > self._withdrawn.get(reported.service, 0):
                 self._apply_reported_rollout(beacon, reported)
+            else:
+                self._apply_reported_end(reported)
 
     def make_beacons(
         self, version: VersionName | None
@@ -201,6 +224,7 @@
 
     def refresh(self) -> None:
         """Evaluate all running roll-outs and update their shares."""
+        self.retired.expire()
         for rollout in self._rollouts.values():
             if rollout.is_running:
                 self.evaluate(rollout)
@@ -252,6 +276,7 @@
             return
         rollout = self.add_order(order, reported.age_ms * _MILLISECOND)
         if rollout.order.revision != reported.revision:
+            self._apply_reported_end(reported)
             return
         rollout.is_status_known |= reported.is_status_known
         state = _STATES[reported.state]
@@ -271,6 +296,57 @@
                 reported,
             )
 
+    def _apply_reported_end(self, reported: RolloutBeacon) -> None:
+        """Apply what a peer knows of an order that was replaced."""
+        state = _STATES[reported.state]
+        if state is RolloutState.COMPLETED:
+            end = RolloutEnd.COMPLETED
+        elif state is RolloutState.ROLLED_BACK or reported.is_bad:
+            end = RolloutEnd.ROLLED_BACK
+        else:
+            return
+        self._retire_earlier(
+            ServiceName(reported.service),
+            VersionName(reported.target),
+            reported.revision,
+            end,
+        )
+
+    def _retire(self, rollout: Rollout) -> None:
+        """Remember an order that is replaced or withdrawn, and its version."""
+        order = rollout.order
+        self._history.add(order)
+        self.retired.add(
+            RetiredVersion(
+                order.service, order.target, order.revision, rollout.end
+            ),
+            dt.timedelta(),
+        )
+
+    def _retire_earlier(
+        self,
+        service: ServiceName,
+        version: VersionName,
+        revision: int,
+        end: RolloutEnd,
+    ) -> None:
+        """Remember the version of an order from before the known one."""
+        if not self._is_ordered_again(service, version, revision):
+            self.retired.add(
+                RetiredVersion(service, version, revision, end), dt.timedelta()
+            )
+
+    def _is_ordered_again(
+        self, service: str, version: str, revision: int
+    ) -> bool:
+        """Return whether a version was ordered again after a revision."""
+        current = self._rollouts.get(ServiceName(service))
+        return (
+            current is not None
+            and current.order.target == version
+            and current.order.revision > revision
+        )
+
     def _make_beacon(
         self, rollout: Rollout, version: VersionName | None, now: dt.timedelta
     ) -> RolloutBeacon:
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/version_selector.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/version_selector.py
@@ -58,12 +58,14 @@
             Whether the request was chosen for the target version.
         """
         rollout = self._tracker.find(service)
+        retired = self._tracker.retired
         if rollout is None:
-            return endpoints
+            return retired.select(service, endpoints)
         target = rollout.order.target
-        others = [
-            endpoint for endpoint in endpoints if endpoint.version != target
-        ]
+        others = retired.select(
+            service,
+            [endpoint for endpoint in endpoints if endpoint.version != target],
+        )
         if rollout.excludes_target or not rollout.is_status_known:
             return others
         if not for_target and others:
@@ -84,7 +86,7 @@
             return False
         rollout = self._tracker.find(service)
         if rollout is None or version != rollout.order.target:
-            return True
+            return not self._tracker.retired.is_rolled_back(service, version)
         if rollout.excludes_target:
             return False
         return for_target or rollout.state is RolloutState.COMPLETED
--- a/tests/unit/test_rollout_tracker.py
+++ b/tests/unit/test_rollout_tracker.py
@@ -39,6 +39,7 @@
     RolloutAction,
     RolloutSnapshot,
 )
+from bluebellslip._internal.rollouts.retired_versions import RETENTION
 from bluebellslip._internal.rollouts.tracker import RolloutTracker
 from bluebellslip._internal.rollouts.version_selector import VersionSelector
 from lib.fleet import MS, ORDERS, SECOND, make_beacon, make_endpoint
@@ -74,7 +75,10 @@
     beacon = make_beacon(node)
     return Beacon(
         **{name: getattr(beacon, name) for name in beacon.__struct_fields__}
-        | {'rollouts': tracker.make_beacons(version)}
+        | {
+            'rollouts': tracker.make_beacons(version),
+            'retired_versions': tracker.retired.make_reports(),
+        }
     )
 
 
@@ -297,3 +301,129 @@
     hand_over.advance(LATE_HAND_OVER_AT)
     assert hand_over.rollout.share == 0
     assert hand_over.action is RolloutAction.ROLL_BACK
+
+
+_V3 = VersionName('v3')
+_THREE_VERSIONS = [
+    make_endpoint('a'),
+    make_endpoint('b', version='v2'),
+    make_endpoint('c', version='v3'),
+]
+
+
+def select_from_three(tracker: RolloutTracker) -> list[str]:
+    chosen = VersionSelector(tracker).select(
+        ORDERS, _THREE_VERSIONS, for_target=False
+    )
+    return [endpoint.node for endpoint in chosen]
+
+
+def make_rolled_back(node: str = 'me') -> RolloutTracker:
+    tracker = make_tracker(node=node)
+    tracker.add_order(make_order(7), dt.timedelta())
+    tracker.apply_status(make_status(RolloutState.ROLLED_BACK, 8))
+    return tracker
+
+
+def test_version_rolled_back_gets_nothing_after_the_next_order() -> None:
+    """Its servers drain only seconds after the roll-back."""
+    tracker = make_rolled_back()
+    tracker.add_order(make_order(9, _V3), dt.timedelta())
+    tracker.apply_status(make_status(RolloutState.RUNNING, 10, _V3))
+    assert select_from_three(tracker) == ['a']
+    assert not VersionSelector(tracker).admits(ORDERS, _NEW, for_target=False)
+
+
+def test_version_rolled_back_gets_nothing_once_its_order_is_deleted() -> None:
+    tracker = make_rolled_back()
+    tracker.withdraw(ORDERS)
+    assert select_from_three(tracker) == ['a', 'c']
+    assert not VersionSelector(tracker).admits(ORDERS, _NEW, for_target=False)
+
+
+def test_version_found_bad_gets_nothing_if_its_order_is_replaced_at_once() -> (
+    None
+):
+    tracker = make_tracker()
+    tracker.add_order(make_order(7), dt.timedelta()).is_bad = True
+    tracker.add_order(make_order(9, _V3), dt.timedelta())
+    assert select_from_three(tracker) == ['a']
+
+
+def test_version_not_proved_good_is_the_last_choice_after_the_next_order() -> (
+    None
+):
+    tracker = make_tracker()
+    tracker.add_order(make_order(7), dt.timedelta())
+    tracker.add_order(make_order(9, _V3), dt.timedelta())
+    assert select_from_three(tracker) == ['a']
+    chosen = VersionSelector(tracker).select(
+        ORDERS, _THREE_VERSIONS[1:], for_target=False
+    )
+    assert [endpoint.node for endpoint in chosen] == ['b']
+
+
+def test_version_that_replaced_the_others_keeps_its_requests() -> None:
+    tracker = make_tracker()
+    tracker.add_order(make_order(7), dt.timedelta())
+    tracker.apply_status(make_status(RolloutState.COMPLETED, 8))
+    tracker.add_order(make_order(9, _V3), dt.timedelta())
+    assert select_from_three(tracker) == ['a', 'b']
+
+
+def test_version_that_is_ordered_again_is_tried_again() -> None:
+    tracker = make_rolled_back()
+    tracker.add_order(make_order(9, _V3), dt.timedelta())
+    tracker.add_order(make_order(11), dt.timedelta())
+    tracker.apply_status(make_status(RolloutState.COMPLETED, 12))
+    assert VersionSelector(tracker).admits(ORDERS, _NEW, for_target=False)
+    tracker.withdraw(ORDERS)
+    assert 'b' in select_from_three(tracker)
+
+
+def test_restarted_node_learns_which_version_was_rolled_back_before() -> None:
+    """From a peer that knows, at once and through a further node."""
+    first = make_rolled_back('first')
+    first.add_order(make_order(9, _V3), dt.timedelta())
+    second, third = make_tracker(node='second'), make_tracker(node='third')
+    second.apply_beacon(make_rollout_beacon(first, 'first', _OLD))
+    third.apply_beacon(make_rollout_beacon(second, 'second', _OLD))
+    for tracker in (second, third):
+        assert select_from_three(tracker) == ['a']
+
+
+def test_node_that_has_the_next_order_learns_of_a_late_roll_back() -> None:
+    """The peer that found the version bad has not heard of the new order."""
+    late = make_rolled_back('late')
+    tracker = make_tracker()
+    tracker.add_order(make_order(7), dt.timedelta())
+    tracker.add_order(make_order(9, _V3), dt.timedelta())
+    tracker.apply_beacon(make_rollout_beacon(late, 'late', _OLD))
+    assert not VersionSelector(tracker).admits(ORDERS, _NEW, for_target=False)
+
+
+def test_stored_roll_back_of_an_earlier_order_is_heeded() -> None:
+    """A node that has started again, without peers, reads it."""
+    tracker = make_tracker()
+    tracker.add_order(make_order(9, _V3), dt.timedelta())
+    tracker.apply_status(
+        RolloutStatus(ORDERS, _NEW, RolloutState.ROLLED_BACK, 8, 7)
+    )
+    assert select_from_three(tracker) == ['a']
+
+
+def test_version_is_not_avoided_for_ever() -> None:
+    clock = ManualClock()
+    tracker = RolloutTracker(clock, NodeId('me'), 1, 0.1, lambda service: ())
+    peer = RolloutTracker(clock, NodeId('peer'), 1, 0.1, lambda service: ())
+    for each in (tracker, peer):
+        each.add_order(make_order(7), dt.timedelta())
+        each.apply_status(make_status(RolloutState.ROLLED_BACK, 8))
+        each.withdraw(ORDERS)
+    for _ in range(4):
+        clock.advance(RETENTION / 3)
+        tracker.refresh()
+        peer.refresh()
+        tracker.apply_beacon(make_rollout_beacon(peer, 'peer', _OLD))
+        peer.apply_beacon(make_rollout_beacon(tracker, 'me', _OLD))
+    assert VersionSelector(tracker).admits(ORDERS, _NEW, for_target=False)
