Tell peers which servers left, and a restarted node too

Callers' requests reached a server for up to 12 s after its departure was acknowledged: the node beside it was killed 0.3 s after the ack, started again, and then got the server's last heartbeat, which was late. It took the server for a ready one and told all nodes so; 84 requests were lost with the server.

Cause: what the ack binds was known in the memory of one process only. A life never heard before was taken at once after a start, which a late heartbeat satisfies too. The same held for an ack of "draining" and for a response that says that the server leaves.

Now each node remembers departures, of all servers, by the life of the server (Departures). The node that learns of one reports it in its beacons, at once and for 60 s, and those who heard it report it on, so a lost datagram doesn't matter. They hold it against what the node says later, and tell a node that starts all that left beside it. A node that has started takes the first life that it hears once a peer was heard, or on the evidence of a second heartbeat if none was; a server that has just started, by its number, at once.

What remains: all nodes that heard of a departure are killed with the one that acknowledged it before any is back, and the server's last two heartbeats are both late and apart by three quarters of an interval.

--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
@@ -231,7 +231,8 @@
         if peer is None:
             return
         if beacon.wants_reply:
-            self._send(peer.beacon_address, encode_beacon(self._make_beacon()))
+            reply = self._make_beacon(recipient=peer.node)
+            self._send(peer.beacon_address, encode_beacon(reply))
         if beacon.reach is Reach.SHARED:
             self._relay(beacon)
         for listener in self._listeners:
@@ -266,7 +267,8 @@
         if address is None:
             return
         reply = msgspec.structs.replace(
-            self._make_beacon(), known_life=known.number
+            self._make_beacon(recipient=NodeId(beacon.node)),
+            known_life=known.number,
         )
         self._send(address, encode_beacon(reply))
 
@@ -280,7 +282,9 @@
         if self._sender is not None:
             self._sender.sendto(datagram, (to.host, to.port))
 
-    def _make_beacon(self, *, wants_reply: bool = False) -> Beacon:
+    def _make_beacon(
+        self, *, wants_reply: bool = False, recipient: NodeId | None = None
+    ) -> Beacon:
         self._sequence += 1
         source = self._source
         return Beacon(
@@ -303,5 +307,6 @@
             life_token=self._life.token,
             fatal_requests=source.read_fatal_requests(),
             retired_versions=source.read_retired_versions(),
+            departures=self._peer_table.departures.make_reports(recipient),
             revision_age_ms=source.read_revision_age() // _MILLISECOND,
         )
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
@@ -108,6 +108,20 @@
     age_s: int
 
 
+class DepartureBeacon(msgspec.Struct, frozen=True, array_like=True):
+    """A server that has left or is about to.
+
+    ``node`` is beside the server, ``born`` is the start that the server names,
+    -1 if no heartbeat of it was heard, and ``age_s`` is the time since the
+    departure.
+    """
+
+    node: str
+    server: str
+    born: int
+    age_s: int
+
+
 class NodeState(enum.IntEnum):
     """Whether a node accepts requests from peers."""
 
@@ -144,6 +158,8 @@
     ``revision_age_ms`` is how long the sender has known of ``revision``.
     ``fatal_requests`` are requests under which servers ended, and
     ``retired_versions`` versions whose order was replaced or withdrawn.
+    ``departures`` are servers that have left lately, and in an answer to a
+    single node all that left there.
     """
 
     node: str
@@ -167,6 +183,7 @@
     revision_age_ms: int = 0
     fatal_requests: tuple[FatalRequestBeacon, ...] = ()
     retired_versions: tuple[RetiredVersionBeacon, ...] = ()
+    departures: tuple[DepartureBeacon, ...] = ()
 
     @property
     def life(self) -> NodeLife:
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/local_server.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/local_server.py
@@ -9,6 +9,7 @@
 import datetime as dt
 import enum
 import logging
+from collections.abc import Callable
 from typing import Final
 
 from bluebellslip._internal.fleet.server_lives import ServerLives
@@ -33,6 +34,8 @@
 # unreachable, until its next heartbeat or successful connection. A single
 # failure may be due to a full accept queue.
 MAX_CONNECT_FAILURES: Final = 2
+# Stands for the start of a server of which no heartbeat was heard.
+UNKNOWN_START: Final = -1
 
 
 @enum.unique
@@ -106,6 +109,8 @@
         self._last_heard_at = dt.timedelta()
         self._connect_failures = 0
         self._lives = ServerLives(clock, heartbeat_interval)
+        self._held: Heartbeat | None = None
+        self._departure_listeners: list[Callable[[Lifetime], object]] = []
 
     @property
     def info(self) -> ServerInfo | None:
@@ -129,6 +134,13 @@
             <= self._heartbeat_timeout
         )
 
+    def on_departure(self, listener: Callable[[Lifetime], object]) -> None:
+        """Call a listener with each life that has left or is about to.
+
+        Its start is ``UNKNOWN_START`` if no heartbeat of it was heard.
+        """
+        self._departure_listeners.append(listener)
+
     def apply_heartbeat(self, heartbeat: Heartbeat) -> MessageResult:
         """Apply a heartbeat.
 
@@ -145,7 +157,9 @@
         ):
             return MessageResult.FOREIGN
         if not self._lives.accepts(heartbeat):
+            self._held = heartbeat
             return MessageResult.STALE
+        self._held = None
         now = self._clock.elapsed()
         self._sequence = heartbeat.sequence
         self._last_heard_at = now
@@ -176,11 +190,46 @@
         """
         info = self._info
         if info is None or info.lifetime.server != server:
-            self._lives.record_unknown_departure(server)
+            self._lives.record_unknown_departure(server, dt.timedelta())
+            self._report_departure(Lifetime(UNKNOWN_START, server))
             return MessageResult.STALE
         self._set_info(dataclasses.replace(info, state=ServerState.GONE))
         return MessageResult.TAKEN
 
+    def apply_reported_departure(
+        self, lifetime: Lifetime, age: dt.timedelta
+    ) -> None:
+        """Apply a departure that a peer knows from before this node's start.
+
+        Parameters
+        ----------
+        lifetime
+            Life of the server.
+        age
+            Time since it left.
+        """
+        info = self._info
+        if info is not None and info.lifetime == lifetime:
+            self._set_info(dataclasses.replace(info, state=ServerState.GONE))
+        elif lifetime.born != UNKNOWN_START:
+            self._lives.record_departure(lifetime)
+        elif info is None or info.lifetime.server != lifetime.server:
+            self._lives.record_unknown_departure(lifetime.server, age)
+
+    def apply_contact(self) -> bool:
+        """Apply that a peer was heard, which knows what left before.
+
+        Returns
+        -------
+        bool
+            Whether a heartbeat that was held back until then was applied.
+        """
+        self._lives.note_contact()
+        held = self._held
+        if self._info is not None or held is None:
+            return False
+        return self.apply_heartbeat(held) is MessageResult.TAKEN
+
     def apply_leaving(self, lifetime: Lifetime) -> bool:
         """Apply a response that says that the server leaves.
 
@@ -215,12 +264,18 @@
         previous = self._info
         self._info = info
         self._lives.record(info.lifetime, self._sequence, info.state)
+        if info.state is not ServerState.READY:
+            self._report_departure(info.lifetime)
         if previous is None or (previous.lifetime, previous.state) != (
             info.lifetime,
             info.state,
         ):
             logger.info('server_state', extra=self._build_log_fields())
 
+    def _report_departure(self, lifetime: Lifetime) -> None:
+        for listener in self._departure_listeners:
+            listener(lifetime)
+
     def _build_log_fields(self) -> dict[str, object]:
         info = self._info
         if info is None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/peer_table.py
@@ -4,7 +4,6 @@
 import datetime as dt
 import logging
 import math
-from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -16,6 +15,7 @@
     Reach,
     ServerBeacon,
 )
+from bluebellslip._internal.fleet.departures import Departures
 from bluebellslip._internal.fleet.node_lives import NodeLife
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.identity import (
@@ -42,9 +42,6 @@
 RELAYED_TIMEOUT_FACTOR: Final = 2
 # Longer than any link outage that the deployments are designed for.
 PEER_RETENTION: Final = dt.timedelta(seconds=60)
-# Servers that are remembered because they said that they leave, the latest
-# ones; more than a deployment has.
-MAX_LEAVING_SERVERS: Final = 4096
 
 
 @dataclasses.dataclass(slots=True)
@@ -221,7 +218,7 @@
         self._endpoints_by_service: dict[ServiceName, list[Endpoint]] = {}
         self._local_endpoint: Endpoint | None = None
         self._announced_size = 0
-        self._leaving: OrderedDict[NodeId, Lifetime] = OrderedDict()
+        self.departures = Departures(clock)
         # Called with the server beside a node that fell silent.
         self.confirm_silence: Callable[[Endpoint], None] = Endpoint.abandon
 
@@ -381,6 +378,7 @@
             beacon
         )
         self._announced_size = max(self._announced_size, beacon.known_nodes)
+        self._apply_departures(beacon)
         self._update_endpoint(peer, beacon, now)
         return peer
 
@@ -419,11 +417,9 @@
         What the node beside it reports later doesn't undo that: it may have
         started again and not know.
         """
-        if self._leaving.get(endpoint.node) == endpoint.lifetime:
+        if self.departures.has_left(endpoint.node, endpoint.lifetime):
             return
-        self._leaving[endpoint.node] = endpoint.lifetime
-        if len(self._leaving) > MAX_LEAVING_SERVERS:
-            self._leaving.popitem(last=False)
+        self.departures.record(endpoint.node, endpoint.lifetime)
         logger.info(
             'peer_server_leaving',
             extra={
@@ -467,22 +463,34 @@
             return 1
         return self.remote_beacon_rounds
 
+    def _apply_departures(self, beacon: Beacon) -> None:
+        self.departures.merge(beacon.departures)
+        self.departures.note_contact()
+        for report in beacon.departures:
+            peer = self._peers.get(NodeId(report.node))
+            if peer is not None and peer.endpoint is not None:
+                lifetime = peer.endpoint.lifetime
+                if self.departures.has_left(peer.node, lifetime):
+                    self._drop_endpoint(peer)
+
     def _update_endpoint(
         self, peer: Peer, beacon: Beacon, now: dt.timedelta
     ) -> None:
         server = beacon.server
+        if server is None:
+            self._drop_endpoint(peer)
+            return
+        lifetime = Lifetime(server.born, server.server)
+        if server.state is not ServerState.READY:
+            self.departures.record(peer.node, lifetime)
         accepts_requests = (
             beacon.state is NodeState.SERVING
-            and server is not None
             and server.usable
-            and server.state is ServerState.READY
+            and not self.departures.has_left(peer.node, lifetime)
         )
-        if server is None or not accepts_requests:
+        if not accepts_requests:
             self._drop_endpoint(peer)
             return
-        lifetime = Lifetime(server.born, server.server)
-        if self._leaving.get(peer.node) == lifetime:
-            return
         endpoint = peer.endpoint
         if endpoint is None or endpoint.lifetime != lifetime:
             self._drop_endpoint(peer)
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/server_lives.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/server_lives.py
@@ -5,9 +5,10 @@
 that a server names is a time of day, so a greater one doesn't prove a later
 life, nor a smaller one an earlier life. It only decides how much evidence is
 needed: a life that was never heard before and names a later start is taken at
-once. Any other life is taken when it goes on sending heartbeats while the
-current one sends none, which the delayed heartbeats of a server that has ended
-don't do.
+once. So is the first one that a node hears after its own start, once a peer was
+heard, which would have told that the server left before. Any other life is
+taken when it goes on sending heartbeats while the current one sends none, which
+the delayed heartbeats of a server that has ended don't do.
 """
 
 import dataclasses
@@ -75,6 +76,17 @@
         self._known: OrderedDict[Lifetime, _KnownLife] = OrderedDict()
         self._candidate: _Candidate | None = None
         self._departures: OrderedDict[str, dt.timedelta] = OrderedDict()
+        self._has_contact = False
+
+    def note_contact(self) -> None:
+        """Note that a peer has reported the departures that it knows."""
+        self._has_contact = True
+
+    def record_departure(self, lifetime: Lifetime) -> None:
+        """Record a life that has left although this node didn't hear it."""
+        self._known[lifetime] = _KnownLife(0, ServerState.GONE)
+        if len(self._known) > MAX_REMEMBERED:
+            self._known.popitem(last=False)
 
     def find_state(self, lifetime: Lifetime) -> ServerState:
         """Return the latest state of a life, ready if it is not known."""
@@ -92,13 +104,20 @@
         if len(self._known) > MAX_REMEMBERED:
             self._known.popitem(last=False)
 
-    def record_unknown_departure(self, server: str) -> None:
+    def record_unknown_departure(self, server: str, age: dt.timedelta) -> None:
         """Remember that a server has left of which no life is known.
 
         A node that has started again gets departures of servers that it does
         not know yet, and their delayed heartbeats after that.
+
+        Parameters
+        ----------
+        server
+            ID of the server.
+        age
+            Time since it left.
         """
-        self._departures[server] = self._clock.elapsed()
+        self._departures[server] = self._clock.elapsed() - age
         self._departures.move_to_end(server)
         if len(self._departures) > MAX_REMEMBERED:
             self._departures.popitem(last=False)
@@ -116,14 +135,18 @@
             return False
         if not self._may_be_later_than_departure(heartbeat):
             return False
-        if self._is_evidently_later(lifetime):
+        if self._is_evidently_later(heartbeat):
             return True
         return self._confirm(heartbeat)
 
-    def _is_evidently_later(self, lifetime: Lifetime) -> bool:
+    def _is_evidently_later(self, heartbeat: Heartbeat) -> bool:
+        lifetime = heartbeat.lifetime
         if lifetime in self._known or lifetime.server in self._departures:
             return False
-        return self._current is None or lifetime.born > self._current.born
+        if self._current is None:
+            has_just_started = heartbeat.sequence <= EXTRA_HEARTBEATS
+            return self._has_contact or has_just_started
+        return lifetime.born > self._current.born
 
     def _may_be_later_than_departure(self, heartbeat: Heartbeat) -> bool:
         """Return whether a server may have started after it departed.
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -14,7 +14,7 @@
 from bluebellslip._internal.fleet.beacons import NodeState
 from bluebellslip._internal.fleet.local_server import MessageResult
 from bluebellslip._internal.mesh.table import RoutingTable
-from bluebellslip._internal.models.identity import Address
+from bluebellslip._internal.models.identity import Address, NodeId
 from bluebellslip._internal.models.mesh_settings import MeshSettings
 from bluebellslip._internal.models.servers import Heartbeat
 from bluebellslip._internal.nodes.environment import Adapter, NodeEnvironment
@@ -117,6 +117,11 @@
         )
         self._state.holder.on_change(self._apply_config)
         self._data_plane.gateway.on_notice(self._apply_server_change)
+        self._state.peer_table.departures.connect(
+            NodeId(settings.node),
+            self._state.server,
+            self._apply_server_change,
+        )
         self._connect_beacon_source()
         self._register_gauges(environment.counters.gauge)
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -223,6 +223,11 @@
             'waiting',
         ),
     ),
+    'server_departed': Event(
+        'A server left or is about to, as its messages or a peer say; `born` '
+        'is -1 if no heartbeat of it was heard.',
+        ('beside', 'server', 'born'),
+    ),
     'rollout_ordered': Event('A roll-out was ordered.', _ROLLOUT),
     'rollout_withdrawn': Event(
         'The order of a roll-out was removed.', ('service',)
