Refuse odd input in one place, and go on after errors nobody expected

One odd row of another writer ended all nodes, and each of their restarts: an order nested 100,000 deep, an order with a duration of 1e300 s, a nested configuration, and for the nodes that read the list a nested registration or one with a NUL in its host. Callers of the whole fleet lost their answers.

Cause: a decoder's RecursionError, OverflowError or TypeError is none of the project's errors, so it left the background task, and the task group takes the process down. 29 places named on their own what can go wrong when bytes are decoded, and no model had bounds, so a number could be decoded and overflow later, in a sum of times or in the next beacon.

Two layers. utils/decoding.py names all errors of decoding, used in all of those places, and the types of bounded numbers, durations and names that the models of rows, heartbeats, routing headers and beacons now use; addresses need a host that a resolver takes. utils/containment.py logs what nobody expected, with the row, and goes on: with the next row, order, roll-out or datagram, and a background task that fails is started again after 1 s.

A row whose key names another service than its value is left out.

--- a/packages/bluebellslip-lab/src/bluebellslip_lab/admin_client.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/admin_client.py
@@ -7,6 +7,7 @@
 import httpcore
 import msgspec
 
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 from bluebellslip_lab.faults import Faults
 from bluebellslip_lab.store import RequestCounts
 
@@ -30,7 +31,7 @@
         """The decoded JSON body, or an empty object if it is not JSON."""
         try:
             return msgspec.json.decode(self.body)
-        except msgspec.MsgspecError:
+        except DECODING_ERRORS:
             return {}
 
 
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/caller.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/caller.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bluebellslip._internal.models.identity import Address
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 from bluebellslip_lab.backend_app import (
     IDEMPOTENCY_KEY_HEADER,
     NONCE_HEADER,
@@ -171,7 +172,7 @@
     """
     try:
         echo = msgspec.json.decode(content, type=Echo)
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return False
     if echo.nonce.rpartition('/')[0] != nonce.rpartition('/')[0]:
         return False
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/operator_cli.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/operator_cli.py
@@ -7,6 +7,8 @@
 import anyio
 import msgspec
 
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
+
 _MODULE: Final = 'bluebellslip_cli'
 
 
@@ -26,7 +28,7 @@
         """The decoded JSON output, or an empty object if it is not JSON."""
         try:
             return msgspec.json.decode(self.output)
-        except msgspec.MsgspecError:
+        except DECODING_ERRORS:
             return {}
 
 
--- a/packages/bluebellslip-lab/src/bluebellslip_lab/platform.py
+++ b/packages/bluebellslip-lab/src/bluebellslip_lab/platform.py
@@ -20,6 +20,7 @@
     RowsBody,
     TransactBody,
 )
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 from bluebellslip_lab.asgi import (
     Receive,
     Response,
@@ -88,7 +89,7 @@
         if scope['method'] == 'PUT':
             try:
                 self._faults = msgspec.json.decode(body, type=Faults)
-            except msgspec.MsgspecError:
+            except DECODING_ERRORS:
                 return _MALFORMED
         return Response.from_json(self._faults)
 
@@ -108,7 +109,7 @@
     def _handle_transact(self, body: bytes) -> Response:
         try:
             request = msgspec.json.decode(body, type=TransactBody)
-        except msgspec.MsgspecError:
+        except DECODING_ERRORS:
             return _MALFORMED
         outcome = self._store.transact(request.to_transaction())
         if outcome.is_ok():
--- a/packages/bluebellslip/src/bluebellslip/_internal/acceptance/audit.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/acceptance/audit.py
@@ -20,6 +20,7 @@
     Write,
 )
 from bluebellslip._internal.models.rows import AuditRow, build_audit_key
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 logger = logging.getLogger(__name__)
 
@@ -100,6 +101,6 @@
     def _decode(self, row: Row) -> AuditRow | None:
         try:
             return _decoder.decode(row.body)
-        except msgspec.MsgspecError:
+        except DECODING_ERRORS:
             self._counters.add('audit_rows', outcome='corrupt')
             return None
--- a/packages/bluebellslip/src/bluebellslip/_internal/acceptance/change_store.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/acceptance/change_store.py
@@ -23,6 +23,7 @@
     HeadRow,
     build_change_key,
 )
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 APPLY_ACTION: Final = 'apply'
 
@@ -91,7 +92,7 @@
 def _decode(body: bytes, row_type: type[_Structure]) -> _Structure:
     try:
         return msgspec.msgpack.decode(body, type=row_type)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise PlatformGarbledError(
             "A row of the platform's table cannot be decoded.",
             context={'row': row_type.__name__, 'found': str(error)},
--- a/packages/bluebellslip/src/bluebellslip/_internal/admin/routes/status.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/admin/routes/status.py
@@ -27,6 +27,7 @@
     StatusBody,
 )
 from bluebellslip._internal.telemetry.gauges import find_head_revision
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 _PROBE_TIMEOUT: Final = dt.timedelta(seconds=1)
 
@@ -82,7 +83,7 @@
         return PlatformView(reachable=True)
     try:
         head = msgspec.msgpack.decode(row.body, type=HeadRow)
-    except msgspec.MsgspecError as fault:
+    except DECODING_ERRORS as fault:
         return PlatformView(reachable=True, detail=f'head row: {fault}')
     return PlatformView(reachable=True, head=head.revision)
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/error_bodies.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/error_bodies.py
@@ -9,6 +9,7 @@
     ErrorKind,
     ServerFailedError,
 )
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 MAX_ERROR_BODY_BYTES: Final = 16 * 1024
 
@@ -39,7 +40,7 @@
     """Decode the error that another node sent."""
     try:
         decoded = _decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         return ServerFailedError(
             "A node's error response cannot be decoded.",
             context={'found': str(error)},
--- a/packages/bluebellslip/src/bluebellslip/_internal/claims/store.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/claims/store.py
@@ -26,6 +26,7 @@
 )
 from bluebellslip._internal.kernel.context import Context
 from bluebellslip._internal.kernel.ports import Row, TableService
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 MAX_ORPHANED_CLAIMS: Final = 1024
 COMPLETION_MARGIN: Final = dt.timedelta(seconds=60)  # after the timeout
@@ -240,7 +241,7 @@
 def _decode_row(found: Row) -> ClaimRow:
     try:
         return decode_claim(found.body)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise OutcomeUnknownError(
             'The stored claim cannot be decoded.', context={'key': found.key}
         ) from error
--- a/packages/bluebellslip/src/bluebellslip/_internal/claims/sweep.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/claims/sweep.py
@@ -2,8 +2,6 @@
 
 from typing import Final
 
-import msgspec
-
 from bluebellslip._internal.claims.rows import decode_claim
 from bluebellslip._internal.kernel.context import Context
 from bluebellslip._internal.kernel.ports import (
@@ -15,6 +13,7 @@
 )
 from bluebellslip._internal.models.identity import ServiceName
 from bluebellslip._internal.models.rows import build_claim_key
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 MAX_SCANNED_ROWS: Final = 500
 
@@ -84,6 +83,6 @@
     def _is_expired(self, row: Row) -> bool:
         try:
             claim = decode_claim(row.body)
-        except msgspec.MsgspecError:
+        except DECODING_ERRORS:
             return False
         return claim.is_expired(self._context.clock.now())
--- a/packages/bluebellslip/src/bluebellslip/_internal/cli/client.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/cli/client.py
@@ -21,6 +21,7 @@
     OutcomeUnknownError,
 )
 from bluebellslip._internal.models.admin import ErrorBody
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 _Model = TypeVar('_Model', bound=msgspec.Struct)
 
@@ -138,7 +139,7 @@
         raise decode_error_response(response, node)
     try:
         return msgspec.json.decode(response.body, type=model)
-    except msgspec.MsgspecError as fault:
+    except DECODING_ERRORS as fault:
         raise BluebellError(
             'A node sent an invalid response.',
             context={'node': node, 'found': str(fault)},
@@ -151,7 +152,7 @@
     try:
         body = msgspec.json.decode(response.body, type=ErrorBody)
         kind = ErrorKind(body.kind)
-    except (msgspec.MsgspecError, ValueError):
+    except DECODING_ERRORS:
         if response.status == _SERVICE_UNAVAILABLE:
             kind = ErrorKind.OVERLOADED
         else:
--- a/packages/bluebellslip/src/bluebellslip/_internal/control/ports.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/ports.py
@@ -57,6 +57,8 @@
         Services whose roll-out order was deleted.
     position
         Position in the store's change feed to continue from.
+    unreadable
+        Services whose order can't be read.
     is_snapshot
         Whether this is the complete desired state, so that any order not in
         it was deleted.
@@ -68,6 +70,7 @@
     rollouts: tuple[RolloutOrder, ...]
     withdrawn: tuple[ServiceName, ...]
     position: int
+    unreadable: tuple[ServiceName, ...] = ()
     is_snapshot: bool = False
     spent: dt.timedelta | None = None
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/delta.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/delta.py
@@ -14,6 +14,7 @@
     ServiceSpec,
     SnapshotRecord,
 )
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 _Spec = TypeVar('_Spec', ClassSpec, RouteSpec, ServiceSpec)
 
@@ -86,7 +87,7 @@
     """
     try:
         return _decoder.decode(encoded)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise InvalidConfigError(
             'A delta cannot be decoded.', context={'found': str(error)}
         ) from error
--- a/packages/bluebellslip/src/bluebellslip/_internal/distribution/revision_floor.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/distribution/revision_floor.py
@@ -24,6 +24,7 @@
 from bluebellslip._internal.models.identity import Address, NodeId
 from bluebellslip._internal.models.rows import HEAD_KEY, HeadRow
 from bluebellslip._internal.utils.backoff import FullJitter
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 logger = logging.getLogger(__name__)
 
@@ -64,7 +65,7 @@
             return None
         try:
             return _decoder.decode(row.body)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             self._counters.add('heads_refused')
             raise PeerGarbledError(
                 "The head row of the platform's table cannot be decoded."
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacon_protocol.py
@@ -32,6 +32,7 @@
 from bluebellslip._internal.kernel.counters import Counters
 from bluebellslip._internal.models.identity import Address, Locality, NodeId
 from bluebellslip._internal.utils.backoff import jitter
+from bluebellslip._internal.utils.containment import contain_errors
 
 logger = logging.getLogger(__name__)
 
@@ -176,9 +177,10 @@
         """Send beacons until cancelled."""
         round_number = 0
         while True:
-            self.broadcast(
-                round_number, has_update=self._broadcast_requested.is_set()
-            )
+            with contain_errors('send a round of beacons'):
+                self.broadcast(
+                    round_number, has_update=self._broadcast_requested.is_set()
+                )
             round_number += 1
             self._broadcast_requested.clear()
             try:
@@ -215,6 +217,10 @@
 
     def receive(self, datagram: bytes) -> None:
         """Process a received datagram."""
+        with contain_errors('apply a beacon'):
+            self._receive(datagram)
+
+    def _receive(self, datagram: bytes) -> None:
         try:
             beacon = decode_beacon(datagram)
         except PeerGarbledError as error:
@@ -280,7 +286,8 @@
 
     def _send(self, to: Address, datagram: bytes) -> None:
         if self._sender is not None:
-            self._sender.sendto(datagram, (to.host, to.port))
+            with contain_errors('send a beacon', str(to)):
+                self._sender.sendto(datagram, (to.host, to.port))
 
     def _make_beacon(
         self, *, wants_reply: bool = False, recipient: NodeId | None = None
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/beacons.py
@@ -1,17 +1,37 @@
 """Beacons: datagrams in which nodes report their state, about two a second."""
 
 import enum
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
 from bluebellslip._internal.exceptions import PeerGarbledError
 from bluebellslip._internal.fleet.node_lives import NodeLife
+from bluebellslip._internal.models.rollouts import RolloutState
 from bluebellslip._internal.models.servers import ServerState
+from bluebellslip._internal.models.store_revisions import MAX_REVISION
+from bluebellslip._internal.rollouts.route_counts import MAX_BUCKET
+from bluebellslip._internal.utils.decoding import (
+    DECODING_ERRORS,
+    MAX_COUNT,
+    Count,
+    FractionalMilliseconds,
+    Integer,
+    Milliseconds,
+    Share,
+    Weight,
+    WholeSeconds,
+)
 
 # Small enough, with headers, that no network fragments the datagram.
 MAX_BEACON_BYTES: Final = 1200
 
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_REVISION)]
+_StateIndex = Annotated[int, msgspec.Meta(ge=0, lt=len(RolloutState))]
+_LatencyBucket = Annotated[int, msgspec.Meta(ge=0, le=MAX_BUCKET)]
+# The sender of the beacon goes on with the next number.
+_EarlierLife = Annotated[int, msgspec.Meta(ge=0, lt=MAX_COUNT)]
+
 
 class ServerBeacon(msgspec.Struct, frozen=True, array_like=True):
     """State of the backend server beside a node.
@@ -26,19 +46,19 @@
     """
 
     server: str
-    born: int
+    born: Integer
     service: str
     version: str
     state: ServerState
     usable: bool
-    slots: int
-    in_use: int
-    waiting: int
-    hold_ms: float
-    failure_rate: float
-    warmup_remaining_ms: int
-    hold_ms_by_route: tuple[tuple[str, float], ...] = ()
-    rate_limit: float | None = None
+    slots: Count
+    in_use: Count
+    waiting: Count
+    hold_ms: FractionalMilliseconds
+    failure_rate: Share
+    warmup_remaining_ms: Milliseconds
+    hold_ms_by_route: tuple[tuple[str, FractionalMilliseconds], ...] = ()
+    rate_limit: Weight | None = None
 
 
 class RolloutBeacon(msgspec.Struct, frozen=True, array_like=True):
@@ -54,12 +74,12 @@
     """
 
     service: str
-    revision: int
+    revision: _Revision
     target: str
-    duration_ms: int
-    age_ms: int
-    state: int
-    status_revision: int
+    duration_ms: Milliseconds
+    age_ms: Milliseconds
+    state: _StateIndex
+    status_revision: _Revision
     is_status_known: bool
     is_bad: bool
     is_target: bool
@@ -73,9 +93,9 @@
     """
 
     route: str
-    calls: int
-    failures: int
-    latencies: tuple[tuple[int, int], ...]
+    calls: Count
+    failures: Count
+    latencies: tuple[tuple[_LatencyBucket, Count], ...]
 
 
 class FatalRequestBeacon(msgspec.Struct, frozen=True, array_like=True):
@@ -89,7 +109,7 @@
     head: int
     whole: int
     lives: tuple[int, ...]
-    age_s: int
+    age_s: WholeSeconds
     is_cleared: bool
 
 
@@ -103,9 +123,9 @@
 
     service: str
     version: str
-    revision: int
+    revision: _Revision
     is_completed: bool
-    age_s: int
+    age_s: WholeSeconds
 
 
 class DepartureBeacon(msgspec.Struct, frozen=True, array_like=True):
@@ -118,8 +138,8 @@
 
     node: str
     server: str
-    born: int
-    age_s: int
+    born: Integer
+    age_s: WholeSeconds
 
 
 class NodeState(enum.IntEnum):
@@ -163,24 +183,24 @@
     """
 
     node: str
-    life_number: int
-    sequence: int
+    life_number: Count
+    sequence: Count
     region: str
     failure_domain: str
     peers_address: str
     beacons_address: str
     reach: Reach
     state: NodeState
-    revision: int
+    revision: _Revision
     wants_reply: bool
     can_reach_store: bool = False
     server: ServerBeacon | None = None
     rollouts: tuple[RolloutBeacon, ...] = ()
-    store_era: int = 0
-    known_nodes: int = 0
+    store_era: Count = 0
+    known_nodes: Count = 0
     life_token: int = 0
-    known_life: int = 0
-    revision_age_ms: int = 0
+    known_life: _EarlierLife = 0
+    revision_age_ms: Milliseconds = 0
     fatal_requests: tuple[FatalRequestBeacon, ...] = ()
     retired_versions: tuple[RetiredVersionBeacon, ...] = ()
     departures: tuple[DepartureBeacon, ...] = ()
@@ -210,7 +230,7 @@
     """
     try:
         return _decoder.decode(datagram)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise PeerGarbledError(
             'A datagram is not a valid beacon.', context={'found': str(error)}
         ) from error
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/encoding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/encoding.py
@@ -13,6 +13,7 @@
     MoveFact,
     StopFact,
 )
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 AnyFact = MemberFact | HeadFact | MoveFact | StopFact
 
@@ -35,6 +36,6 @@
     for raw in encoded:
         try:
             facts.append(_decoder.decode(raw))
-        except msgspec.MsgspecError:
+        except DECODING_ERRORS:
             counters.add('facts_refused', reason='malformed')
     return tuple(facts)
--- a/packages/bluebellslip/src/bluebellslip/_internal/membership/seeds.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/membership/seeds.py
@@ -16,6 +16,7 @@
 )
 from bluebellslip._internal.models.identity import Address, NodeId
 from bluebellslip._internal.models.rows import SeedRow, build_seed_key
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 _SEED_PREFIX: Final = 'seed/'
 _MAX_SEED_ROWS: Final = 64
@@ -99,6 +100,6 @@
     def _decode(self, row: Row) -> SeedRow | None:
         try:
             return _decoder.decode(row.body)
-        except msgspec.MsgspecError:
+        except DECODING_ERRORS:
             self._counters.add('seed_rows_refused')
             return None
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/identity.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/identity.py
@@ -1,7 +1,8 @@
 """Identifiers, addresses and localities."""
 
+import re
 import sys
-from typing import NewType, Self
+from typing import Final, NewType, Self
 
 import msgspec
 from msgspec.structs import force_setattr
@@ -14,7 +15,15 @@
 RouteName = NewType('RouteName', str)
 MoveId = NewType('MoveId', str)
 
-_PORT_LIMIT = 65536
+_MAX_PORT: Final = 65535
+_MAX_HOST_LENGTH: Final = 253
+# A name of labels or an IPv4 address, or an IPv6 address.
+_HOST_PATTERN: Final = re.compile(
+    r'(?:[a-z0-9_-]{1,63}\.)*[a-z0-9_-]{1,63}\.?'
+    r'|\[?[0-9a-f]*:[0-9a-f:.]+(?:%[a-z0-9]+)?\]?',
+    re.ASCII | re.IGNORECASE,
+)
+_PORT_PATTERN: Final = re.compile(r'[0-9]{1,5}', re.ASCII)
 
 
 class Address(msgspec.Struct, frozen=True, order=True):
@@ -34,13 +43,14 @@
         Raises
         ------
         MalformedError
-            When the host is missing or the port is not in 0 to 65535.
+            When the host is missing or invalid, or the port is not in 0 to
+            65535. Port 0 stands for a free port to listen on.
         """
         host, _, port = text.rpartition(':')
-        if not host or not port.isdecimal() or int(port) >= _PORT_LIMIT:
+        if not _is_host(host) or not _is_port(port):
             raise MalformedError(
                 'An address must be host:port, with a port up to 65535.',
-                context={'found': text},
+                context={'found': text[:_MAX_HOST_LENGTH]},
                 hint='Write for example 127.0.0.1:7000.',
             )
         return cls(host.strip('[]'), int(port))
@@ -49,6 +59,17 @@
         return f'{self.host}:{self.port}'
 
 
+def _is_host(text: str) -> bool:
+    return (
+        len(text) <= _MAX_HOST_LENGTH
+        and _HOST_PATTERN.fullmatch(text) is not None
+    )
+
+
+def _is_port(text: str) -> bool:
+    return _PORT_PATTERN.fullmatch(text) is not None and int(text) <= _MAX_PORT
+
+
 class Locality(msgspec.Struct, frozen=True, order=True):
     """Region and failure domain of an instance."""
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/move_rows.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/move_rows.py
@@ -12,6 +12,7 @@
     ServiceName,
     VersionName,
 )
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 
 class MoveRow(msgspec.Struct, frozen=True):
@@ -83,7 +84,7 @@
     """
     try:
         return _decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise PlatformGarbledError(
             'A stored move cannot be decoded.',
             context={'found': str(error)},
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/store_revisions.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/store_revisions.py
@@ -10,6 +10,8 @@
 # Room for 400 transactions a second over 80 years, and for a million eras in a
 # signed integer of 64 bits.
 _VERSION_BITS: Final = 40
+MAX_VERSION: Final = (1 << _VERSION_BITS) - 1
+MAX_REVISION: Final = 2**63 - 1
 
 
 def make_revision(era: int, version: int) -> int:
@@ -24,4 +26,4 @@
 
 def get_version(revision: int) -> int:
     """Return the store's version in a revision."""
-    return revision & ((1 << _VERSION_BITS) - 1)
+    return revision & MAX_VERSION
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -28,6 +28,7 @@
 )
 from bluebellslip._internal.nodes.stop_schedule import StopSchedule
 from bluebellslip._internal.telemetry.clock_steps import ClockStepMonitor
+from bluebellslip._internal.utils.containment import keep_running
 
 logger = logging.getLogger(__name__)
 
@@ -164,8 +165,8 @@
         ) as signals:
             async with anyio.create_task_group() as group:
                 await self._open()
-                for task in self._background_tasks:
-                    group.start_soon(task)
+                for name, task in self._background_tasks.items():
+                    group.start_soon(keep_running, name, task)
                 # A later full collection that includes the objects created at
                 # the start would block all requests for tens of milliseconds.
                 gc.collect()
@@ -178,18 +179,18 @@
         logger.info('node_stopped', extra=dataclasses.asdict(self._remainder))
 
     @property
-    def _background_tasks(self) -> list[_BackgroundTask]:
+    def _background_tasks(self) -> dict[str, _BackgroundTask]:
         control_plane = self._control_plane
-        return [
-            control_plane.watcher.run,
-            control_plane.discovery.run,
-            control_plane.coordinator.run,
-            self._state.beacon_protocol.run,
-            self._state.silence_prober.run,
-            self._data_plane.peer_config.run,
-            self._close_idle_periodically,
-            self._refresh_periodically,
-        ]
+        return {
+            'watch the store': control_plane.watcher.run,
+            'discover nodes': control_plane.discovery.run,
+            'coordinate roll-outs': control_plane.coordinator.run,
+            'send beacons': self._state.beacon_protocol.run,
+            'probe silent nodes': self._state.silence_prober.run,
+            'fetch configurations': self._data_plane.peer_config.run,
+            'close idle connections': self._close_idle_periodically,
+            'refresh the local server': self._refresh_periodically,
+        }
 
     @property
     def _knows_servers(self) -> bool:
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/update_dispatcher.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/update_dispatcher.py
@@ -13,9 +13,11 @@
 from bluebellslip._internal.mesh.holder import ConfigHolder
 from bluebellslip._internal.mesh.table import RoutingTable
 from bluebellslip._internal.models.identity import ServiceName
+from bluebellslip._internal.models.rollouts import RolloutOrder
 from bluebellslip._internal.models.store_revisions import get_era
 from bluebellslip._internal.rollouts.rollout import Rollout
 from bluebellslip._internal.rollouts.tracker import RolloutTracker
+from bluebellslip._internal.utils.containment import contain_errors
 
 # How long peers may have a newer configuration than this node before its
 # pending watch of the store counts as lost; half of the time allowed to apply a
@@ -72,32 +74,42 @@
 
         A snapshot also withdraws the roll-outs that it doesn't contain.
         """
-        config = update.config
-        has_changes = config is not None and self._holder.offer(
-            config, 'store', update.spent
-        )
+        has_changes = False
+        with contain_errors('apply a configuration'):
+            config = update.config
+            has_changes = config is not None and self._holder.offer(
+                config, 'store', update.spent
+            )
         for order in update.rollouts:
-            if self._rollout_tracker.is_outdated(order):
-                continue
-            tracked = self._rollout_tracker.find(order.service)
-            if tracked is None or tracked.order.revision < order.revision:
-                has_changes = True
-                self._beacon_protocol.request_broadcast()
-            self._rollout_tracker.add_order(order, dt.timedelta())
+            with contain_errors('apply an order', order.service):
+                has_changes |= self._apply_order(order)
         for service in self._list_withdrawn(update):
             has_changes = True
             self._rollout_tracker.withdraw(service)
         self._rollout_tracker.is_loaded = True
         return has_changes
 
+    def _apply_order(self, order: RolloutOrder) -> bool:
+        """Apply an order; return whether it is a new one."""
+        if self._rollout_tracker.is_outdated(order):
+            return False
+        tracked = self._rollout_tracker.find(order.service)
+        is_new = tracked is None or tracked.order.revision < order.revision
+        if is_new:
+            self._beacon_protocol.request_broadcast()
+        self._rollout_tracker.add_order(order, dt.timedelta())
+        return is_new
+
     def _list_withdrawn(
         self, update: DesiredStateUpdate
     ) -> tuple[ServiceName, ...]:
         if not update.is_snapshot:
             return update.withdrawn
         # Orders newer than the snapshot, reported by peers, are kept, and so
-        # are those that the store lost; the operators write them again.
+        # are those that the store lost; the operators write them again. An
+        # order whose row can't be read any more holds on.
         ordered_services = {order.service for order in update.rollouts}
+        ordered_services.update(update.unreadable)
         return tuple(
             rollout.order.service
             for rollout in self._rollout_tracker.rollouts
--- a/packages/bluebellslip/src/bluebellslip/_internal/peers/codec.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/peers/codec.py
@@ -13,6 +13,7 @@
     TooLargeError,
 )
 from bluebellslip._internal.models.messages import PeerMessage, peer_messages
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 TAG_BYTES: Final = 16
 
@@ -87,7 +88,7 @@
             )
         try:
             message = self._decoder.decode(body)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             raise PeerGarbledError(
                 'A message between nodes cannot be decoded.',
                 context={'found': str(error)},
--- a/packages/bluebellslip/src/bluebellslip/_internal/platform/responses.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/platform/responses.py
@@ -26,6 +26,7 @@
     RowBody,
     RowsBody,
 )
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 _OK: Final = 200
 _STORED_STATUSES: Final = frozenset((200, 201, 204))
@@ -133,7 +134,7 @@
 def _has_error_kind(response: PlatformResponse, kind: str) -> bool:
     try:
         error = msgspec.json.decode(response.body, type=_ErrorBody)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODING_ERRORS:
         return False
     return error.kind == kind
 
@@ -145,7 +146,7 @@
         _reject(response)
     try:
         return msgspec.json.decode(response.body, type=body_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODING_ERRORS:
         _reject(response)
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
@@ -15,6 +15,15 @@
 from bluebellslip._internal.models.identity import RouteName, ServiceName
 from bluebellslip._internal.models.servers import Lifetime
 from bluebellslip._internal.proxy.running_requests import RunningRequest
+from bluebellslip._internal.utils.decoding import (
+    DECODING_ERRORS,
+    Count,
+    FractionalMilliseconds,
+    Integer,
+    Share,
+    SignedMilliseconds,
+    Weight,
+)
 
 ROUTING_HEADER: Final = b'bluebell-work'
 LOAD_HEADER: Final = b'bluebell-server-load'
@@ -147,18 +156,18 @@
     service: str
     route: str
     repeatable: bool
-    priority: int
-    time_left: float
-    objective_left: float
+    priority: Integer
+    time_left: SignedMilliseconds
+    objective_left: SignedMilliseconds
     caller: str
-    born: int
+    born: Integer
     server: str
-    max_wait: float
+    max_wait: SignedMilliseconds
     for_target: bool
-    depth: int
-    cutoff_left: float | None = None
+    depth: Integer
+    cutoff_left: SignedMilliseconds | None = None
     is_retry: bool = False
-    rate_limit: float | None = None
+    rate_limit: Weight | None = None
 
 
 _encoder = msgspec.json.Encoder()
@@ -254,7 +263,7 @@
         )
     try:
         return _decoder.decode(text)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise PeerGarbledError(
             'The routing header of a request of a peer is malformed.',
             context={'found': str(error)},
@@ -269,12 +278,12 @@
     and None if that is unknown.
     """
 
-    in_use: int
-    waiting: int
-    slots: int
-    hold_ms: float
-    failure_rate: float = 0
-    rate_limit: float | None = None
+    in_use: Count
+    waiting: Count
+    slots: Count
+    hold_ms: FractionalMilliseconds
+    failure_rate: Share = 0
+    rate_limit: Weight | None = None
 
 
 _load_decoder = msgspec.json.Decoder(ServerLoad)
@@ -291,5 +300,5 @@
         return None
     try:
         return _load_decoder.decode(text)
-    except msgspec.MsgspecError:
+    except DECODING_ERRORS:
         return None
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_notices.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_notices.py
@@ -17,6 +17,7 @@
 from bluebellslip._internal.calls.response_reader import ResponseHead
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.servers import Lifetime
+from bluebellslip._internal.utils.decoding import MAX_WEIGHT
 
 logger = logging.getLogger(__name__)
 
@@ -37,7 +38,7 @@
     """
     if _LIMIT_PATTERN.fullmatch(text.strip()) is None:
         return None
-    return max(MIN_RATE, float(text))
+    return min(MAX_WEIGHT, max(MIN_RATE, float(text)))
 
 
 class ServerNotices:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/withdrawals.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/withdrawals.py
@@ -32,6 +32,7 @@
 from bluebellslip._internal.models.identity import Address
 from bluebellslip._internal.proxy.peer_queries import QUERY_HEADER
 from bluebellslip._internal.proxy.server_waits import ServerWaits
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 logger = logging.getLogger(__name__)
 
@@ -158,7 +159,7 @@
         request.body.limit_to(_MAX_QUERY_BYTES)
         try:
             texts = _decoder.decode(await request.body.read_all())
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             raise PeerGarbledError(
                 'A withdrawal of a peer is malformed.',
                 context={'found': str(error)},
--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/coordinator.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/coordinator.py
@@ -27,6 +27,7 @@
     build_log_fields,
 )
 from bluebellslip._internal.rollouts.tracker import RolloutTracker
+from bluebellslip._internal.utils.containment import contain_errors
 
 logger = logging.getLogger(__name__)
 
@@ -84,15 +85,20 @@
             await asyncio.sleep(CHECK_INTERVAL.total_seconds())
             self._tracker.refresh()
             for rollout in tuple(self._tracker.rollouts):
-                try:
-                    await self._reconcile(rollout)
-                except BluebellError as error:
-                    logger.warning(
-                        'rollout_step_failed',
-                        extra=build_log_fields(rollout)
-                        | {'reason': str(error)},
-                    )
-                    await asyncio.sleep(_FAILURE_DELAY.total_seconds())
+                with contain_errors(
+                    'coordinate a roll-out', rollout.order.service
+                ):
+                    await self._try_to_reconcile(rollout)
+
+    async def _try_to_reconcile(self, rollout: Rollout) -> None:
+        try:
+            await self._reconcile(rollout)
+        except BluebellError as error:
+            logger.warning(
+                'rollout_step_failed',
+                extra=build_log_fields(rollout) | {'reason': str(error)},
+            )
+            await asyncio.sleep(_FAILURE_DELAY.total_seconds())
 
     async def read_statuses(self) -> None:
         """Read the statuses of all roll-outs from the store."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -223,6 +223,12 @@
             'waiting',
         ),
     ),
+    'unexpected_error': Event(
+        'A step failed in a way that the node does not expect, which is a '
+        'fault of the node; it went on without the step. The line has the '
+        'stack trace.',
+        ('step', 'subject', 'reason'),
+    ),
     'server_departed': Event(
         'A server left or is about to, as its messages or a peer say; `born` '
         'is -1 if no heartbeat of it was heard.',
--- a/packages/bluebellslip/src/bluebellslip/_internal/utils/digests.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/utils/digests.py
@@ -7,6 +7,7 @@
 from bluebellslip._internal.exceptions import InvalidConfigError
 from bluebellslip._internal.models.config import SnapshotRecord
 from bluebellslip._internal.models.snapshot import Snapshot
+from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
 _DIGEST_BYTES = 16
 
@@ -42,7 +43,7 @@
         )
     try:
         record = _decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise InvalidConfigError(
             'A stored snapshot cannot be decoded.',
             context={'digest': digest, 'found': str(error)},
--- a/tests/lib/simulated_platform.py
+++ b/tests/lib/simulated_platform.py
@@ -81,6 +81,10 @@
         text = base64.b64encode(json.dumps(value).encode()).decode()
         return self._write(table, key, text)
 
+    def put_bytes(self, table: str, key: str, body: bytes) -> int:
+        """Write a row as another program does."""
+        return self._write(table, key, base64.b64encode(body).decode())
+
     def read(self, table: str, key: str) -> JsonObject | None:
         row = self._rows.get((table, key))
         if row is None or row[1] is None:
--- a/tests/unit/test_platform_wire.py
+++ b/tests/unit/test_platform_wire.py
@@ -122,7 +122,7 @@
 
 def test_order_and_status() -> None:
     order = decode_order(
-        encode({'service': 's', 'target': 'v2', 'duration_s': 12.5}), 9
+        's', encode({'service': 's', 'target': 'v2', 'duration_s': 12.5}), 9
     )
     assert order.duration == dt.timedelta(seconds=12.5)
     for state in RolloutState:
