Don't take a copy of an earlier refusal for that of the next request

Cause: a response without a request id was taken for the response to whatever request was under way on the connection, and "not run" in it was believed. On a kept connection nothing shows whose response it is.

Now a connection carries no further exchange after a response without an id, so that a copy of it meets nobody; and "not run" in a response that doesn't name the request is believed only if it is the first on its connection. Otherwise the outcome counts as unknown: a request that may be repeated is, one that may not gets a 502.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/outbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/outbound.py
@@ -32,7 +32,7 @@
     ``body`` is the response body of the latest exchange. ``idle_since`` is
     the loop time in seconds of the latest release to the pool, 0 before the
     first. ``idle_limit`` is the idle timeout in seconds that the server
-    announced, if any.
+    announced, if any. ``exchanges`` counts the exchanges, with the latest one.
     """
 
     body: ReadBuffer
@@ -40,6 +40,7 @@
     def __init__(self) -> None:
         self.idle_since: float = 0
         self.idle_limit: float | None = None
+        self.exchanges = 0
         self._write_gate = WriteGate()
         self._reader = ResponseReader()
         self._sent = True
@@ -114,6 +115,7 @@
             self._head_received, self.body, head_only=head_only, echo=echo
         )
         self._continue_received = self._reader.watch_for_continue()
+        self.exchanges += 1
         self._sent = is_complete
         self._transport.write(message)
 
@@ -156,6 +158,10 @@
         self._reader.fail(error)
         self.abort()
 
+    def retire(self) -> None:
+        """Use the connection for no exchange after this one."""
+        self._reader.usable = False
+
     def abort(self) -> None:
         """Close the connection immediately and drop what is undelivered."""
         self._reader.usable = False
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_call.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_call.py
@@ -322,12 +322,17 @@
         OverloadedError
             When the server reports that it did not run the request.
         ServerFailedError
-            When a success lacks the server's signature or the request id.
+            When a success lacks the server's signature or the request id, or a
+            refusal may be of an earlier request on the connection.
         """
         self._update_idle_limit(head.fields)
         fields = head.fields
         metadata_headers = self._gateway.metadata_headers
+        if metadata_headers.request_id not in fields:
+            # A copy of this response could not be told from the next one.
+            self.connection.retire()
         if metadata_headers.not_run in fields or head.status == _MISDIRECTED:
+            self._check_refusal(fields)
             self.not_run = True
             self._request_status = RequestStatus.NOT_RUN
             raise OverloadedError(
@@ -344,6 +349,23 @@
             RequestStatus.FAILED if failed else RequestStatus.SUCCEEDED
         )
 
+    def _check_refusal(self, fields: Mapping[bytes, bytes]) -> None:
+        """Check that a refusal is the response to this request.
+
+        Raises
+        ------
+        ServerFailedError
+            When it doesn't name the request and other responses have come on
+            the connection; the request may run.
+        """
+        if self.connection.exchanges == 1:
+            return
+        echoed = fields.get(self._gateway.metadata_headers.request_id, b'')
+        if echoed != self._routed.request_id:
+            raise ServerFailedError(
+                'A refusal on a reused connection does not name the request.'
+            )
+
     def _is_authentic(self, fields: Mapping[bytes, bytes]) -> bool:
         metadata_headers = self._gateway.metadata_headers
         echoed = fields.get(metadata_headers.request_id)
