Read numbers of any length in headers

A caller got a 500 for a request that had run: the server's Keep-Alive timeout had more than 308 digits, which no float holds. A deadline of more than 4,300 digits, which int() refuses, gave a 500 too. The class is that of odd rows: a number that is decoded and can't be computed with.

Both are now read by parse_count, which has an upper bound.

Evidence: test_platform_long_numbers; with the reading as before, the case of Keep-Alive fails with a 500. The deadline was only read, not tried.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/headers.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/headers.py
@@ -65,6 +65,19 @@
     return int(digits)
 
 
+def parse_count(text: bytes, limit: int) -> int | None:
+    """Return a number of any length, at most ``limit``.
+
+    None if the text has anything but digits.
+    """
+    digits = text.strip()
+    if not digits.isdigit():
+        return None
+    if len(digits.lstrip(b'0')) > MAX_NUMBER_DIGITS:
+        return limit
+    return min(int(digits.lstrip(b'0') or b'0'), limit)
+
+
 def read_host(headers: Sequence[Header], fields: Mapping[bytes, bytes]) -> str:
     """Return the name in the Host header in lower case, without a port.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -237,7 +237,7 @@
         text = request.fields.get(
             self._settings.metadata_headers.deadline_ms, b''
         )
-        return min(int(text), _MAX_TIMEOUT_MS) if text.isdigit() else None
+        return header_names.parse_count(text, _MAX_TIMEOUT_MS)
 
     async def _serve(
         self, routed: RoutedRequest, rule: RouteRule, trace: RequestTrace
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_call.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_call.py
@@ -43,6 +43,7 @@
 _MISDIRECTED: Final = 421
 _KEEP_ALIVE: Final = b'keep-alive'
 _TIMEOUT_FIELD: Final = b'timeout='
+_MAX_IDLE_LIMIT_S: Final = 86_400
 # A request that must not run twice is sent only over a connection that was used
 # within this time: if the server has dropped the connection meanwhile, it would
 # be unknown whether the request ran.
@@ -375,6 +376,8 @@
 
     def _update_idle_limit(self, fields: Mapping[bytes, bytes]) -> None:
         _, found, rest = fields.get(_KEEP_ALIVE, b'').partition(_TIMEOUT_FIELD)
-        seconds = rest.partition(b',')[0].strip()
-        if found and seconds.isdigit():
-            self.connection.idle_limit = float(int(seconds))
+        seconds = header_names.parse_count(
+            rest.partition(b',')[0], _MAX_IDLE_LIMIT_S
+        )
+        if found and seconds is not None:
+            self.connection.idle_limit = float(seconds)
