--- a/tests/unit/test_rollout_order_changes.py
+++ b/tests/unit/test_rollout_order_changes.py
@@ -260,6 +260,18 @@
     assert status['state'] == 'completed'
 
 
+def test_status_that_another_program_removed_is_written_again() -> None:
+    world = World(1)
+    world.order('v2')
+    asyncio.run(_run_world(world))
+    world.table.delete(*_STATUS_ROW)
+    world.clock.advance(_DURATION_S * DECISION_DEADLINE * SECOND)
+    asyncio.run(_run_world(world))
+    status = world.table.read(*_STATUS_ROW)
+    assert status is not None
+    assert status['state'] == 'completed'
+
+
 @pytest.mark.parametrize('order_ver', [None, 0, 10**9])
 def test_status_of_another_writer_does_not_end_a_rollout(
     order_ver: int | None,
