Report recent departures also after one that was learned late

The latest departures were found by their order in the memory, so one that a peer reported with an age of over 60 s ended the search and hid the recent ones before it. The recent ones are kept on their own, at most 16. Found by reading.

Evidence: test_report_of_an_old_departure_does_not_hide_the_recent_ones.

--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/departures.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/departures.py
@@ -8,9 +8,8 @@
 """
 
 import datetime as dt
-import itertools
 import logging
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -50,6 +49,9 @@
         self._times: OrderedDict[tuple[NodeId, Lifetime], dt.timedelta] = (
             OrderedDict()
         )
+        self._recent: deque[tuple[tuple[NodeId, Lifetime], dt.timedelta]] = (
+            deque(maxlen=MAX_REPORTED)
+        )
         self._node: NodeId | None = None
         self._server: LocalServer | None = None
         self._on_local_change: Callable[[], None] = _ignore
@@ -118,10 +120,11 @@
             servers beside it; none if it is for all.
         """
         oldest = self._clock.elapsed() - REPORT_PERIOD
-        recent = itertools.takewhile(
-            lambda entry: entry[1] > oldest, reversed(self._times.items())
-        )
-        entries = dict(itertools.islice(recent, MAX_REPORTED))
+        entries = {
+            key: departed_at
+            for key, departed_at in self._recent
+            if departed_at > oldest
+        }
         if recipient is not None:
             entries |= {
                 key: departed_at
@@ -149,7 +152,10 @@
         key = (node, lifetime)
         if key in self._times:
             return False
-        self._times[key] = self._clock.elapsed() - (age or dt.timedelta())
+        departed_at = self._clock.elapsed() - (age or dt.timedelta())
+        self._times[key] = departed_at
+        if age is None or age < REPORT_PERIOD:
+            self._recent.append((key, departed_at))
         if len(self._times) > MAX_REMEMBERED:
             self._times.popitem(last=False)
         logger.info(
--- a/tests/unit/test_departures.py
+++ b/tests/unit/test_departures.py
@@ -238,6 +238,19 @@
     assert not departures.make_reports()
 
 
+def test_report_of_an_old_departure_does_not_hide_the_recent_ones() -> None:
+    fleet = Fleet()
+    fleet.run(REPORT_PERIOD.total_seconds())
+    departures = fleet.one.node.table.departures
+    departures.record('four', Lifetime(1, 'i-4'))
+    departures.record('five', Lifetime(1, 'i-5'), REPORT_PERIOD)
+    departures.record('six', Lifetime(1, 'i-6'), 2 * SECOND)
+    assert {report.node for report in departures.make_reports()} == {
+        'four',
+        'six',
+    }
+
+
 @pytest.mark.parametrize('seed', range(40))
 def test_no_order_of_events_brings_back_a_server_that_left(seed: int) -> None:
     """Restarts, rounds, lost datagrams and late heartbeats in any order.
