Send the beacon with a departure before its ack

The ack binds, and a node may be killed right after it, so its peers have to know first. The handler of the server's messages now lets the task that sends beacons run before it responds: one turn of the loop, no wait for an answer.

Evidence: test_departure_is_sent_before_its_ack, that one turn is enough.

--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/environment.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/environment.py
@@ -34,6 +34,9 @@
             How the announcement was handled.
         """
 
+    async def announce_server(self) -> None:
+        """Tell the other nodes of the latest change of the local server."""
+
 
 class Adapter(Protocol):
     """The part of a platform that a node uses."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -1,5 +1,6 @@
 """A node that reads peers and the desired state from the platform's store."""
 
+import asyncio
 import dataclasses
 import datetime as dt
 import gc
@@ -155,6 +156,15 @@
         self._apply_server_change()
         return result
 
+    async def announce_server(self) -> None:
+        """Tell the other nodes of the latest change of the local server.
+
+        The node is bound by what it has acknowledged, also if it is killed, so
+        the beacon is sent first.
+        """
+        # The task that sends beacons runs in this turn of the loop.
+        await asyncio.sleep(0)
+
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then drain and stop.
 
--- a/tests/unit/test_departures.py
+++ b/tests/unit/test_departures.py
@@ -5,6 +5,7 @@
 nothing of before.
 """
 
+import asyncio
 import itertools
 from random import Random
 
@@ -283,3 +284,23 @@
     fleet.one.node.table.apply_beacon(report)
     fleet.one.node.table.departures.record('one', Lifetime(999, 'i-1'))
     assert fleet.one.server.is_usable
+
+
+def test_departure_is_sent_before_its_ack() -> None:
+    """The ack follows one turn of the loop after the request to send."""
+
+    async def run() -> None:
+        fleet = Fleet()
+        protocol = fleet.one.node.protocol
+        sending = asyncio.create_task(protocol.run())
+        await asyncio.sleep(0)
+        fleet.network.in_flight.clear()
+        leave(fleet.one.server, 'gone')
+        protocol.request_broadcast()
+        await asyncio.sleep(0)
+        sending.cancel()
+        assert len(fleet.network.in_flight) == len(fleet.others)
+        fleet.network.deliver_all()
+        assert not fleet.is_used()
+
+    asyncio.run(run())
