--- a/tests/functional/test_platform_limits.py
+++ b/tests/functional/test_platform_limits.py
@@ -133,7 +133,7 @@
         told = {
             number
             for number, front in enumerate(fronts)
-            if front.node._state.peer_table._leaving
+            if front.node._state.peer_table.departures.make_reports()
         }
         await send_steadily([fronts[number] for number in told], 60, 1)
     assert told
