--- a/review/8/case.py
+++ b/review/8/case.py
@@ -57,7 +57,7 @@
                     record.write(f'{machine.name} is not ready')
                     return False
             await asyncio.sleep(4)
-            await load(record, machines[0], has_trouble)
+            await load(record, machines, has_trouble)
         finally:
             for beat in beats:
                 beat.cancel()
@@ -67,12 +67,15 @@
 
 
 async def load(
-    record: lab.Record, machine: lab.Machine, has_trouble: bool
+    record: lab.Record, machines: list[lab.Machine], has_trouble: bool
 ) -> None:
     """Send ordinary requests, and after a while long ones beside them."""
     # Of the same length; without slashes if there is to be no trouble.
     tail = ('/' if has_trouble else 'x') * (PATH_BYTES - len('/catalogue/'))
+    machine, other = machines[:2]
     latencies: list[float | None] = []
+    # At a node that gets nothing else: shows that the case keeps pace itself.
+    others: list[float | None] = []
     async with asyncio.TaskGroup() as group:
         group.create_task(check_ready(record, machine))
         for number in range(LONG_CLIENTS):
@@ -80,7 +83,10 @@
         end = record.now + CALM_S + LOADED_S
         while record.now < end:
             group.create_task(send_ordinary(record, machine, latencies))
+            group.create_task(send_ordinary(record, other, others))
             await asyncio.sleep(ORDINARY_PERIOD_S)
+    late = [found for found in others if found is None or found > TIMEOUT_S]
+    record.write(f'{len(others)} at the other node, {len(late)} late')
     judge(record, latencies)
 
 
@@ -108,7 +114,10 @@
     sent = record.now
     found = await send(machine, '/catalogue/1', f'{next(_numbers):08x}')
     spent = record.now - sent
-    record.write(f'ordinary, sent at {sent:.3f}: {found} after {spent:.3f} s')
+    record.write(
+        f'ordinary at {machine.name}, sent at {sent:.3f}: '
+        f'{found} after {spent:.3f} s'
+    )
     latencies.append(spent if found.isdigit() else None)
 
 
