--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A few clients send long paths, inside all limits, to one node."""
+"""A few clients upload bodies in very small chunks at one node."""
 
 import asyncio
 import contextlib
@@ -17,14 +17,17 @@
 CALM_S = 5.0
 LOADED_S = 15.0
 ORDINARY_PERIOD_S = 0.05
-LONG_CLIENTS = 40
-LONG_PERIOD_S = 0.5
-PATH_BYTES = 15_500
+UPLOADERS = 20
+# Of one client, framing included: 80 Mbit/s in all.
+BYTES_PER_S = 500_000
+BODY_BYTES = 200_000
+UPLOAD_LIMIT_S = 8.0
+BLOCK_BYTES = 16_384
 _numbers = itertools.count(1)
 
 
 async def play(record: lab.Record, directory: Path, has_trouble: bool) -> bool:
-    """Send ordinary requests to a node, beside long paths."""
+    """Send ordinary requests to a node, beside uploads."""
     store = lab.Store(f'127.0.0.1:{lab.find_ports("127.0.0.1", 1)[0]}')
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(store.serving())
@@ -36,7 +39,16 @@
             target_latency_s=0.4,
             max_attempts=2,
         )
-        store.put('op', 'config', lab.make_config(3, ['alpha', 'beta'], route))
+        upload = lab.make_route(
+            'upload',
+            '/upload/',
+            'alpha',
+            kind='upload',
+            timeout_s=UPLOAD_LIMIT_S,
+        )
+        store.put(
+            'op', 'config', lab.make_config(3, ['alpha', 'beta'], route, upload)
+        )
         tasks = await stack.enter_async_context(asyncio.TaskGroup())
         machines = [
             lab.Machine(
@@ -69,17 +81,16 @@
 async def load(
     record: lab.Record, machines: list[lab.Machine], has_trouble: bool
 ) -> None:
-    """Send ordinary requests, and after a while long ones beside them."""
-    # Of the same length; without slashes if there is to be no trouble.
-    tail = ('/' if has_trouble else 'x') * (PATH_BYTES - len('/catalogue/'))
+    """Send ordinary requests, and after a while uploads beside them."""
+    chunk_bytes = 1 if has_trouble else 8192
     machine, other = machines[:2]
     latencies: list[float | None] = []
     # At a node that gets nothing else: shows that the case keeps pace itself.
     others: list[float | None] = []
     async with asyncio.TaskGroup() as group:
         group.create_task(check_ready(record, machine))
-        for number in range(LONG_CLIENTS):
-            group.create_task(send_long(record, machine, number, tail))
+        for _ in range(UPLOADERS):
+            group.create_task(upload_repeatedly(record, machine, chunk_bytes))
         end = record.now + CALM_S + LOADED_S
         while record.now < end:
             group.create_task(send_ordinary(record, machine, latencies))
@@ -121,20 +132,51 @@
     latencies.append(spent if found.isdigit() else None)
 
 
-async def send_long(
-    record: lab.Record, machine: lab.Machine, number: int, tail: str
+async def upload_repeatedly(
+    record: lab.Record, machine: lab.Machine, chunk_bytes: int
 ) -> None:
-    """Send long paths from time to time, as one client."""
-    await asyncio.sleep(CALM_S + LONG_PERIOD_S * number / LONG_CLIENTS)
+    """Upload one body after the other, as one client."""
+    await asyncio.sleep(CALM_S)
     end = record.now + LOADED_S
     while record.now < end:
         started = record.now
-        found = await send(
-            machine, f'/catalogue/{tail}', f'{next(_numbers):08x}'
-        )
+        try:
+            async with asyncio.timeout(UPLOAD_LIMIT_S):
+                found = await upload(machine, chunk_bytes)
+        except TimeoutError:
+            found = 'no answer in time'
+        except (OSError, asyncio.IncompleteReadError) as error:
+            found = repr(error)
         spent = record.now - started
-        record.write(f'long, sent at {started:.3f}: {found} after {spent:.3f}')
-        await asyncio.sleep(max(0, LONG_PERIOD_S - spent))
+        record.write(
+            f'upload, sent at {started:.3f}: {found} after {spent:.3f}'
+        )
+
+
+async def upload(machine: lab.Machine, chunk_bytes: int) -> str:
+    """Upload a body in chunks at a steady rate; return the status."""
+    host, _, port = machine.outbound.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    chunk = b'%x\r\n%b\r\n' % (chunk_bytes, b'x' * chunk_bytes)
+    block = chunk * (BLOCK_BYTES // len(chunk))
+    with lab.aborting(writer):
+        writer.write(
+            'POST /upload/1 HTTP/1.1\r\nHost: shop.example\r\n'
+            f'X-Request-Id: {next(_numbers):08x}\r\n'
+            f'X-Deadline-Ms: {int(UPLOAD_LIMIT_S * 1000)}\r\n'
+            'Transfer-Encoding: chunked\r\n\r\n'.encode()
+        )
+        answer = asyncio.create_task(lab.read_message(reader))
+        for _ in range(BODY_BYTES * len(chunk) // chunk_bytes // len(block)):
+            # A refusal may come before the end of the body.
+            if answer.done():
+                break
+            writer.write(block)
+            await writer.drain()
+            await asyncio.sleep(len(block) / BYTES_PER_S)
+        writer.write(b'0\r\n\r\n')
+        return str((await answer).status)
+    return 'the connection broke'
 
 
 async def send(machine: lab.Machine, path: str, request_id: str) -> str:
