Show that a departure acknowledged without the store is forgotten

Cause: a departure is acknowledged though the store did not take it, and the write is tried again only half a minute later.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A few clients upload bodies in very small chunks at one node."""
+"""A departure is acknowledged while the store is down, and then forgotten."""
 
 import asyncio
 import contextlib
@@ -11,44 +11,41 @@
 
 import standins_2 as lab  # noqa: E402
 
-TIMEOUT_S = 1.2
-LIMIT_S = 2.5
-LATE_S = 0.5
-CALM_S = 5.0
-LOADED_S = 15.0
-ORDINARY_PERIOD_S = 0.05
-UPLOADERS = 20
-# Of one client, framing included: 80 Mbit/s in all.
-BYTES_PER_S = 500_000
-BODY_BYTES = 200_000
-UPLOAD_LIMIT_S = 8.0
-BLOCK_BYTES = 16_384
+DRAIN_S = 2.0
+CONTACT_S = 3.0
+# From the start of the store's outage, or of the same steps without one.
+LAST_BEAT_S = 2.0
+LEAVE_S = 2.2
+KILL_S = 2.6
+RESTART_S = 3.8
+STORE_BACK_S = 4.0
+LATE_BEAT_S = 4.5
+END_S = 14.0
+PERIOD_S = 0.05
 _numbers = itertools.count(1)
 
 
+class Steps:
+    """Waits for times after the start of the steps."""
+
+    def __init__(self, record: lab.Record) -> None:
+        self._record = record
+        self.started = record.now
+
+    async def until(self, seconds: float, what: str) -> None:
+        """Wait until a time, and write what happens then."""
+        left = self.started + seconds - self._record.now
+        await asyncio.sleep(max(0, left))
+        self._record.write(what)
+
+
 async def play(record: lab.Record, directory: Path, has_trouble: bool) -> bool:
-    """Send ordinary requests to a node, beside uploads."""
+    """Let a server leave around an outage of the store and a kill."""
     store = lab.Store(f'127.0.0.1:{lab.find_ports("127.0.0.1", 1)[0]}')
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(store.serving())
-        route = lab.make_route(
-            'catalogue',
-            '/catalogue/',
-            'alpha',
-            timeout_s=TIMEOUT_S,
-            target_latency_s=0.4,
-            max_attempts=2,
-        )
-        upload = lab.make_route(
-            'upload',
-            '/upload/',
-            'alpha',
-            kind='upload',
-            timeout_s=UPLOAD_LIMIT_S,
-        )
-        store.put(
-            'op', 'config', lab.make_config(3, ['alpha', 'beta'], route, upload)
-        )
+        route = lab.make_route('catalogue', '/catalogue/', 'alpha')
+        store.put('op', 'config', lab.make_config(3, ['alpha', 'beta'], route))
         tasks = await stack.enter_async_context(asyncio.TaskGroup())
         machines = [
             lab.Machine(
@@ -68,143 +65,101 @@
                 if not await lab.wait_until(machine.is_ready):
                     record.write(f'{machine.name} is not ready')
                     return False
-            await asyncio.sleep(4)
-            await load(record, machines, has_trouble)
+            await asyncio.sleep(6)
+            leaving = servers[1]
+            beats[1].cancel()
+            sending = tasks.create_task(send_requests(record, machines[0]))
+            acked = await let_leave(
+                record, store, machines, leaving, has_trouble
+            )
+            sending.cancel()
         finally:
             for beat in beats:
                 beat.cancel()
             for server in servers:
                 server.stop()
-    return True
-
-
-async def load(
-    record: lab.Record, machines: list[lab.Machine], has_trouble: bool
+    if acked is not None:
+        judge(record, leaving, acked, has_trouble)
+    return acked is not None
+
+
+async def let_leave(
+    record: lab.Record,
+    store: lab.Store,
+    machines: list[lab.Machine],
+    leaving: lab.Server,
+    has_trouble: bool,
+) -> float | None:
+    """Return when the departure was acknowledged; none if it wasn't."""
+    steps = Steps(record)
+    store.is_down = has_trouble
+    await steps.until(LAST_BEAT_S, 'the server sends its last heartbeat')
+    beat = leaving.make_beat()
+    if not has_trouble:
+        await leaving.send_beat(beat)
+    await steps.until(LEAVE_S, 'the server leaves')
+    status = await leaving.leave()
+    acked = record.now
+    record.write(f'its departure is answered with {status}')
+    if has_trouble:
+        await steps.until(KILL_S, 'all processes are killed')
+        for machine in machines:
+            machine.kill()
+        await steps.until(RESTART_S, 'all processes start')
+        for machine in machines:
+            machine.start()
+        await steps.until(STORE_BACK_S, 'the store is back')
+        store.is_down = False
+        await steps.until(LATE_BEAT_S, 'the last heartbeat arrives late')
+        while await leaving.send_beat(beat) is None:
+            await asyncio.sleep(0.05)
+    await steps.until(END_S, 'the server ends')
+    leaving.stop()
+    return acked if status == 200 else None
+
+
+def judge(
+    record: lab.Record, leaving: lab.Server, acked: float, has_trouble: bool
 ) -> None:
-    """Send ordinary requests, and after a while uploads beside them."""
-    chunk_bytes = 1 if has_trouble else 8192
-    machine, other = machines[:2]
-    latencies: list[float | None] = []
-    # At a node that gets nothing else: shows that the case keeps pace itself.
-    others: list[float | None] = []
-    async with asyncio.TaskGroup() as group:
-        group.create_task(check_ready(record, machine))
-        for _ in range(UPLOADERS):
-            group.create_task(upload_repeatedly(record, machine, chunk_bytes))
-        end = record.now + CALM_S + LOADED_S
-        while record.now < end:
-            group.create_task(send_ordinary(record, machine, latencies))
-            group.create_task(send_ordinary(record, other, others))
-            await asyncio.sleep(ORDINARY_PERIOD_S)
-    late = [found for found in others if found is None or found > TIMEOUT_S]
-    record.write(f'{len(others)} at the other node, {len(late)} late')
-    judge(record, latencies)
-
-
-def judge(record: lab.Record, latencies: list[float | None]) -> None:
-    """Apply the rule to the ordinary requests."""
-    late = [found for found in latencies if found is None or found > TIMEOUT_S]
-    unanswered = [
-        found for found in late if found is None or found > TIMEOUT_S + LATE_S
+    """Apply the rule to what reached the server after its departure."""
+    # All machines are in touch again contact_s after the store is back.
+    calm_for = STORE_BACK_S - LEAVE_S + CONTACT_S if has_trouble else 0
+    earliest = acked + max(DRAIN_S, calm_for)
+    late = [
+        (at, request_id)
+        for at, request_id, request in leaving.runs
+        if at > earliest and float(request.headers['x-sent-at']) > earliest
     ]
-    record.write(
-        f'{len(latencies)} ordinary requests, {len(late)} unanswered at their '
-        f'timeout, {len(unanswered)} of these {LATE_S} s later'
-    )
-    if len(unanswered) >= 8 and len(unanswered) > len(late) / 4:
+    record.write(f'{len(late)} requests reached the server after its departure')
+    if late:
         record.report(
-            f'CONFIG: of {len(late)} requests that lasted longer than '
-            f'{TIMEOUT_S} s, {len(unanswered)} had no answer {LATE_S} s later'
+            f'DRAIN: {len(late)} requests from machines in touch reached the '
+            f'server up to {late[-1][0] - acked:.1f} s after its departure was '
+            'acknowledged'
         )
 
 
-async def send_ordinary(
-    record: lab.Record, machine: lab.Machine, latencies: list[float | None]
-) -> None:
-    """Send an ordinary request, and wait for its answer."""
-    sent = record.now
-    found = await send(machine, '/catalogue/1', f'{next(_numbers):08x}')
-    spent = record.now - sent
-    record.write(
-        f'ordinary at {machine.name}, sent at {sent:.3f}: '
-        f'{found} after {spent:.3f} s'
-    )
-    latencies.append(spent if found.isdigit() else None)
-
-
-async def upload_repeatedly(
-    record: lab.Record, machine: lab.Machine, chunk_bytes: int
-) -> None:
-    """Upload one body after the other, as one client."""
-    await asyncio.sleep(CALM_S)
-    end = record.now + LOADED_S
-    while record.now < end:
-        started = record.now
+async def send_requests(record: lab.Record, machine: lab.Machine) -> None:
+    """Send requests one after the other."""
+    while True:
+        request_id = f'{next(_numbers):08x}'
+        sent = record.now
         try:
-            async with asyncio.timeout(UPLOAD_LIMIT_S):
-                found = await upload(machine, chunk_bytes)
-        except TimeoutError:
-            found = 'no answer in time'
-        except (OSError, asyncio.IncompleteReadError) as error:
-            found = repr(error)
-        spent = record.now - started
-        record.write(
-            f'upload, sent at {started:.3f}: {found} after {spent:.3f}'
-        )
-
-
-async def upload(machine: lab.Machine, chunk_bytes: int) -> str:
-    """Upload a body in chunks at a steady rate; return the status."""
-    host, _, port = machine.outbound.rpartition(':')
-    reader, writer = await asyncio.open_connection(host, int(port))
-    chunk = b'%x\r\n%b\r\n' % (chunk_bytes, b'x' * chunk_bytes)
-    block = chunk * (BLOCK_BYTES // len(chunk))
-    with lab.aborting(writer):
-        writer.write(
-            'POST /upload/1 HTTP/1.1\r\nHost: shop.example\r\n'
-            f'X-Request-Id: {next(_numbers):08x}\r\n'
-            f'X-Deadline-Ms: {int(UPLOAD_LIMIT_S * 1000)}\r\n'
-            'Transfer-Encoding: chunked\r\n\r\n'.encode()
-        )
-        answer = asyncio.create_task(lab.read_message(reader))
-        for _ in range(BODY_BYTES * len(chunk) // chunk_bytes // len(block)):
-            # A refusal may come before the end of the body.
-            if answer.done():
-                break
-            writer.write(block)
-            await writer.drain()
-            await asyncio.sleep(len(block) / BYTES_PER_S)
-        writer.write(b'0\r\n\r\n')
-        return str((await answer).status)
-    return 'the connection broke'
-
-
-async def send(machine: lab.Machine, path: str, request_id: str) -> str:
-    """Return the status of an answer, or what came instead of it."""
-    try:
-        async with asyncio.timeout(LIMIT_S):
             response = await lab.call(
                 machine.outbound,
-                f'GET {path}',
+                'GET /catalogue/1',
                 {
                     'Host': 'shop.example',
                     'X-Request-Id': request_id,
-                    'X-Deadline-Ms': str(int(LIMIT_S * 1000)),
+                    'X-Deadline-Ms': '1500',
+                    'X-Sent-At': f'{sent:.3f}',
                 },
             )
-    except TimeoutError:
-        return 'no answer in time'
-    except (OSError, asyncio.IncompleteReadError) as error:
-        return repr(error)
-    return str(response.status)
-
-
-async def check_ready(record: lab.Record, machine: lab.Machine) -> None:
-    """Ask the node each second whether it is ready, as the platform does."""
-    end = record.now + CALM_S + LOADED_S
-    while record.now < end:
-        record.write(f'ready: {await machine.is_ready()}')
-        await asyncio.sleep(1)
+            found = f'{response.status} {response.body.decode()[:40]}'
+        except (OSError, asyncio.IncompleteReadError) as error:
+            found = repr(error)
+        record.write(f'request {request_id}: {found}')
+        await asyncio.sleep(PERIOD_S)
 
 
 if __name__ == '__main__':
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -139,6 +139,7 @@
         self._changes: list[tuple[int, tuple[str, str, str], str | None]] = []
         self._changed = asyncio.Event()
         self._started = time.monotonic()
+        self.is_down = False
 
     @contextlib.asynccontextmanager
     async def serving(self) -> AsyncIterator['Store']:
@@ -193,6 +194,8 @@
     async def _respond(
         self, method: str, target: str, body: bytes
     ) -> tuple[int, dict]:
+        if self.is_down:
+            return 503, {}
         parts = urlsplit(target)
         query = {
             name: texts[0]
@@ -380,6 +383,10 @@
 
     async def beat(self) -> int | None:
         """Send a heartbeat; return the status of its ack, none without."""
+        return await self.send_beat(self.make_beat())
+
+    def make_beat(self) -> bytes:
+        """Return the next heartbeat."""
         self._sequence += 1
         body = {
             'service': self._machine.service,
@@ -392,7 +399,11 @@
             'seq': self._sequence,
             'born': self._born,
         }
-        return await self._say('PUT', json.dumps(body).encode())
+        return json.dumps(body).encode()
+
+    async def send_beat(self, beat: bytes) -> int | None:
+        """Send a heartbeat, which may be late; return as ``beat``."""
+        return await self._say('PUT', beat)
 
     async def leave(self) -> int | None:
         """Say that it has left; return the status of the ack."""
