--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -703,7 +703,8 @@
             ran = asyncio.run(
                 asyncio.wait_for(play(record, directory, has_trouble), 110)
             )
-        except (OSError, TimeoutError) as error:
+        except Exception as error:
+            # Also a group of errors; any of them must not look like a result.
             record.write(f'could not run: {error!r}')
             return 2
     if not ran:
