Send the heartbeats of case 8 at their usual pace

Cause: there was a pause of up to 3.5 s before the last one. Change: one comes as the steps begin, and the last one 1.5 s later.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -14,13 +14,13 @@
 DRAIN_S = 2.0
 CONTACT_S = 3.0
 # From the start of the store's outage, or of the same steps without one.
-LAST_BEAT_S = 2.0
-LEAVE_S = 2.2
-KILL_S = 2.6
-RESTART_S = 3.8
-STORE_BACK_S = 4.0
-LATE_BEAT_S = 4.5
-END_S = 14.0
+LAST_BEAT_S = 1.5
+LEAVE_S = 1.7
+KILL_S = 2.1
+RESTART_S = 3.3
+STORE_BACK_S = 3.5
+LATE_BEAT_S = 4.0
+END_S = 13.7
 PERIOD_S = 0.05
 _numbers = itertools.count(1)
 
@@ -91,6 +91,7 @@
     has_trouble: bool,
 ) -> float | None:
     """Return when the departure was acknowledged; none if it wasn't."""
+    await leaving.beat()
     steps = Steps(record)
     store.is_down = has_trouble
     await steps.until(LAST_BEAT_S, 'the server sends its last heartbeat')
