Read TROUBLE in each case's own script

Cause: only the shared stand-ins read it, so a case's folder did not show how to leave the disruption out.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import sys
 from pathlib import Path
 
@@ -164,4 +165,5 @@
 
 
 if __name__ == '__main__':
-    sys.exit(lab.run_case(FOLDER, play))
+    trouble = os.environ.get('TROUBLE', '1') != '0'
+    sys.exit(lab.run_case(FOLDER, play, has_trouble=trouble))
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -693,11 +693,13 @@
 
 
 def run_case(
-    folder: Path, play: Callable[[Record, Path, bool], Awaitable[bool]]
+    folder: Path,
+    play: Callable[[Record, Path, bool], Awaitable[bool]],
+    *,
+    has_trouble: bool,
 ) -> int:
     """Play a case; return 1 if a rule was broken, 2 if it couldn't run."""
     record = Record(folder / 'record.txt')
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
     with make_directory() as directory:
         try:
             ran = asyncio.run(
