--- a/tests/lib/crowded_node.py
+++ b/tests/lib/crowded_node.py
@@ -3,11 +3,18 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import socket
 import sys
-from collections.abc import AsyncGenerator, Awaitable, Callable, Iterable
+from collections.abc import (
+    AsyncGenerator,
+    Awaitable,
+    Callable,
+    Iterable,
+    Iterator,
+)
 from functools import partial
 from pathlib import Path
 
@@ -50,6 +57,10 @@
 # Time for the crowd to send in; some of it waits for a node that reads no more.
 _SEND_S = 4
 _PAUSE_S = 0.1
+# Callers of ``pestering`` send again after this time, answered or not, and give
+# up after the second one.
+_PERIOD_S = 0.5
+_ABANDON_S = 10
 
 _CONFIG = make_document_json(
     3,
@@ -352,3 +363,60 @@
     finally:
         for member in members:
             member.close()
+
+
+@contextlib.asynccontextmanager
+async def pestering(
+    address: Address, script: Script, count: int
+) -> AsyncGenerator[None, None]:
+    """Let callers send again and again while the body of the statement runs.
+
+    Each message is sent on a connection of its own, whether or not the earlier
+    ones were answered. ``script`` gets a number of its own for each.
+    """
+    numbers = itertools.count()
+    async with asyncio.TaskGroup() as group:
+        callers = [
+            group.create_task(_send_repeatedly(address, script, numbers, start))
+            for start in range(count)
+        ]
+        try:
+            yield
+        finally:
+            for caller in callers:
+                caller.cancel()
+
+
+async def _send_repeatedly(
+    address: Address, script: Script, numbers: Iterator[int], start: int
+) -> None:
+    await asyncio.sleep(_PERIOD_S * (start % 10) / 10)
+    sending: set[asyncio.Task[None]] = set()
+    try:
+        while True:
+            task = asyncio.create_task(
+                _send_and_read(address, script(next(numbers)))
+            )
+            sending.add(task)
+            task.add_done_callback(sending.discard)
+            await asyncio.sleep(_PERIOD_S)
+    finally:
+        for task in sending:
+            task.cancel()
+
+
+async def _send_and_read(address: Address, pieces: Iterable[bytes]) -> None:
+    with contextlib.suppress(OSError, TimeoutError):
+        async with asyncio.timeout(_ABANDON_S):
+            reader, writer = await asyncio.open_connection(
+                address.host, address.port, limit=_SEND_BYTES
+            )
+            reading = asyncio.create_task(_read_all(reader))
+            try:
+                for piece in pieces:
+                    writer.write(piece)
+                    await writer.drain()
+                await reading
+            finally:
+                reading.cancel()
+                writer.transport.abort()
