Look up routes in a tree of path segments

Cause: the lookup tried each prefix of the path that ends in a slash, and copied and hashed it: quadratic in the slashes, 56 ms for one path, in the event loop. Change: the routes of a host form a tree over path segments, and a lookup ends at the first segment that no prefix has. Its cost depends on the depth of the prefixes alone, so no path costs more than another.

--- a/packages/bluebellslip/src/bluebellslip/_internal/mesh/table.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/mesh/table.py
@@ -1,6 +1,7 @@
 """Looks up the route of a request by host and path."""
 
-from collections.abc import Iterator
+import dataclasses
+from collections.abc import Iterable
 from random import Random
 from typing import Final, Self
 
@@ -14,8 +15,9 @@
 class RoutingTable:
     """Routes by host and path prefix; the longest matching prefix wins.
 
-    Prefixes end with a slash, so a lookup costs one dictionary access per path
-    segment, independent of the number of routes.
+    Prefixes end with a slash, so the routes of a host form a tree over path
+    segments. A lookup ends at the first segment that no prefix has: its cost
+    doesn't depend on the number of routes, nor on how many slashes follow.
 
     Parameters
     ----------
@@ -29,10 +31,11 @@
     def __init__(self, config: MeshConfig, random_source: Random) -> None:
         self._config = config
         self._accounts = AccountDirectory.from_config(config)
-        self._hosts: dict[str, dict[str, RouteRule]] = {}
+        self._hosts: dict[str, _PrefixNode] = {}
         self._balancers: dict[str, WeightedRoundRobin] = {}
         for rule in config.routes:
-            self._hosts.setdefault(rule.host, {})[rule.prefix] = rule
+            root = self._hosts.setdefault(rule.host, _PrefixNode())
+            root.add(rule)
             if len(rule.destinations) > 1:
                 self._balancers[rule.name] = WeightedRoundRobin(
                     rule, random_source
@@ -63,14 +66,8 @@
         path
             The path as it was sent, without a query.
         """
-        prefixes = self._hosts.get(host)
-        if prefixes is None:
-            return None
-        for prefix in _iterate_prefixes(path):
-            rule = prefixes.get(prefix)
-            if rule is not None:
-                return rule
-        return None
+        root = self._hosts.get(host)
+        return None if root is None else root.find(path)
 
     def choose_service(self, rule: RouteRule) -> ServiceName:
         """Return the service for the next request of a route."""
@@ -113,8 +110,43 @@
         return self._services[greatest]
 
 
-def _iterate_prefixes(path: str) -> Iterator[str]:
-    end = path.rfind(_SLASH)
-    while end >= 0:
-        yield path[: end + 1]
-        end = path.rfind(_SLASH, 0, end)
+@dataclasses.dataclass(slots=True)
+class _PrefixNode:
+    """The routes of a host below one prefix.
+
+    ``rule`` is the route with exactly this prefix, ``children`` maps the next
+    path segment to the nodes below.
+    """
+
+    rule: RouteRule | None = None
+    children: dict[str, '_PrefixNode'] = dataclasses.field(default_factory=dict)
+
+    def add(self, rule: RouteRule) -> None:
+        """Add a route below this node."""
+        node = self
+        for segment in _split_prefix(rule.prefix):
+            node = node.children.setdefault(segment, _PrefixNode())
+        node.rule = rule
+
+    def find(self, path: str) -> RouteRule | None:
+        """Return the route with the longest prefix that begins a path."""
+        if not path.startswith(_SLASH):
+            return None
+        node = self
+        found = node.rule
+        start = len(_SLASH)
+        end = path.find(_SLASH, start)
+        while end >= 0:
+            child = node.children.get(path[start:end])
+            if child is None:
+                break
+            node = child
+            found = node.rule or found
+            start = end + len(_SLASH)
+            end = path.find(_SLASH, start)
+        return found
+
+
+def _split_prefix(prefix: str) -> Iterable[str]:
+    """Return the segments of a prefix, which begins and ends with a slash."""
+    return prefix.split(_SLASH)[1:-1]
--- a/tests/unit/test_routing_table.py
+++ b/tests/unit/test_routing_table.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from random import Random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -69,3 +70,55 @@
     assert holder.revision == 5
     assert holder.offer(make_config(make_rule(), revision=9), 'peer')
     assert holder.revision == 9
+
+
+class _CountingPath(str):  # noqa: FURB189, WPS600
+    """A path that counts what a lookup costs: calls, and copied characters."""
+
+    __slots__ = ('calls', 'copied')
+
+    def __new__(cls, text: str) -> '_CountingPath':
+        path = super().__new__(cls, text)
+        path.calls = 0
+        path.copied = 0
+        return path
+
+    def __getitem__(self, place: object) -> str:
+        part = super().__getitem__(place)  # type: ignore[index]
+        self.calls += 1
+        self.copied += len(part)
+        return part
+
+    def find(self, *arguments: object) -> int:
+        self.calls += 1
+        return super().find(*arguments)  # type: ignore[arg-type]
+
+    def rfind(self, *arguments: object) -> int:
+        self.calls += 1
+        return super().rfind(*arguments)  # type: ignore[arg-type]
+
+    def split(self, *arguments: object) -> list[str]:
+        self.calls += len(self)
+        return super().split(*arguments)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    'tail', ['/' * 15_000, 'a/' * 7_500, 'a' * 15_000, '/a' * 7_500]
+)
+@pytest.mark.parametrize('start', ['/', '/a/', '/a/b/'])
+def test_long_path_costs_more_than_its_prefix(start: str, tail: str) -> None:
+    """A lookup that holds the event loop would delay all other requests."""
+    path = _CountingPath(start + tail)
+    table = make_table('/', '/a/', '/a/b/', '/c/')
+    assert table.match('shop.example', path) is not None
+    assert path.calls <= 12
+    assert path.copied <= 2 * len(path)
+
+
+def test_prefix_with_empty_segments_matches() -> None:
+    table = make_table('/a//', '/a/')
+    found = [
+        rule.name if (rule := table.match('shop.example', path)) else None
+        for path in ('/a//b', '/a/b', '/a/', 'a/b', '')
+    ]
+    assert found == ['/a//', '/a/', '/a/', None, None]
