Close a connection whose refused body ends over its limit

What callers saw: no response to the next request on a connection, if the body of a refused request ended a little over the 8 MiB that are discarded. Cause: what follows such a body is not parsed any more, but the body was complete by then, so the connection counted as usable and stayed open. Change: the connection is closed once its response is sent.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -351,6 +351,8 @@
             async with asyncio.timeout(_BODY_DISCARD_TIMEOUT_S):
                 await request.body.discard()
         except (BluebellError, TimeoutError):
+            # Also if the body ended meanwhile: what follows it is not parsed.
+            request.reply.disable_keep_alive()
             self._ignores_requests = True
             self._has_invalid_input = True
             self._dropped_bytes += request.body.discarded_bytes
