--- a/bench/soak.py
+++ b/bench/soak.py
@@ -20,6 +20,7 @@
 
 from bench.results import OUTPUT_DIRECTORY
 from bench.soak_checks import HistoryChecker, Rules
+from bench.soak_costly import CostlyClient
 from bench.soak_nodes import RunContext, SoakNode
 from bench.soak_notices import check_notices
 from bench.soak_plan import GRACE, Action, Event, SoakPlan, make_config
@@ -112,6 +113,7 @@
         counts = ', '.join(f'{ends[end]} {end}' for end in sorted(ends))
         return (
             f'seed {self._plan.seed}: {ends.total()} requests: {counts}; '
+            f'{self._plan.costly_clients} costly clients a node; '
             f'{len(self.history.stops)} stops; '
             f'{len(self.history.notices)} notices; {len(findings)} findings'
         )
@@ -136,11 +138,19 @@
             )
             for node in self._nodes
         ]
+        costly_clients = [
+            CostlyClient(
+                f'{self._plan.seed}-{node.name}-{number}', node.address
+            )
+            for node in self._nodes
+            for number in range(self._plan.costly_clients)
+        ]
+        everyone: list[SoakClient | CostlyClient] = [*clients, *costly_clients]
         async with anyio.create_task_group() as group:
-            for client in clients:
+            for client in everyone:
                 group.start_soon(client.run)
             await self._run_events()
-            for stopping in clients:
+            for stopping in everyone:
                 stopping.stop()
 
     async def _check_peers(self) -> None:
@@ -245,7 +255,7 @@
         dest='seeds',
         metavar='N or FIRST-LAST',
     )
-    parser.add_argument('--nodes', type=int, choices=range(4, 9), default=6)
+    parser.add_argument('--nodes', type=int, choices=range(4, 65), default=6)
     parser.add_argument('--seconds', type=float, default=30)
     parser.add_argument('--logs', type=Path, default=OUTPUT_DIRECTORY / 'soak')
     options = parser.parse_args()
--- a/bench/soak_nodes.py
+++ b/bench/soak_nodes.py
@@ -29,6 +29,8 @@
 _FIRST_BORN: Final = 1_000_000
 # Long enough to catch hangs only.
 _START_TIMEOUT_S: Final = 60
+_MEMORY_MB: Final = 200
+_KILOBYTES_PER_MB: Final = 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,6 +143,9 @@
         self._stopping = True
         self._ready.clear()
         history = self._context.history
+        peak_kb = _read_peak_kb(process.pid)
+        if peak_kb > _MEMORY_MB * _KILOBYTES_PER_MB:
+            history.report(self.name, f'took {peak_kb} KB of memory')
         stop = Stop(self.name, history.now)
         history.stops.append(stop)
         process.terminate()
@@ -191,6 +196,7 @@
             self._platform_node.settings,
             heartbeat=_HEARTBEAT_S,
             link_mbps=choose_link_mbps(self._context.random_source),
+            memory_mb=_MEMORY_MB,
         )
         self._file.write_bytes(msgspec.json.encode(settings))
 
@@ -224,3 +230,10 @@
         )
         self._ready.clear()
         self._start()
+
+
+def _read_peak_kb(process_id: int) -> int:
+    """Return the most memory that a process has had; 0 if it has ended."""
+    status = Path('/proc', str(process_id), 'status').read_text('utf-8')
+    fields = dict(line.split(':', 1) for line in status.splitlines())
+    return int(fields.get('VmHWM', '0').split()[0])
--- a/bench/soak_plan.py
+++ b/bench/soak_plan.py
@@ -26,6 +26,8 @@
 _READERS: Final = 'catalogue'
 _WRITERS: Final = 'orders'
 _UPLOADERS: Final = 'photos'
+# Costly clients of each node.
+_COSTLY_CLIENTS: Final = (0, 3, 12)
 # Timeouts of routes in seconds, longer than all deadlines.
 _ROUTE_TIMEOUTS_S: Final = (26.0, 40.0)
 
@@ -104,12 +106,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SoakPlan:
-    """All choices of a run that don't depend on its course."""
+    """All choices of a run that don't depend on its course.
+
+    ``costly_clients`` is their number at each node.
+    """
 
     seed: int
     seconds: float
     nodes: tuple[NodePlan, ...]
     events: tuple[Event, ...]
+    costly_clients: int = 0
 
     @classmethod
     def from_seed(cls, seed: int, node_count: int, seconds: float) -> Self:
@@ -125,6 +131,8 @@
             seconds,
             _choose_nodes(source, node_count),
             tuple(sorted(events, key=lambda event: event.at_s)),
+            # Of its own, so that it changes no other choice of a seed.
+            Random(f'costly-{seed}').choice(_COSTLY_CLIENTS),
         )
 
 
--- a/bench/soak_traffic.py
+++ b/bench/soak_traffic.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from bench.soak_costly import COSTLY_PREFIX
 from bench.soak_plan import PROFILES, make_prefix
 from bench.soak_records import (
     History,
@@ -80,7 +81,8 @@
         request_id = request.headers.get('x-request-id', '')
         kind = RouteKind(request.request_line.split('/')[1])
         run = ServerRun(request_id, self._node, self._history.now)
-        self._history.runs.append(run)
+        if not request_id.startswith(COSTLY_PREFIX):
+            self._history.runs.append(run)
         await anyio.sleep(Random(request_id).uniform(*PROFILES[kind].run_s))
         run.ended = self._history.now
         body = describe_body(request_id, request.body)
--- a/tests/functional/test_drain_soak.py
+++ b/tests/functional/test_drain_soak.py
@@ -20,6 +20,8 @@
 pytestmark = pytest.mark.anyio
 
 _SEED = 1
+# A seed with twelve costly clients at each node.
+_COSTLY_SEED = 3
 _NODES = 4
 _SECONDS = 8
 # Long enough to catch hangs only.
@@ -52,3 +54,16 @@
     ]
     assert interrupted_uploads
     assert any(notice.named < notice.ended for notice in history.notices)
+
+
+async def test_costly_clients_break_no_promise(tmp_path: Path) -> None:
+    """Processes stay within their memory, and refusals remain true."""
+    plan = SoakPlan.from_seed(_COSTLY_SEED, _NODES, _SECONDS)
+    assert plan.costly_clients
+    soak = Soak(plan, tmp_path, _KILL_AFTER)
+    await soak.run()
+    findings = HistoryChecker(soak.history, _RULES).check()
+    findings += check_notices(soak.history)
+    lines = [finding.format(_COSTLY_SEED) for finding in findings]
+    assert not lines
+    assert any(request.response for request in soak.history.requests)
