Quote at most 256 characters of a caller's text

What operators saw: log lines and error responses as long as callers liked, up to the limit of a head: the path of a request without a route was in both, and its id in the line. Cause: nothing bounded what is quoted. A refusal then costs the node twice what the caller sent, and the log buffer drops other lines sooner. Change: ids, paths, hosts and the names in a peer's routing header are cut. Result: test_long_text_of_a_caller_is_quoted_in_full fails without the change.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -60,6 +60,7 @@
 from bluebellslip._internal.proxy.running_requests import RunningRequests
 from bluebellslip._internal.proxy.trace import (
     RequestTrace,
+    abbreviate,
     is_sampled,
     to_ms,
 )
@@ -199,14 +200,14 @@
         if not path.startswith('/'):
             raise MalformedError(
                 'The target must be an absolute path.',
-                context={'found': path},
+                context={'found': abbreviate(path)},
             )
         rule = table.match(host, path)
         if rule is None:
             self._freshness.check_final()
             raise NotFoundError(
                 'No route matches this request.',
-                context={'host': host, 'path': path},
+                context={'host': abbreviate(host), 'path': abbreviate(path)},
             )
         limit = table.config.bounds.body_bytes
         length = header_names.read_number(
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
@@ -27,6 +27,7 @@
 )
 from bluebellslip._internal.proxy.server_call import ServerCall
 from bluebellslip._internal.proxy.server_gateway import ServerGateway
+from bluebellslip._internal.proxy.trace import abbreviate
 
 logger = logging.getLogger(__name__)
 
@@ -170,9 +171,9 @@
         logger.info(
             'visit_failed',
             extra={
-                'request': routed.request_id.decode('latin-1'),
-                'route': routed.route,
-                'server': peer_request.options.lifetime.server,
+                'request': abbreviate(routed.request_id.decode('latin-1')),
+                'route': abbreviate(routed.route),
+                'server': abbreviate(peer_request.options.lifetime.server),
                 'reason': error.kind.value,
                 'detail': str(error),
                 'reached_server': server_call.sent,
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/trace.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/trace.py
@@ -18,6 +18,9 @@
 # One in this many requests is logged even if it was served at the first
 # attempt.
 SAMPLE_EVERY: Final = 64
+# Longest text of a caller that is logged or sent back. Log lines and responses
+# would otherwise be as long as callers like.
+MAX_QUOTED_CHARS: Final = 256
 
 
 def is_sampled(request_id: str) -> bool:
@@ -25,6 +28,13 @@
     return zlib.crc32(request_id.encode('latin-1')) % SAMPLE_EVERY == 0
 
 
+def abbreviate(text: str) -> str:
+    """Return a caller's text, or its beginning if it is long."""
+    if len(text) <= MAX_QUOTED_CHARS:
+        return text
+    return f'{text[:MAX_QUOTED_CHARS]}... ({len(text)} characters)'
+
+
 def to_ms(duration: dt.timedelta) -> float:
     """Return a duration in milliseconds, rounded for the log."""
     return round(duration / _MILLISECOND, 1)
@@ -162,7 +172,7 @@
     def describe(self, outcome: str, spent: dt.timedelta) -> dict[str, object]:
         """Return the fields of the request's log line."""
         return {
-            'request': self.request_id,
+            'request': abbreviate(self.request_id),
             'route': self.route,
             'service': self.service,
             'account': self.account,
@@ -204,8 +214,8 @@
         logger.info(
             'request_unanswered',
             extra={
-                'request': request_id.decode('latin-1'),
-                'target': request.target.decode('latin-1'),
+                'request': abbreviate(request_id.decode('latin-1')),
+                'target': abbreviate(request.target.decode('latin-1')),
                 'outcome': outcome,
             },
         )
--- a/tests/functional/test_platform_calls.py
+++ b/tests/functional/test_platform_calls.py
@@ -11,6 +11,7 @@
 import contextlib
 import copy
 import json
+import logging
 from collections.abc import AsyncGenerator
 
 import pytest
@@ -159,6 +160,30 @@
         caller.close()
 
 
+async def test_long_text_of_a_caller_is_quoted_in_full(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Callers would choose how long log lines and responses are."""
+    caplog.set_level(logging.INFO)
+    async with mesh(respond_signed(b'hello')) as (_, front, _):
+        caller = await front.open_caller()
+        response = await caller.call(
+            f'/other/{"x" * 1500}',
+            service='shop.example',
+            x_request_id='i' * 1500,
+        )
+        caller.close()
+    assert response.status == 404
+    assert len(response.body) < 1000
+    [record] = (
+        found
+        for found in caplog.records
+        if found.getMessage() == 'request_failed'
+    )
+    assert len(record.request) < 300  # type: ignore[attr-defined]
+    assert len(record.detail) < 1000  # type: ignore[attr-defined]
+
+
 async def test_concurrent_pipelined_requests_respond_in_order() -> None:
     running = 0
     max_running = 0
