Close a connection whose waiting requests were dropped

What callers would see: a connection that stays open and answers nothing, if its requests waited for it to take earlier responses when memory got short. Cause: what was dropped left no request whose end closes the connection. Change: it is closed once the earlier responses are taken. Result: test_dropped_requests_leave_no_open_connection fails without the change.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/inbound.py
@@ -174,7 +174,7 @@
         """Resume the reply."""
         self._write_gate.open()
         self._memory.update_output(0)
-        if self._waiting:
+        if self._waiting or self._closes_after_replies:
             self._advance()
 
     def get_buffer(self, sizehint: int) -> memoryview:
--- a/tests/unit/test_costly_input.py
+++ b/tests/unit/test_costly_input.py
@@ -240,6 +240,21 @@
     assert caller.transport.has_written_eof
 
 
+async def test_dropped_requests_leave_no_open_connection() -> None:
+    """They waited for their caller to take earlier responses."""
+    budget = MemoryBudget(MEGABYTE)
+    handler = _Handler()
+    caller = _Caller(handler, make_state(budget))
+    caller.connection.pause_writing()
+    await caller_sends(caller, 3)
+    budget.add(Holder.BODIES, 7 * MEGABYTE // 10)
+    assert budget.read(Holder.REQUESTS) == 0
+    caller.connection.resume_writing()
+    await run_tasks()
+    assert not handler.requests
+    assert caller.transport.has_written_eof
+
+
 async def test_short_memory_refuses_requests_and_says_not_run() -> None:
     budget = MemoryBudget(MEGABYTE)
     handler = _Handler()
