Free memory less often where that frees little

Cause: a process that takes much memory of its own stays at level 1, and each second would collect garbage for tens of milliseconds, to no effect. Change: after a time that freed less than 1 MiB the next one waits ten seconds. A system without ctypes is not an error. Result: test_memory_that_can_not_be_freed_is_seldom_tried: two times in 16 s.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/resident_memory.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/resident_memory.py
@@ -29,8 +29,11 @@
 _MAX_BASE_PERCENT: Final = 60
 # Input after which the memory is read again.
 _READING_BYTES: Final = 1 << 20
-# Freeing memory costs tens of milliseconds with many connections.
+# Freeing memory costs tens of milliseconds with many connections, so it waits
+# longer after a time that freed little.
 _RECLAIM_INTERVAL: Final = dt.timedelta(seconds=1)
+_FRUITLESS_INTERVAL: Final = dt.timedelta(seconds=10)
+_LITTLE_BYTES: Final = 1 << 20
 # Connections that are closed release their memory in the next turns of the
 # event loop, so the effect shows later.
 _CLOSING_INTERVAL: Final = dt.timedelta(milliseconds=100)
@@ -67,11 +70,11 @@
 
     def reclaim(self) -> None:
         """Return freed memory to the system, as far as its library can."""
-        # Few nodes ever get short of memory; the import takes a megabyte.
-        import ctypes
-
         gc.collect()
-        with contextlib.suppress(OSError, AttributeError):
+        with contextlib.suppress(ImportError, OSError, AttributeError):
+            # Few nodes ever get here, and the module takes a megabyte.
+            import ctypes
+
             ctypes.CDLL(None).malloc_trim(0)
 
 
@@ -145,7 +148,7 @@
         self._base = self._max_base
         self._unread_bytes = 0
         self._resident = 0
-        self._reclaimed_at = -_RECLAIM_INTERVAL
+        self._next_reclaim = dt.timedelta()
         self._closed_at = -_CLOSING_INTERVAL
         self.level = Level.NORMAL
 
@@ -174,9 +177,9 @@
         """
         self._unread_bytes = 0
         self._read()
-        if self.level > Level.NORMAL and self._may_reclaim():
-            self._process.reclaim()
-            self._read()
+        now = self._clock.elapsed()
+        if self.level > Level.NORMAL and now >= self._next_reclaim:
+            self._reclaim(now)
             self._raise_base(self._resident - explained)
             self._find_level()
 
@@ -213,9 +216,11 @@
         used = self._resident - self._base
         self.level = find_level(self.level, used, self._room)
 
-    def _may_reclaim(self) -> bool:
-        now = self._clock.elapsed()
-        if now - self._reclaimed_at < _RECLAIM_INTERVAL:
-            return False
-        self._reclaimed_at = now
-        return True
+    def _reclaim(self, now: dt.timedelta) -> None:
+        before = self._resident
+        self._process.reclaim()
+        self._read()
+        interval = _RECLAIM_INTERVAL
+        if before - self._resident < _LITTLE_BYTES:
+            interval = _FRUITLESS_INTERVAL
+        self._next_reclaim = now + interval
--- a/tests/unit/test_memory_budget.py
+++ b/tests/unit/test_memory_budget.py
@@ -261,6 +261,15 @@
     assert instance.process.reclaimed == 1
 
 
+def test_memory_that_can_not_be_freed_is_seldom_tried() -> None:
+    instance = _Instance()
+    instance.budget.add(Holder.REQUESTS, 30 * MEGABYTE)
+    for _ in range(8):
+        assert instance.grow_to(150) > Level.NORMAL
+    # 16 seconds
+    assert instance.process.reclaimed == 2
+
+
 def test_memory_that_stays_high_without_callers_refuses_nobody() -> None:
     instance = _Instance()
     assert instance.grow_to(140) is Level.NORMAL
