--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/resident_memory.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/resident_memory.py
@@ -8,6 +8,7 @@
 import contextlib
 import datetime as dt
 import gc
+import logging
 import os
 from typing import Final, Protocol, Self
 
@@ -18,6 +19,8 @@
 )
 from bluebellslip._internal.kernel.clock import Clock
 
+logger = logging.getLogger(__name__)
+
 _STATM_PATH: Final = '/proc/self/statm'
 _STATM_BYTES: Final = 128
 _RESIDENT_FIELD: Final = 1
@@ -55,8 +58,12 @@
     def __init__(self) -> None:
         self._descriptor: int | None = None
         self._page_bytes = os.sysconf('SC_PAGE_SIZE')
-        with contextlib.suppress(OSError):
+        try:
             self._descriptor = os.open(_STATM_PATH, os.O_RDONLY)
+        except OSError as error:
+            logger.warning(
+                'resident_memory_unknown', extra={'reason': str(error)}
+            )
 
     def read(self) -> int | None:
         """Return the bytes, or None if the system doesn't tell."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -271,6 +271,11 @@
         'Bodies of new requests are accepted again.',
         ('used', 'limit', 'resident', 'held'),
     ),
+    'resident_memory_unknown': Event(
+        'The system does not tell how much memory the process takes, so only '
+        'what requests and connections are known to cost is limited.',
+        ('reason',),
+    ),
     'server_departed': Event(
         'A server left or is about to, as its messages or a peer say; `born` '
         'is -1 if no heartbeat of it was heard.',
