Keep 64 requests behind those in service

What callers saw: a connection with 20,000 tiny requests behind one another was closed after forty of them. Cause: 32 were kept behind the 8 in service, but a part of a head that is parsed at once may have up to 57. Change: 64 are kept, so that only a chunked body with 73 and more requests right behind it meets the limit.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/memory_levels.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/memory_levels.py
@@ -49,8 +49,9 @@
 
 
 LEVEL_LIMITS: Final[Mapping[Level, LevelLimits]] = MappingProxyType({
-    # Reads are as large as asyncio's own.
-    Level.NORMAL: LevelLimits(0, sys.maxsize, 256 * 1024, sys.maxsize, 32),
+    # Reads are as large as asyncio's own. A part of a head that is parsed at
+    # once, 1 KiB, has fewer requests than 64.
+    Level.NORMAL: LevelLimits(0, sys.maxsize, 256 * 1024, sys.maxsize, 64),
     Level.NO_COPIES: LevelLimits(50, 64 * 1024, 64 * 1024, 1, 8),
     Level.NO_NEW_BODIES: LevelLimits(70, 16 * 1024, 16 * 1024, 1, 0),
     Level.NO_NEW_REQUESTS: LevelLimits(78, 16 * 1024, 16 * 1024, 1, 0),
