Limit the resident memory only if the instance's memory is known

What callers would see: a node whose settings name no memory refuses requests as soon as its process takes more than 180 MB, on an instance of any size. Cause: the account assumes 200 MB then, and the resident memory was held against the same guess. Change: without memory_mb the account alone decides. Result: test_guess_of_the_memory_refuses_requests fails without the change.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/memory_budget.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/memory_budget.py
@@ -147,12 +147,14 @@
         counters
             Counts refusals and closures, and shows the gauges.
         make_monitor
-            Returns the monitor of a process with a number of bytes.
+            Returns the monitor of a process with a number of bytes. It is not
+            used if the memory is unknown: a guess would refuse requests that
+            there is memory for.
         """
         size = (memory_mb or DEFAULT_MEMORY_MB) * MEGABYTE
         limit = max(_MIN_LIMIT, (size - _PROCESS_BYTES) // _COPIES)
         monitor: ResidentMonitor = UnlimitedMonitor()
-        if make_monitor is not None:
+        if make_monitor is not None and memory_mb is not None:
             monitor = make_monitor(size)
         budget = cls(limit, counters, monitor)
         for name, read in _make_gauges(budget, limit, monitor).items():
--- a/tests/unit/test_memory_budget.py
+++ b/tests/unit/test_memory_budget.py
@@ -319,3 +319,21 @@
     # Bodies are accepted again from 135 MB on.
     instance.grow_to(160)
     assert all(member.is_closed for member in members)
+
+
+@pytest.mark.parametrize(
+    ('memory_mb', 'level'), [(None, Level.NORMAL), (200, Level.CLOSING)]
+)
+def test_guess_of_the_memory_refuses_requests(
+    memory_mb: int | None, level: Level
+) -> None:
+    """The process takes more than the memory that the account assumes."""
+    process = _Process(30 * MEGABYTE)
+    budget = MemoryBudget.from_memory(
+        memory_mb,
+        InMemoryCounters(),
+        lambda size: ProcessMonitor(process, size, ManualClock()),
+    )
+    process.resident = 300 * MEGABYTE
+    budget.check_resident()
+    assert budget.level is level
