Ask a server for its word before its first life is taken

Cause: a node that starts again took its own row without a departure, and a peer that tells of none, for proof that there was none. It can't know whether the store was away in its earlier life. Ruled out: that the write is tried again too late (the process that would do so is dead); that only an ack that waits for the store helps (the wrong conclusion would stay, and an outage would withhold all acks).

Change: a node that may have run before asks the server by a health check, the one copy that can't be lost. It says whether the server leaves, with its id. Without an answer the third heartbeat decides in place of the second. What the check said before a departure doesn't count after it.

--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/departures.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/departures.py
@@ -14,8 +14,8 @@
 from typing import Final
 
 from bluebellslip._internal.fleet.beacons import DepartureBeacon
+from bluebellslip._internal.fleet.first_life import HistorySource
 from bluebellslip._internal.fleet.local_server import LocalServer
-from bluebellslip._internal.fleet.server_lives import HistorySource
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.identity import NodeId
 from bluebellslip._internal.models.servers import Lifetime
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/local_server.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/local_server.py
@@ -12,10 +12,12 @@
 from collections.abc import Callable
 from typing import Final
 
-from bluebellslip._internal.fleet.server_lives import (
+from bluebellslip._internal.fleet.first_life import (
+    FirstLife,
+    HealthStatus,
     HistorySource,
-    ServerLives,
 )
+from bluebellslip._internal.fleet.server_lives import ServerLives
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.identity import (
     Address,
@@ -84,6 +86,9 @@
 class LocalServer:
     """Tracks the state of the server beside the node.
 
+    ``first_life`` is the evidence for the first life of the server that the
+    node takes.
+
     Parameters
     ----------
     clock
@@ -94,9 +99,9 @@
         The server's address, from the settings.
     heartbeat_interval
         Time between two heartbeats.
-    awaits_record
-        Whether this node may have run before, so that its earlier life may
-        have stored departures.
+    may_have_run
+        Whether this node may have run before, so that an earlier life of it
+        may have acknowledged departures.
     """
 
     def __init__(
@@ -106,7 +111,7 @@
         address: Address,
         heartbeat_interval: dt.timedelta,
         *,
-        awaits_record: bool = False,
+        may_have_run: bool = False,
     ) -> None:
         self._clock = clock
         self._service = service
@@ -116,10 +121,8 @@
         self._sequence = 0
         self._last_heard_at = dt.timedelta()
         self._connect_failures = 0
-        self._lives = ServerLives(
-            clock, heartbeat_interval, awaits_record=awaits_record
-        )
-        self._held: Heartbeat | None = None
+        self.first_life = FirstLife(may_have_run=may_have_run)
+        self._lives = ServerLives(clock, heartbeat_interval, self.first_life)
         self._departure_listeners: list[Callable[[Lifetime], object]] = []
 
     @property
@@ -133,10 +136,6 @@
         info = self._info
         if info is None or info.state is not ServerState.READY:
             return False
-        return self._is_alive
-
-    @property
-    def _is_alive(self) -> bool:
         if self._connect_failures >= MAX_CONNECT_FAILURES:
             return False
         return (
@@ -166,28 +165,11 @@
             or heartbeat.address != self._address
         ):
             return MessageResult.FOREIGN
-        if not self._lives.accepts(heartbeat):
-            self._held = heartbeat
-            return MessageResult.STALE
-        self._held = None
-        now = self._clock.elapsed()
-        self._sequence = heartbeat.sequence
-        self._last_heard_at = now
-        self._connect_failures = 0
-        self._set_info(
-            ServerInfo(
-                lifetime=heartbeat.lifetime,
-                service=heartbeat.service,
-                address=heartbeat.address,
-                version=heartbeat.version,
-                slots=heartbeat.slots,
-                state=max(
-                    heartbeat.state, self._lives.find_state(heartbeat.lifetime)
-                ),
-                warmup_ends_at=_find_warmup_end(heartbeat, self._info, now),
-            )
-        )
-        return MessageResult.TAKEN
+        if self._take(heartbeat):
+            return MessageResult.TAKEN
+        if self._info is None:
+            self.first_life.hold(heartbeat)
+        return MessageResult.STALE
 
     def apply_departure(self, server: str) -> MessageResult:
         """Apply a server's announcement that it is gone for good.
@@ -234,11 +216,30 @@
         bool
             Whether a heartbeat that was held back until then was applied.
         """
-        self._lives.note_history(source)
-        held = self._held
-        if self._info is not None or held is None:
-            return False
-        return self.apply_heartbeat(held) is MessageResult.TAKEN
+        self.first_life.note_history(source)
+        return self._take(self.first_life.held)
+
+    def apply_health(
+        self, lifetime: Lifetime, status: HealthStatus, asked_at: dt.timedelta
+    ) -> bool:
+        """Apply what a health check has told of a life that isn't taken yet.
+
+        Parameters
+        ----------
+        lifetime
+            The life that was asked for.
+        status
+            What the response says.
+        asked_at
+            Time on the node's clock at which the check was sent.
+
+        Returns
+        -------
+        bool
+            Whether a heartbeat that was held back until then was applied.
+        """
+        self._lives.note_health(lifetime, status, asked_at)
+        return self._take(self.first_life.held)
 
     def apply_leaving(self, lifetime: Lifetime) -> bool:
         """Apply a response that says that the server leaves.
@@ -268,7 +269,34 @@
             return
         self._connect_failures += 1
         if self._connect_failures == MAX_CONNECT_FAILURES:
-            logger.warning('server_unreachable', extra=self._build_log_fields())
+            logger.warning(
+                'server_unreachable',
+                extra=_build_log_fields(self._info, self._sequence),
+            )
+
+    def _take(self, heartbeat: Heartbeat | None) -> bool:
+        """Apply a heartbeat, if it is news of the life that goes on."""
+        if heartbeat is None or not self._lives.accepts(heartbeat):
+            return False
+        self.first_life.release()
+        now = self._clock.elapsed()
+        self._sequence = heartbeat.sequence
+        self._last_heard_at = now
+        self._connect_failures = 0
+        self._set_info(
+            ServerInfo(
+                lifetime=heartbeat.lifetime,
+                service=heartbeat.service,
+                address=heartbeat.address,
+                version=heartbeat.version,
+                slots=heartbeat.slots,
+                state=max(
+                    heartbeat.state, self._lives.find_state(heartbeat.lifetime)
+                ),
+                warmup_ends_at=_find_warmup_end(heartbeat, self._info, now),
+            )
+        )
+        return True
 
     def _set_info(self, info: ServerInfo) -> None:
         previous = self._info
@@ -280,23 +308,28 @@
             info.lifetime,
             info.state,
         ):
-            logger.info('server_state', extra=self._build_log_fields())
+            logger.info(
+                'server_state',
+                extra=_build_log_fields(self._info, self._sequence),
+            )
 
     def _report_departure(self, lifetime: Lifetime) -> None:
         for listener in self._departure_listeners:
             listener(lifetime)
 
-    def _build_log_fields(self) -> dict[str, object]:
-        info = self._info
-        if info is None:
-            return {'server': None}
-        return {
-            'server': info.lifetime.server,
-            'born': info.lifetime.born,
-            'version': info.version,
-            'state': info.state.name.lower(),
-            'sequence': self._sequence,
-        }
+
+def _build_log_fields(
+    info: ServerInfo | None, sequence: int
+) -> dict[str, object]:
+    if info is None:
+        return {'server': None}
+    return {
+        'server': info.lifetime.server,
+        'born': info.lifetime.born,
+        'version': info.version,
+        'state': info.state.name.lower(),
+        'sequence': sequence,
+    }
 
 
 def _find_warmup_end(
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/server_lives.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/server_lives.py
@@ -5,21 +5,24 @@
 that a server names is a time of day, so a greater one doesn't prove a later
 life, nor a smaller one an earlier life. It only decides how much evidence is
 needed: a life that was never heard before and names a later start is taken at
-once. So is the first one that a node hears after its own start, once a peer was
-heard, which would have told that the server left before. A node that may have
-run before also waits for its own record in the store, since all its peers may
-have started again too. Any other life is
-taken when it goes on sending heartbeats while the current one sends none, which
-the delayed heartbeats of a server that has ended don't do.
+once. So is the first one that a node hears after its own start, with the
+evidence of ``first_life``. Any other life is taken when it goes on sending
+heartbeats while the current one sends none, which the delayed heartbeats of a
+server that has ended don't do.
 """
 
 import dataclasses
 import datetime as dt
-import enum
 import logging
 from collections import OrderedDict
 from typing import Final
 
+from bluebellslip._internal.fleet.first_life import (
+    MAX_HEARTBEAT_DELAY,
+    MIN_CONFIRMATIONS,
+    FirstLife,
+    HealthStatus,
+)
 from bluebellslip._internal.kernel.clock import Clock
 from bluebellslip._internal.models.servers import (
     Heartbeat,
@@ -31,8 +34,6 @@
 
 # Lives and departures that are remembered, the latest ones.
 MAX_REMEMBERED: Final = 16
-# The longest delay of a heartbeat, with a reserve.
-DEPARTURE_LIFETIME: Final = dt.timedelta(seconds=15)
 # Share of the heartbeat interval that must lie between two heartbeats for the
 # second to confirm the first; delayed ones arrive together.
 CONFIRMATION_SHARE: Final = 0.75
@@ -41,18 +42,6 @@
 EXTRA_HEARTBEATS: Final = 3
 
 
-@enum.unique
-class HistorySource(enum.Enum):
-    """What tells a node that has started which servers left before.
-
-    ``RECORD`` stands for the node's own record in the store, also if it can't
-    be read.
-    """
-
-    PEER = 'peer'
-    RECORD = 'record'
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _KnownLife:
     """The latest sequence number and state of a life."""
@@ -65,12 +54,15 @@
 class _Candidate:
     """A life that was heard but is not taken yet.
 
-    ``heard_at`` is the time of its first heartbeat on the node's clock.
+    ``heard_at`` is the time of its first heartbeat on the node's clock,
+    ``confirmed_at`` that of the latest one that counts as a confirmation.
     """
 
     lifetime: Lifetime
     sequence: int
     heard_at: dt.timedelta
+    confirmed_at: dt.timedelta
+    confirmations: int = 0
 
 
 class ServerLives:
@@ -82,17 +74,15 @@
         The node's clock; its time of day is not read.
     heartbeat_interval
         Time between two heartbeats.
-    awaits_record
-        Whether an earlier life of the node may have stored departures, which
-        are not known yet.
+    first_life
+        The evidence for the first life that is taken.
     """
 
     def __init__(
         self,
         clock: Clock,
         heartbeat_interval: dt.timedelta,
-        *,
-        awaits_record: bool = False,
+        first_life: FirstLife,
     ) -> None:
         self._clock = clock
         self._heartbeat_interval = heartbeat_interval
@@ -100,15 +90,26 @@
         self._known: OrderedDict[Lifetime, _KnownLife] = OrderedDict()
         self._candidate: _Candidate | None = None
         self._departures: OrderedDict[str, dt.timedelta] = OrderedDict()
-        self._has_contact = False
-        self._awaits_record = awaits_record
+        self._first_life = first_life
+
+    def note_health(
+        self, lifetime: Lifetime, status: HealthStatus, asked_at: dt.timedelta
+    ) -> None:
+        """Note what a health check has told of a life that isn't taken yet.
 
-    def note_history(self, source: HistorySource) -> None:
-        """Note that a source has told the departures that it knows."""
-        if source is HistorySource.PEER:
-            self._has_contact = True
-        else:
-            self._awaits_record = False
+        Parameters
+        ----------
+        lifetime
+            The life that was asked for.
+        status
+            What the response says.
+        asked_at
+            Time on the node's clock at which the check was sent. What it says
+            doesn't count if the server has left since.
+        """
+        departed_at = self._departures.get(lifetime.server)
+        if departed_at is None or departed_at < asked_at:
+            self._first_life.note_health(lifetime, status)
 
     def record_departure(self, lifetime: Lifetime) -> None:
         """Record a life that has left although this node didn't hear it."""
@@ -149,6 +150,7 @@
         self._departures.move_to_end(server)
         if len(self._departures) > MAX_REMEMBERED:
             self._departures.popitem(last=False)
+        self._first_life.forget(server)
         logger.info('departure_recorded', extra={'server': server})
 
     def accepts(self, heartbeat: Heartbeat) -> bool:
@@ -171,12 +173,12 @@
         lifetime = heartbeat.lifetime
         if lifetime in self._known or lifetime.server in self._departures:
             return False
-        if self._current is None:
-            has_just_started = heartbeat.sequence <= EXTRA_HEARTBEATS
-            if self._awaits_record:
-                return has_just_started
-            return self._has_contact or has_just_started
-        return lifetime.born > self._current.born
+        if self._current is not None:
+            return lifetime.born > self._current.born
+        return self._first_life.allows(
+            lifetime,
+            has_just_started=heartbeat.sequence <= EXTRA_HEARTBEATS,
+        )
 
     def _may_be_later_than_departure(self, heartbeat: Heartbeat) -> bool:
         """Return whether a server may have started after it departed.
@@ -189,7 +191,7 @@
         if departed_at is None:
             return True
         age = self._clock.elapsed() - departed_at
-        if age > DEPARTURE_LIFETIME:
+        if age > MAX_HEARTBEAT_DELAY:
             del self._departures[server]
             return True
         possible = EXTRA_HEARTBEATS + age // self._heartbeat_interval
@@ -201,7 +203,7 @@
         candidate = self._candidate
         if candidate is None or candidate.lifetime != heartbeat.lifetime:
             self._candidate = _Candidate(
-                heartbeat.lifetime, heartbeat.sequence, now
+                heartbeat.lifetime, heartbeat.sequence, now, now
             )
             logger.info(
                 'server_life_unconfirmed',
@@ -212,6 +214,20 @@
                 },
             )
             return False
-        is_later = heartbeat.sequence > candidate.sequence
         pause = self._heartbeat_interval * CONFIRMATION_SHARE
-        return is_later and now - candidate.heard_at >= pause
+        is_later = heartbeat.sequence > candidate.sequence
+        if is_later and now - candidate.confirmed_at >= pause:
+            candidate = dataclasses.replace(
+                candidate,
+                sequence=heartbeat.sequence,
+                confirmed_at=now,
+                confirmations=candidate.confirmations + 1,
+            )
+            self._candidate = candidate
+        if self._current is not None:
+            return candidate.confirmations >= MIN_CONFIRMATIONS
+        return self._first_life.is_confirmed(
+            candidate.lifetime,
+            candidate.confirmations,
+            candidate.confirmed_at - candidate.heard_at,
+        )
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_components.py
@@ -6,11 +6,7 @@
 
 from bluebellslip._internal.accounts.quotas.quota_service import QuotaService
 from bluebellslip._internal.calls.body_pacing import BodyPacer
-from bluebellslip._internal.calls.memory_budget import (
-    MemoryBudget,
-)
 from bluebellslip._internal.calls.pool import ConnectionPool
-from bluebellslip._internal.calls.resident_memory import ProcessMonitor
 from bluebellslip._internal.control.peer_config import (
     CONFIG_QUERY,
     PeerConfigSync,
@@ -42,14 +38,9 @@
 from bluebellslip._internal.nodes.environment import (
     Adapter,
     NodeEnvironment,
-    NodeInterface,
 )
 from bluebellslip._internal.nodes.key_lease import KeyLeaseParts
-from bluebellslip._internal.nodes.listeners import (
-    Handlers,
-    ListenerSet,
-    MetricsHandler,
-)
+from bluebellslip._internal.nodes.life_checking import make_life_checker
 from bluebellslip._internal.nodes.quota_wiring import connect_quotas
 from bluebellslip._internal.nodes.server_publisher import LocalServerPublisher
 from bluebellslip._internal.proxy.attempts import RoutingContext
@@ -60,6 +51,7 @@
 from bluebellslip._internal.proxy.fatal_requests import FatalRequests
 from bluebellslip._internal.proxy.forwarding import RequestForwarder
 from bluebellslip._internal.proxy.ingress import PeerHandler
+from bluebellslip._internal.proxy.life_checks import LifeChecker
 from bluebellslip._internal.proxy.peer_queries import PeerQueries
 from bluebellslip._internal.proxy.request_keys import RequestKeys
 from bluebellslip._internal.proxy.response_sizes import ResponseSizes
@@ -68,7 +60,6 @@
 from bluebellslip._internal.proxy.server_ends import ServerEndMonitor
 from bluebellslip._internal.proxy.server_gateway import ServerGateway
 from bluebellslip._internal.proxy.server_selection import ServerSelector
-from bluebellslip._internal.proxy.trace import UnansweredRequestRecorder
 from bluebellslip._internal.proxy.withdrawals import (
     WITHDRAWAL_QUERY,
     OpenAttempts,
@@ -145,7 +136,7 @@
                 ServiceName(settings.service),
                 Address.from_text(settings.server),
                 settings.heartbeat_period,
-                awaits_record=not settings.first_start,
+                may_have_run=not settings.first_start,
             ),
             beacon_source=beacon_source,
             beacon_protocol=beacon_protocol,
@@ -219,6 +210,7 @@
     """The components that requests pass through."""
 
     gateway: ServerGateway
+    life_checker: LifeChecker
     server_publisher: LocalServerPublisher
     server_selector: ServerSelector
     callers: CallerHandler
@@ -285,6 +277,14 @@
         open_attempts = OpenAttempts(peer_pool)
         return cls(
             gateway=gateway,
+            life_checker=make_life_checker(
+                settings,
+                adapter,
+                environment,
+                state.server,
+                gateway.pool,
+                state.holder,
+            ),
             server_publisher=LocalServerPublisher(
                 clock,
                 NodeId(settings.node),
@@ -383,36 +383,6 @@
             )
 
 
-def make_listeners(
-    settings: MeshSettings,
-    adapter: Adapter,
-    environment: NodeEnvironment,
-    data_plane: DataPlane,
-    node: NodeInterface,
-) -> ListenerSet:
-    """Build the listeners of a node."""
-    handlers = Handlers(
-        callers=data_plane.callers,
-        peers=data_plane.peers,
-        health=adapter.make_health_handler(node),
-        servers=adapter.make_server_handler(node),
-        metrics=MetricsHandler(environment.read_metrics),
-        record_unanswered=UnansweredRequestRecorder(
-            adapter.metadata_headers, environment.counters
-        ),
-        refuse_late=data_plane.callers.refuse,
-    )
-    counters = environment.counters
-    memory = MemoryBudget.from_memory(
-        settings.memory_mb,
-        counters,
-        lambda size: ProcessMonitor.from_system(size, environment.clock),
-    )
-    return ListenerSet(
-        settings.listen, handlers, counters, memory, settings.max_descriptors
-    )
-
-
 def get_grace_period(settings: MeshSettings) -> dt.timedelta:
     """Return how long a node may take to stop."""
     return dt.timedelta(seconds=settings.bounds.grace)
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -20,12 +20,12 @@
 from bluebellslip._internal.models.servers import Heartbeat
 from bluebellslip._internal.nodes.control_plane import ControlPlane
 from bluebellslip._internal.nodes.environment import Adapter, NodeEnvironment
+from bluebellslip._internal.nodes.listener_assembly import make_listeners
 from bluebellslip._internal.nodes.listeners import SWEEP_INTERVAL
 from bluebellslip._internal.nodes.mesh_components import (
     DataPlane,
     MeshState,
     get_grace_period,
-    make_listeners,
 )
 from bluebellslip._internal.nodes.stop_schedule import StopSchedule
 from bluebellslip._internal.telemetry.clock_steps import ClockStepMonitor
@@ -121,6 +121,7 @@
         )
         self._state.holder.on_change(self._apply_config)
         self._data_plane.gateway.on_notice(self._apply_server_change)
+        self._data_plane.life_checker.on_change(self._apply_server_change)
         self._state.peer_table.departures.connect(
             NodeId(settings.node),
             self._state.server,
@@ -207,6 +208,7 @@
             'check the local server': (
                 self._data_plane.gateway.check_periodically
             ),
+            'confirm the local server': self._data_plane.life_checker.run,
             'close idle connections': self._close_idle_periodically,
             'refresh the local server': self._refresh_periodically,
         }
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/cold_server.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/cold_server.py
@@ -160,7 +160,9 @@
             if info is None or not path:
                 continue
             sent_at = self._state.begin_check()
-            report = await check_health(pool, names, info, path)
+            report = await check_health(
+                pool, names, info.address, info.lifetime.server, path
+            )
             self._counters.add('health_checks', outcome=report.outcome)
             current = self._server.info
             is_same = current is not None and current.lifetime == info.lifetime
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/health_checks.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/health_checks.py
@@ -1,4 +1,7 @@
-"""Health checks of the local server, which tell for how long it is cold."""
+"""Health checks of the local server.
+
+They tell whether it leaves, and for how long it is cold.
+"""
 
 import dataclasses
 import datetime as dt
@@ -12,12 +15,15 @@
 from bluebellslip._internal.calls.metadata_headers import MetadataHeaders
 from bluebellslip._internal.calls.pool import ConnectionPool
 from bluebellslip._internal.exceptions import BluebellError
-from bluebellslip._internal.fleet.local_server import ServerInfo
+from bluebellslip._internal.fleet.first_life import HealthStatus
+from bluebellslip._internal.models.identity import Address
 
 # A check waits for a slot of the server like a request. Meanwhile the server is
 # paced, so a longer wait would gain little.
 CHECK_TIMEOUT: Final = dt.timedelta(milliseconds=500)
 _OK: Final = 200
+_UNAVAILABLE: Final = 503
+_FULL: Final = frozenset((429, _UNAVAILABLE))
 # A time of up to 16 minutes, in whole milliseconds. No server is cold for that
 # long, and a wrong value would limit it for as long.
 _MAX_DIGITS: Final = 6
@@ -35,10 +41,13 @@
         that is, from another server.
     cold_for
         How long the server stays cold; none if it names no time.
+    status
+        Whether the server is healthy and does not leave.
     """
 
     outcome: str
     cold_for: dt.timedelta | None = None
+    status: HealthStatus = HealthStatus.UNKNOWN
 
     @property
     def is_valid(self) -> bool:
@@ -47,7 +56,11 @@
 
 
 async def check_health(
-    pool: ConnectionPool, names: MetadataHeaders, info: ServerInfo, path: str
+    pool: ConnectionPool,
+    names: MetadataHeaders,
+    address: Address,
+    server: str,
+    path: str,
 ) -> HealthReport:
     """Send a health check to the local server.
 
@@ -57,21 +70,23 @@
         Connections to the server.
     names
         Names of the headers of the response.
-    info
-        The server.
+    address
+        Address of the server.
+    server
+        Id of the server.
     path
         Path of the check.
     """
     try:
         response = await send_request(
             pool,
-            info.address,
+            address,
             ClientRequest(b'GET', path.encode()),
             CHECK_TIMEOUT,
         )
     except (BluebellError, TimeoutError):
         return HealthReport('failed')
-    return read_report(response, names, info.lifetime.server)
+    return read_report(response, names, server)
 
 
 def read_report(
@@ -90,11 +105,30 @@
     server
         Id of the server that was checked.
     """
+    status = _read_status(response, names, server)
     if response.fields.get(names.server_id) != server.encode():
-        return HealthReport('foreign')
+        return HealthReport('foreign', status=status)
     text = response.fields.get(names.cold_ms)
     if text is None:
-        return HealthReport('answered' if response.status == _OK else 'invalid')
+        outcome = 'answered' if response.status == _OK else 'invalid'
+        return HealthReport(outcome, status=status)
     if not text.isdigit() or len(text) > _MAX_DIGITS:
-        return HealthReport('invalid')
-    return HealthReport('answered', int(text) * _MILLISECOND)
+        return HealthReport('invalid', status=status)
+    return HealthReport('answered', int(text) * _MILLISECOND, status)
+
+
+def _read_status(
+    response: ClientResponse, names: MetadataHeaders, server: str
+) -> HealthStatus:
+    """Return what a response says of the server that was asked.
+
+    A full server refuses health checks like any other request.
+    """
+    if names.not_run in response.fields and response.status in _FULL:
+        return HealthStatus.UNKNOWN
+    found = response.fields.get(names.server_id)
+    if response.status == _OK and found == server.encode():
+        return HealthStatus.HEALTHY
+    if found is None and response.status != _UNAVAILABLE:
+        return HealthStatus.UNSUPPORTED
+    return HealthStatus.UNAVAILABLE
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -159,6 +159,12 @@
         'heartbeats will be ignored.',
         ('server',),
     ),
+    'server_life_checked': Event(
+        'The local server was asked by a health check whether it goes on, as '
+        'the node has started and did not hear this run of it begin. It is '
+        'not used while it says that it leaves or fails.',
+        ('server', 'born', 'status', 'outcome'),
+    ),
     'server_life_unconfirmed': Event(
         'A heartbeat of another run of the local server was received; the run '
         'is taken when it sends more while the current one sends none.',
--- a/tests/unit/test_cold_starts.py
+++ b/tests/unit/test_cold_starts.py
@@ -16,8 +16,8 @@
 from bluebellslip._internal.calls.http_client import ClientResponse
 from bluebellslip._internal.calls.rate_limiter import RateLimiter
 from bluebellslip._internal.exceptions import NoServerError, OverloadedError
+from bluebellslip._internal.fleet.first_life import HistorySource
 from bluebellslip._internal.fleet.local_server import LocalServer
-from bluebellslip._internal.fleet.server_lives import HistorySource
 from bluebellslip._internal.kernel.clock import ManualClock
 from bluebellslip._internal.kernel.counters import InMemoryCounters
 from bluebellslip._internal.models.mesh import ServiceRule
--- a/tests/unit/test_local_server.py
+++ b/tests/unit/test_local_server.py
@@ -10,13 +10,13 @@
 
 import pytest
 
+from bluebellslip._internal.fleet.first_life import HistorySource
 from bluebellslip._internal.fleet.local_server import (
     MAX_CONNECT_FAILURES,
     MAX_MISSED_HEARTBEATS,
     LocalServer,
     MessageResult,
 )
-from bluebellslip._internal.fleet.server_lives import HistorySource
 from bluebellslip._internal.kernel.clock import ManualClock
 from bluebellslip._internal.models.identity import Address
 from bluebellslip._internal.models.servers import (
