Remember "draining" before its life is taken

Callers would see requests at a server whose "draining" was acknowledged, until it ends: a random test of departures did, 1 s after the ack.

Cause: right after its start a node holds back a server's heartbeats until it has evidence, "draining" among them, and the next one, also an earlier one, replaced it. The ack rested on no copy.

Change: that a life leaves is recorded, reported and stored whether the life is taken or not.

Result: test_draining_is_remembered_while_its_life_awaits_evidence fails on the code before and passes.

--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/local_server.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/local_server.py
@@ -167,7 +167,10 @@
             return MessageResult.FOREIGN
         if self._take(heartbeat):
             return MessageResult.TAKEN
-        if self._info is None:
+        if heartbeat.state is not ServerState.READY:
+            if self._lives.record_untaken(heartbeat):
+                self._report_departure(heartbeat.lifetime)
+        elif self._info is None:
             self.first_life.hold(heartbeat)
         return MessageResult.STALE
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/server_lives.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/server_lives.py
@@ -113,9 +113,24 @@
 
     def record_departure(self, lifetime: Lifetime) -> None:
         """Record a life that has left although this node didn't hear it."""
-        self._known[lifetime] = _KnownLife(0, ServerState.GONE)
-        if len(self._known) > MAX_REMEMBERED:
-            self._known.popitem(last=False)
+        self._remember(lifetime, _KnownLife(0, ServerState.GONE))
+
+    def record_untaken(self, heartbeat: Heartbeat) -> bool:
+        """Record the state of a life that was not taken.
+
+        It outlasts heartbeats that the server sent before. Return whether this
+        is another life than the current one.
+        """
+        lifetime = heartbeat.lifetime
+        if lifetime == self._current:
+            return False
+        known = self._known.get(lifetime)
+        sequence, state = heartbeat.sequence, heartbeat.state
+        if known is not None:
+            sequence = max(sequence, known.sequence)
+            state = max(state, known.state)
+        self._remember(lifetime, _KnownLife(sequence, state))
+        return True
 
     def find_state(self, lifetime: Lifetime) -> ServerState:
         """Return the latest state of a life, ready if it is not known."""
@@ -128,10 +143,7 @@
         """Record the current life with its latest sequence number and state."""
         self._current = lifetime
         self._candidate = None
-        self._known[lifetime] = _KnownLife(sequence, state)
-        self._known.move_to_end(lifetime)
-        if len(self._known) > MAX_REMEMBERED:
-            self._known.popitem(last=False)
+        self._remember(lifetime, _KnownLife(sequence, state))
 
     def record_unknown_departure(self, server: str, age: dt.timedelta) -> None:
         """Remember that a server has left of which no life is known.
@@ -169,6 +181,12 @@
             return True
         return self._confirm(heartbeat)
 
+    def _remember(self, lifetime: Lifetime, life: _KnownLife) -> None:
+        self._known[lifetime] = life
+        self._known.move_to_end(lifetime)
+        if len(self._known) > MAX_REMEMBERED:
+            self._known.popitem(last=False)
+
     def _is_evidently_later(self, heartbeat: Heartbeat) -> bool:
         lifetime = heartbeat.lifetime
         if lifetime in self._known or lifetime.server in self._departures:
--- a/tests/unit/test_local_server.py
+++ b/tests/unit/test_local_server.py
@@ -10,7 +10,10 @@
 
 import pytest
 
-from bluebellslip._internal.fleet.first_life import HistorySource
+from bluebellslip._internal.fleet.first_life import (
+    HealthStatus,
+    HistorySource,
+)
 from bluebellslip._internal.fleet.local_server import (
     MAX_CONNECT_FAILURES,
     MAX_MISSED_HEARTBEATS,
@@ -289,3 +292,20 @@
     assert not server.is_usable
     server.apply_heartbeat(make_heartbeat(born=2000))
     assert server.is_usable
+
+
+def test_draining_is_remembered_while_its_life_awaits_evidence() -> None:
+    """The node has just started again, and has acknowledged the heartbeat."""
+    server = LocalServer(
+        ManualClock(), ORDERS, SERVER_ADDRESS, SECOND, may_have_run=True
+    )
+    departed: list[Lifetime] = []
+    server.on_departure(departed.append)
+    draining = make_heartbeat(9, state=ServerState.DRAINING)
+    server.apply_heartbeat(draining)
+    assert departed == [draining.lifetime]
+    server.apply_heartbeat(make_heartbeat(2))
+    server.apply_health(draining.lifetime, HealthStatus.UNSUPPORTED, SECOND)
+    for source in HistorySource:
+        server.apply_history(source)
+    assert not server.is_usable
