Count no heartbeat from before a departure as a confirmation

Callers would see requests at a server whose departure was acknowledged, by a node that has just started: one late heartbeat after the departure was enough, since the one before it counted as the first. The random test of departures found it.

Change: a departure discards what was heard of that server before.

Result: test_heartbeat_from_before_a_departure_confirms_none_after_it fails on the code before and passes.

--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/server_lives.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/server_lives.py
@@ -162,7 +162,11 @@
         self._departures.move_to_end(server)
         if len(self._departures) > MAX_REMEMBERED:
             self._departures.popitem(last=False)
+        # What was heard before the departure confirms nothing after it.
         self._first_life.forget(server)
+        candidate = self._candidate
+        if candidate is not None and candidate.lifetime.server == server:
+            self._candidate = None
         logger.info('departure_recorded', extra={'server': server})
 
     def accepts(self, heartbeat: Heartbeat) -> bool:
--- a/tests/unit/test_local_server.py
+++ b/tests/unit/test_local_server.py
@@ -371,3 +371,14 @@
         make_heartbeat().lifetime, HealthStatus.HEALTHY, asked_at
     )
     assert not count_heartbeats(clock, server, 5)
+
+
+def test_heartbeat_from_before_a_departure_confirms_none_after_it() -> None:
+    """The node has just started, and the server shortly before it."""
+    clock = ManualClock()
+    server = LocalServer(clock, ORDERS, SERVER_ADDRESS, SECOND)
+    server.apply_heartbeat(make_heartbeat(4))
+    server.apply_departure('i-1')
+    clock.advance(2 * SECOND)
+    server.apply_heartbeat(make_heartbeat(5))
+    assert not server.is_usable
