Check the health of a server that left before it was heard

Callers would see requests at a server whose departure was acknowledged, if its node had heard no heartbeat of it before and two of its first ones arrive late: they look like those of its next life.

--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/first_life.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/first_life.py
@@ -64,6 +64,7 @@
 
     def __init__(self, *, may_have_run: bool) -> None:
         self._may_have_run = may_have_run
+        self._needs_check = may_have_run
         self._awaits_record = may_have_run
         self._has_contact = False
         self._health: tuple[Lifetime, HealthStatus] | None = None
@@ -78,7 +79,7 @@
     @property
     def unchecked(self) -> Lifetime | None:
         """The life that a health check may decide on; none if there is none."""
-        if self._held is None or not self._may_have_run:
+        if self._held is None or not self._needs_check:
             return None
         return self._held.lifetime
 
@@ -89,7 +90,7 @@
     def hold(self, heartbeat: Heartbeat) -> None:
         """Keep a heartbeat until there is more evidence."""
         self._held = heartbeat
-        if self._may_have_run:
+        if self._needs_check:
             self._on_held()
 
     def release(self) -> None:
@@ -112,8 +113,13 @@
             return
         self._health = (lifetime, status)
 
-    def forget(self, server: str) -> None:
-        """Forget what a server's health check told: the server has left."""
+    def note_departure(self, server: str) -> None:
+        """Note that a server has left of which no life is known.
+
+        What its health check told before doesn't count any more, and its next
+        heartbeats are a reason for another.
+        """
+        self._needs_check = True
         if self._health is not None and self._health[0].server == server:
             self._health = None
 
@@ -153,10 +159,10 @@
             Time from the first one to the latest.
         """
         health = self._find_health(lifetime)
-        if not self._may_have_run or health is HealthStatus.HEALTHY:
-            return confirmations >= MIN_CONFIRMATIONS
         if health is HealthStatus.UNAVAILABLE:
             return heard_for >= MAX_HEARTBEAT_DELAY
+        if not self._may_have_run or health is HealthStatus.HEALTHY:
+            return confirmations >= MIN_CONFIRMATIONS
         return confirmations >= UNCHECKED_CONFIRMATIONS
 
     def _find_health(self, lifetime: Lifetime) -> HealthStatus | None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/server_lives.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/server_lives.py
@@ -163,7 +163,7 @@
         if len(self._departures) > MAX_REMEMBERED:
             self._departures.popitem(last=False)
         # What was heard before the departure confirms nothing after it.
-        self._first_life.forget(server)
+        self._first_life.note_departure(server)
         candidate = self._candidate
         if candidate is not None and candidate.lifetime.server == server:
             self._candidate = None
--- a/tests/unit/test_local_server.py
+++ b/tests/unit/test_local_server.py
@@ -382,3 +382,23 @@
     clock.advance(2 * SECOND)
     server.apply_heartbeat(make_heartbeat(5))
     assert not server.is_usable
+
+
+def test_server_that_left_before_it_was_heard_is_asked_too() -> None:
+    """Two late heartbeats look like those of its next life."""
+    clock = ManualClock()
+    server = make_server(clock)
+    asked: list[Lifetime | None] = []
+    server.first_life.on_held(lambda: asked.append(server.first_life.unchecked))
+    server.apply_departure('i-1')
+    for sequence in (1, 2):
+        clock.advance(SECOND)
+        server.apply_heartbeat(make_heartbeat(sequence))
+        server.apply_health(
+            make_heartbeat().lifetime,
+            HealthStatus.UNAVAILABLE,
+            clock.elapsed(),
+        )
+    lifetime = make_heartbeat().lifetime
+    assert asked == [lifetime, lifetime]
+    assert not server.is_usable
