Use a healthy next life although its id has left

Callers would see a server unused for 15 s after its node has started again: it runs under the id of one that left, the record in the store or a peer tells of that departure, and its heartbeats have higher numbers than one that started just now could have sent. The random test of departures found it.

Change: a health check that was sent after the node heard of the departure and names that id, healthy, takes the place of the bound on the numbers. The second heartbeat is still needed.

--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/first_life.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/first_life.py
@@ -123,6 +123,10 @@
         if self._health is not None and self._health[0].server == server:
             self._health = None
 
+    def is_healthy(self, lifetime: Lifetime) -> bool:
+        """Return whether a health check has told that a life goes on."""
+        return self._find_health(lifetime) is HealthStatus.HEALTHY
+
     def allows(self, lifetime: Lifetime, *, has_just_started: bool) -> bool:
         """Return whether a life may be taken by its first heartbeat.
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/fleet/server_lives.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/fleet/server_lives.py
@@ -179,7 +179,8 @@
             return True
         if known is not None and known.state is ServerState.GONE:
             return False
-        if not self._may_be_later_than_departure(heartbeat):
+        is_healthy = self._first_life.is_healthy(lifetime)
+        if not (is_healthy or self._may_be_later_than_departure(heartbeat)):
             return False
         if self._is_evidently_later(heartbeat):
             return True
--- a/tests/unit/test_local_server.py
+++ b/tests/unit/test_local_server.py
@@ -17,6 +17,7 @@
 from bluebellslip._internal.fleet.local_server import (
     MAX_CONNECT_FAILURES,
     MAX_MISSED_HEARTBEATS,
+    UNKNOWN_START,
     LocalServer,
     MessageResult,
 )
@@ -402,3 +403,15 @@
     lifetime = make_heartbeat().lifetime
     assert asked == [lifetime, lifetime]
     assert not server.is_usable
+
+
+def test_next_life_under_its_id_is_used_when_its_node_starts_again() -> None:
+    """The record tells of a departure, but not when it was."""
+    clock, server = make_restarted_server()
+    next_life = make_heartbeat(40, born=2000).lifetime
+    server.apply_reported_departure(Lifetime(UNKNOWN_START, 'i-1'), SECOND)
+    for sequence in (40, 41):
+        clock.advance(SECOND)
+        server.apply_heartbeat(make_heartbeat(sequence, born=2000))
+        server.apply_health(next_life, HealthStatus.HEALTHY, clock.elapsed())
+    assert server.is_usable
