Store a departure as soon as the store is back

Cause: a write that failed was tried again at the next poll, 30 or 120 s apart.

Change: a departure that could not be stored wakes the poll, which tries again with pauses of up to a second.

--- a/packages/bluebellslip/src/bluebellslip/_internal/control/discovery.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/discovery.py
@@ -82,6 +82,7 @@
         self._has_unstored_departure = False
         self._era = 0
         self._registers_again = asyncio.Event()
+        self._must_spread = False
         self.has_read_nodes = False
 
     def apply_restore(self, era: int) -> None:
@@ -98,6 +99,7 @@
         self._is_registered = False
         # The revision of the row is from the earlier era.
         self._registration = dataclasses.replace(self._registration, revision=0)
+        self._must_spread = True
         self._registers_again.set()
 
     def apply_peer_era(self, era: int) -> None:
@@ -124,7 +126,7 @@
         """Write the departures that are not stored yet, if the store responds.
 
         After ``STORE_DEPARTURE_TIMEOUT`` the node goes on without: its peers
-        know of them too.
+        know of them too. It tries again until the departures are stored.
         """
         if not self._has_unstored_departure:
             return
@@ -133,6 +135,7 @@
                 await self._register()
         except (BluebellError, TimeoutError) as error:
             logger.warning('departure_not_stored', extra={'reason': str(error)})
+            self._registers_again.set()
 
     async def run(self) -> None:
         """Register the node, then poll for other nodes until cancelled.
@@ -159,8 +162,11 @@
         except TimeoutError:
             return
         self._registers_again.clear()
-        spread = REGISTRATION_SPREAD * self._random.random()
-        await asyncio.sleep(spread.total_seconds())
+        pause = self._jitter.next_wait()
+        if self._must_spread:
+            self._must_spread = False
+            pause = REGISTRATION_SPREAD * self._random.random()
+        await asyncio.sleep(pause.total_seconds())
 
     def _poll_interval(self) -> dt.timedelta:
         if self._has_no_live_peers():
@@ -191,6 +197,7 @@
                 raise
             if self._is_registered:
                 self._has_unstored_departure = False
+                self._registers_again.clear()
             earlier = set(stored.departed) - set(self._registration.departed)
             self._registration = dataclasses.replace(
                 stored,
