Pass nothing on that a stop would cut

Callers saw requests that came late in a planned stop passed on and cut with a 502 5.1 s after the signal, among them some that may not be repeated: POST of 800 bytes, bodies complete at 3.6 to 4.0 s, work of 1.5 s that was known.

Cause: a stop had one cutoff for all requests, and the check of the time left refuses from half of the mean hold time on, which is meant for deadlines. Short bodies were passed on while they arrived, uploads to the local server held a slot meanwhile, and other nodes didn't know of the stop.

Change: a request that ends early because its node stops is passed on only while one and a half mean hold times are left. What waits at other nodes is withdrawn when that time has passed. Short bodies are received before a server is chosen, others before they take a slot of the local server, up to 512 KiB.

--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -39,6 +39,8 @@
 # Interval between updates of the local server's endpoint, and so the maximum
 # age of its load when a server is selected.
 REFRESH_INTERVAL: Final = dt.timedelta(milliseconds=200)
+# Interval between withdrawals of requests that can't end before the node stops.
+WITHDRAWAL_INTERVAL: Final = dt.timedelta(milliseconds=100)
 _BackgroundTask = Callable[[], Coroutine[Any, Any, None]]
 _POLL_INTERVAL_S: Final = 0.02
 # Settings that take effect only after a restart.
@@ -295,8 +297,15 @@
             self._listeners.shut_down()
 
     async def _withdraw_attempts(self, start: dt.timedelta) -> None:
-        await self._sleep_until(start)
-        await self._data_plane.open_attempts.withdraw()
+        """Withdraw the waiting attempts, those that take long before others."""
+        open_attempts = self._data_plane.open_attempts
+        async with anyio.create_task_group() as group:
+            now = self._clock.elapsed()
+            while now < start:
+                group.start_soon(open_attempts.withdraw_late, now)
+                await self._sleep_until(min(start, now + WITHDRAWAL_INTERVAL))
+                now = self._clock.elapsed()
+            await open_attempts.withdraw()
 
     async def _sleep_until(self, time: dt.timedelta) -> None:
         time_left = time - self._clock.elapsed()
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
@@ -318,4 +318,7 @@
 ) -> dt.timedelta:
     """Return the time after which no server can respond in time."""
     hold_time = find_shortest_hold_time(endpoints, routed.route)
-    return find_latest_start(routed.cutoff, hold_time, now) - now
+    latest_start = find_latest_start(
+        routed.cutoff, hold_time, now, is_cut_short=routed.is_cut_short
+    )
+    return latest_start - now
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -305,6 +305,10 @@
     async def _admit_and_run(
         self, routed: RoutedRequest, attempts: Attempts
     ) -> BufferedResponse | None:
+        if routed.is_short:
+            # A slot would be held, and the request be passed on in part, until
+            # the rest of the body has arrived.
+            await routed.upload.buffer()
         if not routed.account:
             self._count_request(routed)
             return await attempts.run()
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
@@ -38,7 +38,6 @@
     buffer_or_stream,
 )
 from bluebellslip._internal.proxy.routed_request import (
-    EXPECT_CONTINUE_BYTES,
     HELD_BYTES,
     LOAD_HEADER,
     ROUTING_HEADER,
@@ -46,7 +45,6 @@
     RoutedRequest,
     decode_load,
     encode_request,
-    estimate_size,
 )
 from bluebellslip._internal.proxy.server_call import ServerCall
 from bluebellslip._internal.proxy.server_gateway import ServerGateway
@@ -170,7 +168,7 @@
         if endpoint.address is None:
             await self._forward_to_local_server(routed, options, result)
             return
-        with self._open_attempts.track(endpoint.address, routed.request_id):
+        with self._open_attempts.track(endpoint.address, routed, endpoint):
             async with SilenceTimeout(endpoint, routed):
                 await self._forward_to_peer(
                     endpoint, endpoint.address, routed, options, result
@@ -184,6 +182,9 @@
     ) -> None:
         async with ServerCall(self._gateway, routed, options) as server_call:
             try:
+                if not routed.request.body.complete:
+                    server_call.check_capacity()
+                    await server_call.receive_body()
                 head = await server_call.run()
                 result.response = await buffer_or_stream(
                     head, server_call.connection, routed.request.reply
@@ -205,7 +206,7 @@
         with Exchange(
             self._peers,
             address,
-            expects_continue=_is_large(routed),
+            expects_continue=not routed.is_short,
             held_bytes=HELD_BYTES,
             on_delivery=result.record_delivery,
             pacer=self._pacer,
@@ -301,10 +302,6 @@
         )
 
 
-def _is_large(routed: RoutedRequest) -> bool:
-    return estimate_size(routed.request) >= EXPECT_CONTINUE_BYTES
-
-
 async def _read_refusal(connection: OutboundConnection) -> BluebellError:
     connection.body.limit_to(MAX_ERROR_BODY_BYTES)
     return decode_error(await connection.body.read_all())
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/ingress.py
@@ -19,7 +19,6 @@
 from bluebellslip._internal.proxy.body_transfers import BodyTransferLimiter
 from bluebellslip._internal.proxy.peer_queries import PeerQueries
 from bluebellslip._internal.proxy.routed_request import (
-    EXPECT_CONTINUE_BYTES,
     LOAD_HEADER,
     PeerRequest,
     encode_load,
@@ -114,26 +113,16 @@
     async def _receive_body(
         self, peer_request: PeerRequest, server_call: ServerCall
     ) -> None:
-        """Receive a long body, up to half of the replay buffer.
-
-        The request takes a slot only afterwards; the rest of its body is
-        received while it holds the slot.
-        """
-        size = estimate_size(peer_request.routed.request)
-        if size < EXPECT_CONTINUE_BYTES:
+        """Receive a long body before the request takes a slot."""
+        if peer_request.routed.is_short:
             return
+        size = estimate_size(peer_request.routed.request)
         server_call.check_capacity()
         time_left = server_call.latest_start - self._gateway.clock.elapsed()
         transfer = self._body_transfers.make_transfer(
             size, peer_request.options.max_wait, time_left
         )
-        timeout = asyncio.timeout(time_left.total_seconds())
-        try:
-            async with timeout, server_call.wait() as wait, transfer:
-                wait.receives_body = True
-                await peer_request.routed.upload.buffer()
-        except TimeoutError:
-            raise OverloadedError('The body arrives too late to run.') from None
+        await server_call.receive_body(transfer)
 
     async def _relay(
         self, request: InboundRequest, server_call: ServerCall
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/routed_request.py
@@ -117,6 +117,16 @@
         """Whether it is a call of a server that runs a retried request."""
         return self.parent is not None and self.parent.is_retry
 
+    @property
+    def is_cut_short(self) -> bool:
+        """Whether it ends before its deadline, because its node stops."""
+        return self.cutoff < self.deadline
+
+    @property
+    def is_short(self) -> bool:
+        """Whether its body is sent on without asking the receiver first."""
+        return estimate_size(self.request) < EXPECT_CONTINUE_BYTES
+
     @property
     def is_repeatable(self) -> bool:
         """Whether the request may run more than once."""
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_call.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_call.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import datetime as dt
 from collections.abc import Mapping
 from types import TracebackType
@@ -54,8 +55,7 @@
     """One request to the local server, from admission to the response's end.
 
     ``sent`` is set once the server may have run the request, ``not_run`` if
-    the server has reported that it did not. ``latest_start`` is the time on
-    the node's clock after which the request is no longer passed on.
+    the server has reported that it did not.
 
     Parameters
     ----------
@@ -86,11 +86,21 @@
         self.sent = False
         self.not_run = False
         now = gateway.clock.elapsed()
+        self._arrived = now
+        self._hold_time = gateway.measurements.hold_times.get(routed.route)
         self._refusal_time = routed.find_refusal_time(now)
-        self.latest_start = find_latest_start(
-            routed.cutoff,
-            gateway.measurements.hold_times.get(routed.route),
-            now,
+
+    @property
+    def latest_start(self) -> dt.timedelta:
+        """Time on the node's clock after which the request isn't passed on.
+
+        It comes earlier once the node of the request's caller stops.
+        """
+        return find_latest_start(
+            self._routed.cutoff,
+            self._hold_time,
+            self._arrived,
+            is_cut_short=self._routed.is_cut_short,
         )
 
     @property
@@ -185,6 +195,36 @@
         if not self._gateway.gate.accepts(self._make_ticket()):
             raise OverloadedError('The server has no slot in time.')
 
+    async def receive_body(
+        self,
+        transfer: contextlib.AbstractAsyncContextManager[object] | None = None,
+    ) -> None:
+        """Receive a body, up to half of the replay buffer.
+
+        The request takes a slot only afterwards; the rest of its body is
+        received while it holds the slot.
+
+        Parameters
+        ----------
+        transfer
+            Open while the body is received over the link; none if it isn't.
+
+        Raises
+        ------
+        OverloadedError
+            When the body arrives too late to run.
+        """
+        time_left = self.latest_start - self._gateway.clock.elapsed()
+        timeout = asyncio.timeout(time_left.total_seconds())
+        if transfer is None:
+            transfer = contextlib.nullcontext()
+        try:
+            async with timeout, self.wait() as wait, transfer:
+                wait.receives_body = True
+                await self._routed.upload.buffer()
+        except TimeoutError:
+            raise OverloadedError('The body arrives too late to run.') from None
+
     def mark_timed_out(self) -> None:
         """Count a sent request as failed because its deadline has passed."""
         if self.sent:
@@ -266,10 +306,12 @@
         Its body may have arrived late, and the end of a connection arrives
         only after the data on it.
         """
-        if self._gateway.clock.elapsed() >= self._routed.cutoff:
+        now = self._gateway.clock.elapsed()
+        if now >= self._routed.cutoff:
             raise OverloadedError(
                 'The request was not started before its cutoff.'
             )
+        self._gateway.check_cutoff(self._routed)
 
     async def _check_caller(self) -> None:
         """Cancel the request if its caller has closed the connection.
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_gateway.py
@@ -16,6 +16,7 @@
     BluebellError,
     DrainingError,
     NoServerError,
+    OverloadedError,
     VersionStoppedError,
 )
 from bluebellslip._internal.fleet.local_server import LocalServer, ServerInfo
@@ -27,6 +28,7 @@
     VersionName,
 )
 from bluebellslip._internal.proxy.cold_server import ColdServer
+from bluebellslip._internal.proxy.latest_starts import find_latest_start
 from bluebellslip._internal.proxy.routed_request import (
     AttemptOptions,
     RoutedRequest,
@@ -300,6 +302,7 @@
             guard()
         if self._closed or not self._server.is_usable:
             raise DrainingError('The server accepts no new requests.')
+        self.check_cutoff(routed)
         if not self._versions.admits(
             info.service, info.version, for_target=options.for_target
         ):
@@ -311,6 +314,26 @@
         self._gate.resize(info.slots)
         return info
 
+    def check_cutoff(self, routed: RoutedRequest) -> None:
+        """Check that a request can end before its node stops.
+
+        Raises
+        ------
+        OverloadedError
+            When it can't; it did not run.
+        """
+        if not routed.is_cut_short:
+            return
+        now = self._clock.elapsed()
+        hold_time = self._measurements.hold_times.get(routed.route)
+        latest_start = find_latest_start(
+            routed.cutoff, hold_time, now, is_cut_short=True
+        )
+        if now > latest_start:
+            raise OverloadedError(
+                'The request can not end before its node stops.'
+            )
+
     def _find_server(
         self, routed: RoutedRequest, options: AttemptOptions
     ) -> ServerInfo:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/withdrawals.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/withdrawals.py
@@ -4,16 +4,18 @@
 on to a server there at any time, so its own node can't say that it has not run.
 Shortly before the cutoff, the stopping node withdraws its open attempts. The
 other node refuses those that it has not passed on, and the refusal is the
-response to the attempt; requests at a server go on. An attempt without a
-request id, or whose refusal is lost, counts as possibly run.
+response to the attempt; requests at a server go on. Attempts of a route that
+takes long are withdrawn before, once they could not end in time any more. An
+attempt without a request id, or whose refusal is lost, counts as possibly run.
 """
 
 import asyncio
 import contextlib
+import dataclasses
 import datetime as dt
 import logging
-from collections import Counter, defaultdict
-from collections.abc import Collection, Generator
+from collections import defaultdict
+from collections.abc import Callable, Collection, Generator
 from typing import Final
 
 import msgspec
@@ -29,8 +31,11 @@
     DrainingError,
     PeerGarbledError,
 )
+from bluebellslip._internal.fleet.peer_table import Endpoint
 from bluebellslip._internal.models.identity import Address
+from bluebellslip._internal.proxy.latest_starts import find_latest_start
 from bluebellslip._internal.proxy.peer_queries import QUERY_HEADER
+from bluebellslip._internal.proxy.routed_request import RoutedRequest
 from bluebellslip._internal.proxy.server_waits import ServerWaits
 from bluebellslip._internal.utils.decoding import DECODING_ERRORS
 
@@ -45,8 +50,38 @@
 _decoder = msgspec.json.Decoder(list[str])
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class OpenAttempt:
+    """An attempt at another node that has not ended.
+
+    Parameters
+    ----------
+    address
+        Address of the node.
+    routed
+        The request.
+    endpoint
+        The server, with the hold times that its node has reported.
+    is_withdrawn
+        Whether the other node was asked to refuse it, if it still waits.
+    """
+
+    address: Address
+    routed: RoutedRequest
+    endpoint: Endpoint
+    is_withdrawn: bool = False
+
+    def is_too_late(self, now: dt.timedelta) -> bool:
+        """Return whether it can't end before its node stops."""
+        routed = self.routed
+        hold_time = self.endpoint.hold_times.get(routed.route)
+        return routed.is_cut_short and now > find_latest_start(
+            routed.cutoff, hold_time, now, is_cut_short=True
+        )
+
+
 class OpenAttempts:
-    """The attempts of this node at other nodes, by their addresses.
+    """The attempts of this node at other nodes.
 
     Parameters
     ----------
@@ -56,9 +91,7 @@
 
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
-        self._request_ids: defaultdict[Address, Counter[bytes]] = defaultdict(
-            Counter
-        )
+        self._open: set[OpenAttempt] = set()
         self._withdrawn = False
 
     @property
@@ -68,15 +101,28 @@
 
     @contextlib.contextmanager
     def track(
-        self, address: Address, request_id: bytes
+        self,
+        address: Address,
+        routed: RoutedRequest,
+        endpoint: Endpoint,
     ) -> Generator[None, None, None]:
-        """Track an attempt at the node with an address."""
-        request_ids = self._request_ids[address]
-        request_ids[request_id] += 1
+        """Track an attempt at the node with an address.
+
+        Parameters
+        ----------
+        address
+            The address.
+        routed
+            The request.
+        endpoint
+            The server.
+        """
+        attempt = OpenAttempt(address, routed, endpoint)
+        self._open.add(attempt)
         try:
             yield
         finally:
-            self._end(address, request_id)
+            self._open.discard(attempt)
 
     def check(self) -> None:
         """Check that an attempt may be sent.
@@ -89,13 +135,30 @@
         if self._withdrawn:
             raise make_withdrawal_error()
 
+    async def withdraw_late(self, now: dt.timedelta) -> None:
+        """Withdraw the attempts that can't end before this node stops.
+
+        Parameters
+        ----------
+        now
+            Time on the node's clock.
+        """
+        await self._withdraw(lambda attempt: attempt.is_too_late(now))
+
     async def withdraw(self) -> None:
         """Withdraw the open attempts and allow no more; return when done."""
         self._withdrawn = True
-        by_address = {
-            address: [request_id for request_id in request_ids if request_id]
-            for address, request_ids in self._request_ids.items()
-        }
+        await self._withdraw(lambda attempt: True)
+
+    async def _withdraw(self, applies: Callable[[OpenAttempt], bool]) -> None:
+        by_address: defaultdict[Address, list[bytes]] = defaultdict(list)
+        for attempt in self._open:
+            request_id = attempt.routed.request_id
+            if request_id and not attempt.is_withdrawn and applies(attempt):
+                attempt.is_withdrawn = True
+                by_address[attempt.address].append(request_id)
+        if not by_address:
+            return
         logger.info(
             'attempts_withdrawn',
             extra={
@@ -105,8 +168,7 @@
         )
         async with asyncio.TaskGroup() as group:
             for address, request_ids in by_address.items():
-                if request_ids:
-                    group.create_task(self._send_query(address, request_ids))
+                group.create_task(self._send_query(address, request_ids))
 
     async def _send_query(
         self, address: Address, request_ids: Collection[bytes]
@@ -127,14 +189,6 @@
         if response.status != _OK:
             _log_failure(address, request_ids, f'status {response.status}')
 
-    def _end(self, address: Address, request_id: bytes) -> None:
-        request_ids = self._request_ids[address]
-        request_ids[request_id] -= 1
-        if not request_ids[request_id]:
-            del request_ids[request_id]
-        if not request_ids:
-            del self._request_ids[address]
-
 
 class WithdrawalHandler:
     """Handles withdrawals of other nodes.
