Let the soak lose the store and all processes, and send bodies late

In an outage of the store a server leaves, is acknowledged, and all processes are killed up to a second later; a heartbeat from before arrives after the store's return, while the server goes on. Callers send bodies in parts over up to 4 s and keep their connections until the process is gone.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -23,11 +23,13 @@
 from bench.soak_costly import CostlyClient
 from bench.soak_nodes import RunContext, SoakNode
 from bench.soak_notices import check_notices
+from bench.soak_outages import Outage, check_departures
 from bench.soak_plan import GRACE, Action, Event, SoakPlan, make_config
 from bench.soak_records import Finding, History
 from bench.soak_traffic import (
     PipeliningClient,
     RecordingServer,
+    SlowClient,
     SoakClient,
 )
 from bluebellslip._internal.kernel.clock import SystemClock
@@ -75,6 +77,7 @@
         )
         # Of its own, so that it changes no other choice of a seed.
         self._born_random = Random(f'born-{plan.seed}')
+        self._outage_random = Random(f'outage-{plan.seed}')
         self._store = SimulatedStore()
         self._version = 0
         self._servers = [
@@ -115,7 +118,9 @@
             f'seed {self._plan.seed}: {ends.total()} requests: {counts}; '
             f'{self._plan.costly_clients} costly clients a node; '
             f'{len(self.history.stops)} stops; '
-            f'{len(self.history.notices)} notices; {len(findings)} findings'
+            f'{len(self.history.notices)} notices; '
+            f'{len(self.history.departures)} departures in outages; '
+            f'{len(findings)} findings'
         )
 
     async def _run_traffic(self) -> None:
@@ -138,6 +143,15 @@
             )
             for node in self._nodes
         ]
+        clients += [
+            SlowClient(
+                f'{self._plan.seed}-{node.name}-slow',
+                node.name,
+                node.address,
+                self.history,
+            )
+            for node in self._nodes
+        ]
         costly_clients = [
             CostlyClient(
                 f'{self._plan.seed}-{node.name}-{number}', node.address
@@ -187,11 +201,22 @@
             await node.restart(event.pause_s)
         elif event.action is Action.RELOAD:
             await node.reload()
+        elif event.action is Action.OUTAGE:
+            await self._lose_all(event)
         elif event.action in {Action.LIMIT, Action.LEAVE}:
             await self._give_notice(event)
         else:
             self._configure()
 
+    async def _lose_all(self, event: Event) -> None:
+        node = self._nodes[event.node]
+        born = node.server_born + self._born_random.choice(_BORN_STEPS)
+        outage = Outage(
+            self._nodes, self._store, self.history, self._outage_random
+        )
+        server = self._servers[event.node]
+        await outage.run(node, server, event.pause_s, born)
+
     async def _give_notice(self, event: Event) -> None:
         """Let a server name a limit, or say that it leaves and be replaced.
 
@@ -232,6 +257,7 @@
     anyio.run(soak.run)
     findings = HistoryChecker(soak.history, Rules()).check()
     findings += check_notices(soak.history)
+    findings += check_departures(soak.history)
     for finding in findings:
         print(finding.format(seed))
     print(soak.summarize(findings), flush=True)
--- a/bench/soak_records.py
+++ b/bench/soak_records.py
@@ -77,6 +77,26 @@
     exited: dt.timedelta = dt.timedelta.max
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Kill:
+    """A SIGKILL of all processes, until the last has started again."""
+
+    at: dt.timedelta
+    ended: dt.timedelta = dt.timedelta.max
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Departure:
+    """The ack of the departure of the server beside ``node``.
+
+    The server goes on until ``ended``, when it starts again as another one.
+    """
+
+    node: str
+    acknowledged: dt.timedelta
+    ended: dt.timedelta = dt.timedelta.max
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Notice:
     """What the server beside ``node`` says in all its responses for a time.
@@ -123,6 +143,8 @@
         self.runs: list[ServerRun] = []
         self.stops: list[Stop] = []
         self.notices: list[Notice] = []
+        self.kills: list[Kill] = []
+        self.departures: list[Departure] = []
         self.findings: list[Finding] = []
         self._clock = clock
         self._begun = clock.elapsed()
--- a/tests/functional/test_drain_soak.py
+++ b/tests/functional/test_drain_soak.py
@@ -14,6 +14,7 @@
 from bench.soak import Soak
 from bench.soak_checks import HistoryChecker, Rules
 from bench.soak_notices import check_notices
+from bench.soak_outages import check_departures
 from bench.soak_plan import SoakPlan
 from bench.soak_records import RouteKind
 
@@ -22,6 +23,9 @@
 _SEED = 1
 # A seed with twelve costly clients at each node.
 _COSTLY_SEED = 3
+# A seed in which a server leaves while the store is away, and is acknowledged.
+_OUTAGE_SEED = 7
+_OUTAGE_SECONDS = 24
 _NODES = 4
 _SECONDS = 8
 # Long enough to catch hangs only.
@@ -67,3 +71,19 @@
     lines = [finding.format(_COSTLY_SEED) for finding in findings]
     assert not lines
     assert any(request.response for request in soak.history.requests)
+
+
+async def test_departures_and_late_bodies_survive_an_outage_and_a_kill(
+    tmp_path: Path,
+) -> None:
+    """No process is left that knows of an acknowledged departure."""
+    plan = SoakPlan.from_seed(_OUTAGE_SEED, _NODES, _OUTAGE_SECONDS)
+    soak = Soak(plan, tmp_path, _KILL_AFTER)
+    await soak.run()
+    findings = HistoryChecker(soak.history, _RULES).check()
+    findings += check_notices(soak.history)
+    findings += check_departures(soak.history)
+    lines = [finding.format(_OUTAGE_SEED) for finding in findings]
+    assert not lines
+    assert soak.history.kills
+    assert soak.history.departures
