Test a departure before a long outage, and close killed nodes' sockets

The store stays away after the restart and the late heartbeat arrives after its return: not tried before. In these tests a killed node's beacon socket stayed open in the test's process and told the new node of the departure, which hid the fault in the new test; it is closed now, so the earlier tests are stricter too.

--- a/tests/functional/test_platform_departures.py
+++ b/tests/functional/test_platform_departures.py
@@ -94,6 +94,8 @@
             node.sequence = 0 if first_start else _HEARTBEATS
             node.heartbeats_stopped = servers[node.name].leaves
             await stack.enter_async_context(node.running())
+            # A killed process answers no beacons.
+            stack.callback(node.node._state.beacon_protocol.close)
         yield nodes
 
 
@@ -152,6 +154,30 @@
             assert servers['portal-1'].checks
 
 
+@pytest.mark.parametrize('answer_checks', [True, False])
+@pytest.mark.parametrize('how', ['draining', 'gone'])
+async def test_departure_is_not_forgotten_if_the_store_stays_away(
+    how: str, answer_checks: bool
+) -> None:
+    """It comes back long after the restart, and the late heartbeat then."""
+    store = SimulatedStore()
+    store.put('op', 'config', _CONFIG)
+    servers = make_servers(answer_checks=answer_checks)
+    async with store.serving():
+        async with run_all(store, servers, first_start=True) as nodes:
+            store.mode = 'refusing'
+            await leave(nodes[0], how)
+            servers['portal-1'].leaves = True
+        async with run_all(store, servers, first_start=False) as nodes:
+            await anyio.sleep(2 * _CONFIRMATION_S)
+            store.mode = 'up'
+            await anyio.sleep(_CONFIRMATION_S)
+            await nodes[0].send_heartbeat()
+            await anyio.sleep(_CONFIRMATION_S)
+            assert not is_usable(nodes[0])
+            assert is_usable(nodes[1])
+
+
 @pytest.mark.parametrize('answer_checks', [True, False])
 @pytest.mark.parametrize('mode', ['up', 'refusing', 'silent'])
 async def test_server_that_stays_is_used_after_a_loss_of_all_nodes(
