Show that a bad version with little traffic is completed

Cause: a roll-out whose target version has handled few calls is completed at its decision deadline, and outcomes are judged only while it runs.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -579,7 +579,7 @@
         self.store = Store(first)
         self.servers: list[Server] = []
         self.nodes: list[Node] = []
-        self.beats: list[asyncio.Task[None]] = []
+        self.beats: dict[str, asyncio.Task[None]] = {}
         for index, service in enumerate(services):
             port = first + 1 + 7 * index
             zone = zones[index % len(zones)]
@@ -594,29 +594,60 @@
             self.servers.append(server)
             self.nodes.append(node)
 
-    async def open(self, config: JsonObject) -> None:
-        """Start everything, and wait until all nodes are ready."""
+    async def open(self, config: JsonObject, count: int | None = None) -> None:
+        """Start the store and the first nodes, and wait until these are ready.
+
+        Without ``count`` all of them are started.
+        """
         await self.store.open()
         self.store.put('config', config)
-        for server in self.servers:
-            await server.open()
+        await self.start(0, count)
         for node in self.nodes:
-            await node.start()
-        for server, node in zip(self.servers, self.nodes, strict=True):
-            self.beats.append(
-                asyncio.create_task(server.beat(node.ports['servers']))
-            )
+            node.settings['first_start'] = False
         await self.wait_ready()
         await asyncio.sleep(3)
 
+    async def start(self, first: int, last: int | None = None) -> None:
+        """Start some of the servers, each with the node beside it."""
+        started = list(zip(self.servers, self.nodes, strict=True))[first:last]
+        for server, node in started:
+            await server.open()
+            await node.start()
+        for server, node in started:
+            self.beats[server.name] = asyncio.create_task(
+                server.beat(node.ports['servers'])
+            )
+
+    def replace_server(
+        self, number: int, kind: type['Server'], version: str
+    ) -> None:
+        """Let another kind of server take the place of one before its start."""
+        earlier = self.servers[number]
+        self.servers[number] = kind(
+            earlier.name,
+            earlier.service,
+            earlier.zone,
+            earlier.port,
+            self.record,
+            work_s=earlier.work_s,
+            slots=earlier.slots,
+            version=version,
+        )
+
+    def stop_server(self, number: int) -> None:
+        """Stop a server at once, without a word to the node beside it."""
+        server = self.servers[number]
+        self.beats[server.name].cancel()
+        server.close()
+
     async def wait_ready(self) -> None:
         async with asyncio.timeout(20):
             for node in self.nodes:
-                while not await node.is_ready():
+                while node.process and not await node.is_ready():
                     await asyncio.sleep(0.05)
 
     async def close(self) -> None:
-        for beat in self.beats:
+        for beat in self.beats.values():
             beat.cancel()
         for node in self.nodes:
             await node.end()
