Format the stand-ins of cases 11 to 15

Cause: three of the files were not in the formatter's form, and the stand-ins imported a name that they don't use. Change: formatted, the import removed; no step, figure or limit of a case changed.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -64,9 +64,7 @@
     )
     first, second = make_tenant('first', KEY), make_tenant('second', 'other')
     try:
-        await deployment.open(
-            make_config(3, ROUTES, tenants=[first, second])
-        )
+        await deployment.open(make_config(3, ROUTES, tenants=[first, second]))
         for index, node in enumerate(deployment.nodes):
             allowed = await call(node, record, f'before-{index}', KEY)
             unknown = await call(node, record, f'unknown-{index}', 'no-key')
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -170,8 +170,7 @@
     )
     in_time = [run for run in runs if run.at <= ordered + DURATION_S]
     total = sum(
-        ordered <= at <= ordered + DURATION_S
-        for at in traffic.sent_at.values()
+        ordered <= at <= ordered + DURATION_S for at in traffic.sent_at.values()
     )
     allowed = CANARY_SHARE * total + CANARY_SLACK
     record.write(
@@ -181,9 +180,7 @@
     late = []
     if len(bad) >= BAD_ANSWERS:
         latest = bad[BAD_ANSWERS - 1] + ROLLBACK_S
-        late = [
-            run for run in runs if traffic.sent_at[run.request_id] > latest
-        ]
+        late = [run for run in runs if traffic.sent_at[run.request_id] > latest]
     record.write(
         f'{len(late)} requests reached it that were sent later than '
         f'{ROLLBACK_S} s after its {BAD_ANSWERS}th bad answer'
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -20,7 +20,7 @@
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
-from urllib.parse import parse_qs, unquote, urlsplit
+from urllib.parse import parse_qs, urlsplit
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 HOST = '127.0.0.1'
@@ -201,9 +201,7 @@
             for row in call.get('expected_rev', ())
         ]
         if any(self._find_version(key) != ver for key, ver in expected):
-            rows = [
-                self._encode(key) for key, _ in expected if self._has(key)
-            ]
+            rows = [self._encode(key) for key, _ in expected if self._has(key)]
             return 412, self._frame(rows)
         changes: dict[tuple[str, str], str | None] = {
             (row['table'], row['key']): row['value']
@@ -332,7 +330,10 @@
         while True:
             with contextlib.suppress(OSError, EOFError, TimeoutError):
                 await send(
-                    control_port, 'PUT', path, body=self.encode_beat(),
+                    control_port,
+                    'PUT',
+                    path,
+                    body=self.encode_beat(),
                     timeout=1,
                 )
             await asyncio.sleep(interval)
@@ -368,8 +369,13 @@
             self.respond(writer, request_id, 503, {'X-Not-Executed': '1'})
             return
         run = Run(
-            request_id, method, path, self.name, request.headers,
-            request.body, self._record.now,
+            request_id,
+            method,
+            path,
+            self.name,
+            request.headers,
+            request.body,
+            self._record.now,
         )
         self.runs.append(run)
         self._record.write(f'run {request_id} {method} {path} at {self.name}')
@@ -378,7 +384,10 @@
             if self.work is None or not await self.work(self, request, writer):
                 await asyncio.sleep(self.work_s)
                 self.respond(
-                    writer, request_id, 200, {'X-Server-Signature': 's.1'},
+                    writer,
+                    request_id,
+                    200,
+                    {'X-Server-Signature': 's.1'},
                     f'{self.name} {request_id}'.encode(),
                 )
         finally:
@@ -473,7 +482,8 @@
                 'canary_share': 0.1,
                 'canary_slack': 50,
                 'rollback': 5,
-            } | (bounds or {}),
+            }
+            | (bounds or {}),
         } | (more or {})
 
     @property
@@ -499,8 +509,13 @@
         variables['BLUEBELLSLIP_NODE_FILE'] = str(self.path)
         with self.log_path.open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
-                'python3', '-m', 'bluebellslip_platform',
-                cwd=ROOT, env=variables, stdout=log, stderr=log,
+                'python3',
+                '-m',
+                'bluebellslip_platform',
+                cwd=ROOT,
+                env=variables,
+                stdout=log,
+                stderr=log,
                 stdin=asyncio.subprocess.DEVNULL,
             )
 
@@ -584,12 +599,23 @@
             port = first + 1 + 7 * index
             zone = zones[index % len(zones)]
             server = Server(
-                f'i-{index}', service, zone, port, record,
-                work_s=work_s, slots=slots,
+                f'i-{index}',
+                service,
+                zone,
+                port,
+                record,
+                work_s=work_s,
+                slots=slots,
             )
             node = Node(
-                f'side-{zone}-{index}', zone, service, port + 1, port, first,
-                directory, bounds=bounds,
+                f'side-{zone}-{index}',
+                zone,
+                service,
+                port + 1,
+                port,
+                first,
+                directory,
+                bounds=bounds,
             )
             self.servers.append(server)
             self.nodes.append(node)
