Let no header of a caller speak for a node

Cause: what is forwarded was a list of what is dropped, and the header of the queries between nodes was not in it. Ruled out as the cause, and closed as second lines: a query was told from a forwarded request by that header alone, and a success of another node needed no signature.

Change: all names with the mesh's prefix are dropped from requests, as from responses. A request with a routing header, which the forwarding node sets, is never a query. A success that a node passes on needs the signature and the id.

The headers are found in the source, the queries where they are registered.

--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/at_most_once.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/at_most_once.py
@@ -130,7 +130,7 @@
             ),
         )
         response = await asyncio.shield(self._join_or_start(prepared))
-        headers = header_names.filter_response_headers(response.headers)
+        headers = header_names.filter_headers(response.headers)
         request.reply.respond(response.status, headers, response.body)
 
     async def end(self, timeout: dt.timedelta) -> None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/backend.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/backend.py
@@ -30,7 +30,7 @@
 
 def make_server_headers(call: Call, time_left: dt.timedelta) -> list[Header]:
     """Return the request headers for the server, with the remaining time."""
-    headers = header_names.filter_request_headers(call.request.headers)
+    headers = header_names.filter_headers(call.request.headers)
     headers.extend((
         (header_names.TIMEOUT_MS, b'%d' % max(1, time_left // _MILLISECOND)),
         (header_names.DEPTH, b'%d' % call.depth),
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/egress.py
@@ -243,7 +243,7 @@
 
     def _make_headers(self, call: Call) -> list[Header]:
         time_left = call.remaining(self._context.clock.elapsed())
-        headers = header_names.filter_request_headers(call.request.headers)
+        headers = header_names.filter_headers(call.request.headers)
         headers.extend((
             (
                 header_names.TIMEOUT_MS,
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/exchange.py
@@ -357,7 +357,7 @@
     ServerFailedError
         When the response ends early.
     """
-    headers = header_names.filter_response_headers(head.headers)
+    headers = header_names.filter_headers(head.headers)
     headers.extend(extra)
     request.reply.start(head.status, headers, head.length)
     body = connection.body
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/headers.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/headers.py
@@ -24,7 +24,8 @@
 # As many as the longest content-length that the parser accepts has.
 MAX_NUMBER_DIGITS: Final = 20
 
-_MESH_PREFIX: Final = b'bluebell-'
+# Of all headers that nodes exchange among themselves.
+MESH_PREFIX: Final = b'bluebell-'
 _HOP_BY_HOP: Final = frozenset((
     b'connection',
     b'content-length',
@@ -38,7 +39,6 @@
     b'transfer-encoding',
     b'upgrade',
 ))
-_DROPPED_FROM_REQUEST: Final = _HOP_BY_HOP | {TIMEOUT_MS, DEPTH, CALL_NUMBER}
 
 
 def read_number(fields: Mapping[bytes, bytes], name: bytes) -> int | None:
@@ -98,24 +98,17 @@
     return host.decode('latin-1').partition(':')[0].lower()
 
 
-def filter_request_headers(headers: Iterable[Header]) -> list[Header]:
-    """Drop hop-by-hop headers and those that this node sets itself."""
-    return [
-        header for header in headers if header[0] not in _DROPPED_FROM_REQUEST
-    ]
-
-
-def filter_response_headers(headers: Iterable[Header]) -> list[Header]:
+def filter_headers(headers: Iterable[Header]) -> list[Header]:
     """Drop hop-by-hop headers and the mesh's own headers.
 
-    Each node sets the mesh's headers itself, so no backend server can make a
-    caller believe that a request did not run.
+    Each node sets the mesh's headers itself, in requests and in responses, so
+    neither a caller nor a backend server can speak for a node.
     """
     return [
         header
         for header in headers
         if header[0] not in _HOP_BY_HOP
-        and not header[0].startswith(_MESH_PREFIX)
+        and not header[0].startswith(MESH_PREFIX)
     ]
 
 
--- a/packages/bluebellslip/src/bluebellslip/_internal/calls/metadata_headers.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/calls/metadata_headers.py
@@ -5,7 +5,9 @@
 from typing import Final
 
 from bluebellslip._internal.calls.headers import Header
+from bluebellslip._internal.calls.response_reader import ResponseHead
 
+_SUCCESS: Final = range(200, 300)
 _LEAVING_VALUE: Final = b'1'
 
 
@@ -57,6 +59,24 @@
     cold_ms: bytes = b'server-cold-ms'
     server_id: bytes = b'server-id'
 
+    def is_authentic(self, head: ResponseHead, request_id: bytes) -> bool:
+        """Return whether a response is no success, or one of a server.
+
+        A server signs its successes, and repeats the request's id in them.
+
+        Parameters
+        ----------
+        head
+            The response.
+        request_id
+            Id that the caller sent; empty if none.
+        """
+        if head.status not in _SUCCESS:
+            return True
+        return self.signature in head.fields and (
+            not request_id or head.fields.get(self.request_id) == request_id
+        )
+
     def says_leaving(self, headers: Iterable[Header]) -> bool:
         """Return whether a response says that its server leaves."""
         return any(
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -358,7 +358,7 @@
         reply = routed.request.reply
         reply.start(
             head.status,
-            header_names.filter_response_headers(head.headers),
+            header_names.filter_headers(head.headers),
             _choose_length(head.length, response.body, routed.request.method),
         )
         reply.finish(response.body)
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
@@ -21,6 +21,7 @@
     ErrorKind,
     NoServerError,
     OverloadedError,
+    ServerFailedError,
 )
 from bluebellslip._internal.fleet.peer_table import (
     Endpoint,
@@ -220,12 +221,30 @@
                 error = await _read_refusal(exchange.connection)
                 self._record_refusal(endpoint, error)
                 raise error
+            self._check_signature(routed, head)
             self._check_leaving(endpoint, head)
             result.call_failed = CALL_FAILED_HEADER in head.fields
             result.response = await buffer_or_stream(
                 head, exchange.connection, routed.request.reply
             )
 
+    def _check_signature(
+        self, routed: RoutedRequest, head: ResponseHead
+    ) -> None:
+        """Check that a success comes from a server, not from its node.
+
+        Raises
+        ------
+        ServerFailedError
+            When it lacks the server's signature or the request id.
+        """
+        metadata_headers = self._gateway.metadata_headers
+        if not metadata_headers.is_authentic(head, routed.request_id):
+            raise ServerFailedError(
+                "A success of another node lacks the server's signature or the "
+                'request id.'
+            )
+
     def _check_leaving(self, endpoint: Endpoint, head: ResponseHead) -> None:
         """Use a server no more once its caller gets to know that it leaves."""
         if self._gateway.metadata_headers.says_leaving(head.headers):
@@ -274,13 +293,7 @@
     def _make_headers(
         self, routed: RoutedRequest, options: AttemptOptions
     ) -> list[Header]:
-        fields = [
-            header
-            for header in header_names.filter_request_headers(
-                routed.request.headers
-            )
-            if header[0] != ROUTING_HEADER
-        ]
+        fields = header_names.filter_headers(routed.request.headers)
         routing_header = encode_request(routed, options, self._clock.elapsed())
         fields.append((ROUTING_HEADER, routing_header))
         return fields
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/peer_queries.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/peer_queries.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from bluebellslip._internal.calls.request import InboundRequest
+from bluebellslip._internal.proxy.routed_request import ROUTING_HEADER
 
 QUERY_HEADER: Final = b'bluebell-ask'
 
@@ -21,7 +22,13 @@
         self._handlers[name] = handler
 
     async def handle(self, request: InboundRequest) -> bool:
-        """Respond to a registered query; return false for any other request."""
+        """Respond to a registered query; return false for any other request.
+
+        What a node forwards for a caller has a routing header, and is never a
+        query, whatever other headers the caller has sent.
+        """
+        if ROUTING_HEADER in request.fields:
+            return False
         name = request.fields.get(QUERY_HEADER)
         handler = None if name is None else self._handlers.get(name)
         if handler is None:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/responses.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/responses.py
@@ -78,7 +78,7 @@
 ) -> None:
     reply.start(
         head.status,
-        header_names.filter_response_headers(head.headers),
+        header_names.filter_headers(head.headers),
         head.length,
     )
     if buffered:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_call.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/server_call.py
@@ -30,7 +30,6 @@
     make_fingerprint,
 )
 from bluebellslip._internal.proxy.routed_request import (
-    ROUTING_HEADER,
     AttemptOptions,
     RoutedRequest,
 )
@@ -40,7 +39,6 @@
 
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
 _MIN_SERVER_ERROR: Final = 500
-_SUCCESS: Final = range(200, 300)
 _MISDIRECTED: Final = 421
 _KEEP_ALIVE: Final = b'keep-alive'
 _TIMEOUT_FIELD: Final = b'timeout='
@@ -365,10 +363,10 @@
             added[metadata_headers.account] = self._routed.account.encode()
         fields = [
             header
-            for header in header_names.filter_request_headers(
+            for header in header_names.filter_headers(
                 self._routed.request.headers
             )
-            if header[0] not in added and header[0] != ROUTING_HEADER
+            if header[0] not in added
         ]
         fields.extend(added.items())
         return fields
@@ -398,7 +396,7 @@
                 'The server did not run the request.',
                 context={'status': str(head.status)},
             )
-        if head.status in _SUCCESS and not self._is_authentic(fields):
+        if not metadata_headers.is_authentic(head, self._routed.request_id):
             raise ServerFailedError(
                 "A successful response lacks the server's signature or the "
                 'request id.'
@@ -425,13 +423,6 @@
                 'A refusal on a reused connection does not name the request.'
             )
 
-    def _is_authentic(self, fields: Mapping[bytes, bytes]) -> bool:
-        metadata_headers = self._gateway.metadata_headers
-        echoed = fields.get(metadata_headers.request_id)
-        return metadata_headers.signature in fields and (
-            echoed == self._routed.request_id or not self._routed.request_id
-        )
-
     def _update_idle_limit(self, fields: Mapping[bytes, bytes]) -> None:
         _, found, rest = fields.get(_KEEP_ALIVE, b'').partition(_TIMEOUT_FIELD)
         seconds = header_names.parse_count(
--- a/tests/unit/test_unreached_at_peers.py
+++ b/tests/unit/test_unreached_at_peers.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from typing import Any
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
 import pytest
 
@@ -21,7 +21,10 @@
 from bluebellslip._internal.proxy.body_transfers import BodyTransferLimiter
 from bluebellslip._internal.proxy.ingress import REACHED_HEADER, PeerHandler
 from bluebellslip._internal.proxy.latest_starts import ANSWER_TIME
-from bluebellslip._internal.proxy.peer_queries import PeerQueries
+from bluebellslip._internal.proxy.peer_queries import (
+    QUERY_HEADER,
+    PeerQueries,
+)
 from bluebellslip._internal.proxy.routed_request import (
     ROUTING_HEADER,
     encode_request,
@@ -106,3 +109,20 @@
         assert (REACHED_HEADER in fields) is is_sent
 
     run_in_virtual_time(scenario)
+
+
+def test_forwarded_request_is_no_query() -> None:
+    """Its other headers are its caller's, also from a node of older code."""
+
+    async def scenario() -> None:
+        queries = PeerQueries()
+        handler = AsyncMock()
+        queries.register(b'config', handler)
+        request = make_routed_request(LoopClock(), SECOND).request
+        request.fields = {QUERY_HEADER: b'config', ROUTING_HEADER: b'[]'}
+        assert not await queries.handle(request)
+        handler.assert_not_awaited()
+        del request.fields[ROUTING_HEADER]
+        assert await queries.handle(request)
+
+    run_in_virtual_time(scenario)
