Tell an empty list of client accounts from a missing one

Cause: from the decoder on, no accounts and no list of accounts were one thing, which meant that requests need no key. Ruled out: the lease, which such a configuration doesn't ask, and the peers' copy, which is the same bytes.

An account without keys as the only one left held before.

--- a/packages/bluebellslip/src/bluebellslip/_internal/accounts/directory.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/accounts/directory.py
@@ -21,20 +21,20 @@
     Parameters
     ----------
     accounts
-        The accounts; empty if requests need no key.
+        The accounts; none if requests need no key.
     """
 
-    def __init__(self, accounts: Sequence[AccountRule]) -> None:
-        self._is_active = bool(accounts)
+    def __init__(self, accounts: Sequence[AccountRule] | None) -> None:
+        self._is_active = accounts is not None
         self._accounts = {
             digest: account
-            for account in accounts
+            for account in accounts or ()
             for digest in account.key_digests
         }
 
     @property
     def is_active(self) -> bool:
-        """Whether the configuration has accounts."""
+        """Whether requests need a key."""
         return self._is_active
 
     @classmethod
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/mesh.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/mesh.py
@@ -162,14 +162,15 @@
     bounds
         Limits on callers.
     accounts
-        The client accounts; empty if requests need no key.
+        The client accounts; none if requests need no key. With no account in
+        it, no key is known.
     """
 
     revision: int
     routes: tuple[RouteRule, ...]
     services: Mapping[ServiceName, ServiceRule]
     bounds: CallerBounds
-    accounts: tuple[AccountRule, ...] = ()
+    accounts: tuple[AccountRule, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/quota_wiring.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/quota_wiring.py
@@ -38,6 +38,8 @@
     )
     beacon_protocol.on_datagram(FIRST_BYTE, quotas.receive)
     holder.on_change(
-        lambda table: quotas.apply(table.config.revision, table.config.accounts)
+        lambda table: quotas.apply(
+            table.config.revision, table.config.accounts or ()
+        )
     )
     return quotas
--- a/tests/unit/test_account_wire.py
+++ b/tests/unit/test_account_wire.py
@@ -67,3 +67,11 @@
 
     assert config.accounts[0].rate == 0
     assert config.accounts[0].priority is None
+
+
+def test_missing_accounts_are_not_the_same_as_none():
+    """Without the field requests need no key, with no account none gets in."""
+    document = msgspec.json.decode(_encode())
+    assert decode_config(msgspec.json.encode(document)).config.accounts == ()
+    del document['tenants']
+    assert decode_config(msgspec.json.encode(document)).config.accounts is None
