Keep keys from servers while no accounts are in force

Servers would see the keys that callers still send after a version without accounts, and any name of an account that a caller chose.

Cause: both headers were removed only while the configuration had accounts.

Change: they are removed wherever the deployment has keys: it asks for strict revocation, or the node has had a configuration with accounts. Where neither holds they are forwarded like any other header, as before.

Open: without strict revocation, a node that starts after the accounts are gone forwards them.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_keys.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/request_keys.py
@@ -21,6 +21,10 @@
 class KeyLease(Protocol):
     """Tells whether a configuration may decide about keys."""
 
+    @property
+    def is_strict(self) -> bool:
+        """Whether the deployment asks for strict revocation."""
+
     def check(self, revision: int) -> None:
         """Check that a configuration may still accept keys.
 
@@ -62,6 +66,9 @@
         self._freshness = freshness
         self._lease = lease
         self._key_name = metadata_headers.api_key
+        # Whether the header with the key is the deployment's own, so that no
+        # server may get it, also while the configuration has no accounts.
+        self._has_keys = lease.is_strict
         self._names = frozenset((
             metadata_headers.api_key,
             metadata_headers.account,
@@ -73,7 +80,8 @@
         """Return the account of a request, and remove the key from it.
 
         None if the configuration has no accounts or the request has no key and
-        needs none. Without accounts, the request is left as it is.
+        needs none. Where no configuration had accounts, the request is left as
+        it is.
 
         Raises
         ------
@@ -82,9 +90,9 @@
         NotReadyError
             When a newer configuration may know the key, or may have dropped it.
         """
+        key = self._take_key(table, request)
         if not table.accounts.is_active:
             return None
-        key = self._take_key(request)
         if key is not None:
             self._lease.check(table.config.revision)
         try:
@@ -97,12 +105,15 @@
     def strip(self, request: InboundRequest) -> None:
         """Remove what a peer without accounts has passed on from its caller."""
         table = self._freshness.table
-        if table is not None and table.accounts.is_active:
-            self._take_key(request)
+        if table is not None:
+            self._take_key(table, request)
 
-    def _take_key(self, request: InboundRequest) -> bytes | None:
+    def _take_key(
+        self, table: RoutingTable, request: InboundRequest
+    ) -> bytes | None:
         """Return the key, empty if the header is repeated; none if missing."""
-        if self._names.isdisjoint(request.fields):
+        self._has_keys = self._has_keys or table.accounts.is_active
+        if not self._has_keys or self._names.isdisjoint(request.fields):
             return None
         keys = [
             text for name, text in request.headers if name == self._key_name
--- a/tests/unit/test_account_directory.py
+++ b/tests/unit/test_account_directory.py
@@ -31,7 +31,9 @@
 def _make_keys(
     table: RoutingTable = _TABLE, lease: KeyLease | None = None
 ) -> RequestKeys:
-    return RequestKeys(Mock(table=table), METADATA_HEADERS, lease or Mock())
+    if lease is None:
+        lease = Mock(is_strict=False)
+    return RequestKeys(Mock(table=table), METADATA_HEADERS, lease)
 
 
 @pytest.mark.parametrize('rule', [_OPEN, _CLOSED])
@@ -90,7 +92,7 @@
 def test_refusal_is_not_final_while_a_newer_configuration_is_known():
     freshness = Mock()
     freshness.check_final.side_effect = NotReadyError('newer')
-    keys = RequestKeys(freshness, METADATA_HEADERS, Mock())
+    keys = RequestKeys(freshness, METADATA_HEADERS, Mock(is_strict=False))
 
     for fields in ({'api_key': b'k4'}, {}):
         with pytest.raises(NotReadyError):
@@ -98,7 +100,7 @@
 
 
 def test_refusal_is_not_final_while_a_fact_names_a_newer_configuration():
-    lease = Mock()
+    lease = Mock(is_strict=False)
     lease.check_final.side_effect = NotReadyError('newer')
 
     with pytest.raises(NotReadyError):
@@ -109,7 +111,7 @@
 
 @pytest.mark.parametrize('key', [b'k1', b'k4'])
 def test_expired_lease_refuses_any_key_but_no_anonymous_request(key):
-    lease = Mock()
+    lease = Mock(is_strict=False)
     lease.check.side_effect = NotReadyError('old')
     keys = _make_keys(lease=lease)
 
@@ -137,3 +139,22 @@
     _make_keys(table).strip(request)
 
     assert not request.headers
+
+
+@pytest.mark.parametrize('comes_from_peer', [True, False])
+@pytest.mark.parametrize('is_strict', [True, False])
+def test_key_stays_secret_when_the_accounts_are_removed(
+    is_strict, comes_from_peer
+):
+    """A strict deployment has keys, also before the first account is seen."""
+    table = RoutingTable.from_config(make_config(2), Random(1))
+    keys = _make_keys(table, Mock(is_strict=is_strict))
+    if not is_strict:
+        keys.identify(_TABLE, _OPEN, make_inbound_request())
+    request = make_inbound_request(api_key=b'k1', client_account=b'depot')
+    if comes_from_peer:
+        keys.strip(request)
+    else:
+        assert keys.identify(table, _CLOSED, request) is None
+    assert not request.headers
+    assert not request.fields
