Keep the balancers of routes by host and prefix

Callers would see requests run by a service that their route doesn't lead to (ROUTE), where two routes have one name and one of them several destinations. Read while looking for configurations that are taken for others; the users' page doesn't say that names of routes are unique.

Cause: balancers were kept by the route's name.

Change: by host and prefix, by which requests are matched too.

Result: test_routes_of_one_name_keep_their_own_destinations fails before.

--- a/packages/bluebellslip/src/bluebellslip/_internal/mesh/table.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/mesh/table.py
@@ -32,12 +32,12 @@
         self._config = config
         self._accounts = AccountDirectory.from_config(config)
         self._hosts: dict[str, _PrefixNode] = {}
-        self._balancers: dict[str, WeightedRoundRobin] = {}
+        self._balancers: dict[tuple[str, str], WeightedRoundRobin] = {}
         for rule in config.routes:
             root = self._hosts.setdefault(rule.host, _PrefixNode())
             root.add(rule)
             if len(rule.destinations) > 1:
-                self._balancers[rule.name] = WeightedRoundRobin(
+                self._balancers[rule.host, rule.prefix] = WeightedRoundRobin(
                     rule, random_source
                 )
 
@@ -71,7 +71,7 @@
 
     def choose_service(self, rule: RouteRule) -> ServiceName:
         """Return the service for the next request of a route."""
-        balancer = self._balancers.get(rule.name)
+        balancer = self._balancers.get((rule.host, rule.prefix))
         if balancer is None:
             return rule.destinations[0].service
         return balancer.choose()
--- a/tests/unit/test_routing_table.py
+++ b/tests/unit/test_routing_table.py
@@ -116,3 +116,11 @@
         for path in ('/a//b', '/a/b', '/a/', 'a/b', '')
     ]
     assert found == ['/a//', '/a/', '/a/', None, None]
+
+
+def test_routes_of_one_name_keep_their_own_destinations() -> None:
+    split = make_rule('r', prefix='/a/', services={'a': 1, 'b': 1})
+    single = make_rule('r', prefix='/b/', services={'c': 1})
+    table = RoutingTable(make_config(split, single).config, Random(1))
+    assert table.choose_service(single) == 'c'
+    assert table.choose_service(split) in {'a', 'b'}
