Let an odd entry of a configuration cost only that entry

Cause: the decoder refused the configuration whole, and the reader of the store skipped it. The users' page allows a rate of 0 or none ("no limit"). The same held for ten other entries that the page allows or doesn't name.

Change: a configuration as the page has it is decoded as before. Of any other, each entry and each optional field is decoded by itself; what can't be used is left out, logged when the version is applied and counted in a gauge. A route without a usable destination refuses its requests, rather than leave them to a shorter prefix.

--- a/packages/bluebellslip/src/bluebellslip/_internal/mesh/holder.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/mesh/holder.py
@@ -12,6 +12,8 @@
 
 logger = logging.getLogger(__name__)
 
+# Log lines about entries of one configuration.
+MAX_LOGGED_PROBLEMS: Final = 32
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
 
 
@@ -50,6 +52,11 @@
         """The active revision; 0 before the first one."""
         return 0 if self._table is None else self._table.config.revision
 
+    @property
+    def problems(self) -> int:
+        """How many problems the active configuration has."""
+        return 0 if self._record is None else len(self._record.problems)
+
     @property
     def age(self) -> dt.timedelta:
         """How long the active revision has been known; zero if unknown."""
@@ -102,6 +109,7 @@
                 'spent_ms': spent and round(spent / _MILLISECOND, 1),
             },
         )
+        _log_problems(record)
         for listener in self._listeners:
             listener(table)
         return True
@@ -113,3 +121,15 @@
         self._news.record(revision)
         self._news.forget_before(revision)
         return self._news.find_age(revision) or dt.timedelta()
+
+
+def _log_problems(record: ConfigRecord) -> None:
+    for problem in record.problems[:MAX_LOGGED_PROBLEMS]:
+        logger.warning(
+            'config_entry_unusable',
+            extra={
+                'revision': record.config.revision,
+                'problem': problem,
+                'of': len(record.problems),
+            },
+        )
--- a/packages/bluebellslip/src/bluebellslip/_internal/mesh/table.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/mesh/table.py
@@ -6,6 +6,7 @@
 from typing import Final, Self
 
 from bluebellslip._internal.accounts.directory import AccountDirectory
+from bluebellslip._internal.exceptions import NoServerError
 from bluebellslip._internal.models.identity import ServiceName
 from bluebellslip._internal.models.mesh import MeshConfig, RouteRule
 
@@ -70,7 +71,17 @@
         return None if root is None else root.find(path)
 
     def choose_service(self, rule: RouteRule) -> ServiceName:
-        """Return the service for the next request of a route."""
+        """Return the service for the next request of a route.
+
+        Raises
+        ------
+        NoServerError
+            When the route leads to no service.
+        """
+        if not rule.destinations:
+            raise NoServerError(
+                'The route leads to no service.', context={'route': rule.name}
+            )
         balancer = self._balancers.get((rule.host, rule.prefix))
         if balancer is None:
             return rule.destinations[0].service
--- a/packages/bluebellslip/src/bluebellslip/_internal/models/mesh.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/models/mesh.py
@@ -46,7 +46,8 @@
     prefix
         Prefix of the paths that belong to the route.
     destinations
-        Services that the route leads to; never empty.
+        Services that the route leads to. Empty if there are none, so that its
+        requests are refused.
     runs
         How often one request may run.
     timeout
@@ -183,7 +184,10 @@
         The decoded configuration.
     body
         The stored bytes, which are sent to other nodes unchanged.
+    problems
+        What can't be used of it, as texts for operators.
     """
 
     config: MeshConfig
     body: bytes
+    problems: tuple[str, ...] = ()
--- a/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/nodes/mesh_node.py
@@ -369,6 +369,7 @@
             'store_lost',
             lambda: float(self._state.store_health.last_request_failed),
         )
+        gauge('config_problems', lambda: self._state.holder.problems)
         self._register_server_gauges(gauge)
 
     def _register_server_gauges(
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/egress.py
@@ -150,12 +150,10 @@
         """Respond with an error to a request that is not to be handled."""
         trace = self._begin_trace(request)
         try:
-            rule = self._find_rule(self._get_table(), request)
+            trace.service = self._find_service(request, trace)
         except BluebellError as own_error:
             self._send_error(request, own_error, trace, may_have_run=False)
             return
-        trace.route = rule.name
-        trace.service = self._get_table().choose_service(rule)
         self._send_error(request, error, trace, may_have_run=False)
 
     def _route(
@@ -174,6 +172,15 @@
         trace.time_left_ms = to_ms(routed.deadline - trace.started)
         return routed, rule
 
+    def _find_service(
+        self, request: InboundRequest, trace: RequestTrace
+    ) -> ServiceName:
+        """Return the service of a request, and record its route."""
+        table = self._get_table()
+        rule = self._find_rule(table, request)
+        trace.route = rule.name
+        return table.choose_service(rule)
+
     def _begin_trace(self, request: InboundRequest) -> RequestTrace:
         return RequestTrace(
             self._read_id(request).decode('latin-1'),
--- a/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/telemetry/events.py
@@ -121,6 +121,12 @@
             'spent_ms',
         ),
     ),
+    'config_entry_unusable': Event(
+        'An entry of a configuration that was applied, or a part of it, cannot '
+        'be used; the others are in force. ``of`` is the number of such '
+        'problems in the configuration.',
+        ('revision', 'problem', 'of'),
+    ),
     'config_not_fetched': Event(
         'A newer configuration could not be fetched from a peer.',
         ('peer', 'reason', 'spent_ms'),
