Take no proof from a configuration that can't be read

Cause: an answer of the store whose configuration was skipped counted as one without a newer configuration, and renewed the lease of the one before. Ruled out: the facts in beacons, which only repeat it, and the decoder, whose fault comes first but leaves any version without a list of routes unreadable.

Change: while the newest configuration is unreadable or removed, answers tell the store's clock only, and no key is finally refused. Of two reports of other nodes that contradict each other the newer configuration counts, since a node of older code may misread; the store's own answer outweighs both. The test that asked for the renewal is replaced by ones that ask that it does not happen.

--- a/packages/bluebellslip/src/bluebellslip/_internal/accounts/revocation_lease.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/accounts/revocation_lease.py
@@ -141,7 +141,7 @@
             # The store's clock was set; what was known by it is void.
             state.reset()
         state.tighten(ClockReading(asked_at, fact.as_of), now)
-        state.add(fact, now)
+        state.add_own(fact, now)
 
     def apply_clock(
         self, era: int, reading: ClockReading, now: dt.timedelta
@@ -152,10 +152,14 @@
             state.tighten(reading, now)
 
     def apply_fact(self, fact: ConfigFact, now: dt.timedelta) -> None:
-        """Apply a fact that another node has reported."""
+        """Apply a fact that another node has reported.
+
+        A node of older code may take the configuration before for the newest if
+        it can't read the newest one.
+        """
         state = self._get_era(fact.era)
         if state is not None:
-            state.add(fact, now)
+            state.add_report(fact, now)
 
     @property
     def _latest(self) -> '_EraState | None':
@@ -174,12 +178,14 @@
     """What is known by the store's clock in one of its eras.
 
     ``facts`` is ordered by time. Of two facts, the later one is of the newer
-    configuration; otherwise it replaces the earlier one.
+    configuration; otherwise it replaces the earlier one. ``own`` is the latest
+    that the store itself has told this node.
     """
 
     def __init__(self) -> None:
         self.reading: ClockReading | None = None
         self.facts: list[ConfigFact] = []
+        self.own: ConfigFact | None = None
 
     def find_age(self, revision: int, now: dt.timedelta) -> dt.timedelta | None:
         """Return the age of the newest fact that a configuration meets."""
@@ -194,6 +200,7 @@
         """Forget everything."""
         self.reading = None
         self.facts = []
+        self.own = None
 
     def tighten(self, reading: ClockReading, now: dt.timedelta) -> None:
         """Apply a reading if it gives a lower bound than the one so far."""
@@ -203,9 +210,37 @@
             # The store's clock was set back after these.
             self.facts = [fact for fact in self.facts if fact.as_of <= bound]
 
-    def add(self, fact: ConfigFact, now: dt.timedelta) -> None:
+    def add_own(self, fact: ConfigFact, now: dt.timedelta) -> None:
+        """Add a fact from an answer of the store."""
+        if self.own is None or self.own.as_of <= fact.as_of:
+            self.own = fact
+        self._add(fact, now)
+
+    def add_report(self, fact: ConfigFact, now: dt.timedelta) -> None:
+        """Add a fact of another node.
+
+        Revisions only rise, so of two facts one of which contradicts this, the
+        one with the newer configuration is true, unless the store has told
+        this node otherwise.
+        """
+        if self.own is not None and _contradicts(fact, self.own):
+            return
+        if any(_contradicts(known, fact) for known in self.facts):
+            return
+        if self._is_premature(fact, now):
+            return
+        self.facts = [
+            known for known in self.facts if not _contradicts(fact, known)
+        ]
+        self._add(fact, now)
+
+    def _is_premature(self, fact: ConfigFact, now: dt.timedelta) -> bool:
+        reading = self.reading
+        return reading is not None and reading.estimate(now) < fact.as_of
+
+    def _add(self, fact: ConfigFact, now: dt.timedelta) -> None:
         """Add a fact, unless its time can't have come yet."""
-        if self.reading and self.reading.estimate(now) < fact.as_of:
+        if self._is_premature(fact, now):
             return
         if any(_surpasses(known, fact) for known in self.facts):
             return
@@ -218,3 +253,8 @@
 def _surpasses(fact: ConfigFact, other: ConfigFact) -> bool:
     """Return whether a fact is as late and asks for no newer configuration."""
     return fact.as_of >= other.as_of and fact.revision <= other.revision
+
+
+def _contradicts(fact: ConfigFact, later: ConfigFact) -> bool:
+    """Return whether a fact names a newer configuration than a later one."""
+    return fact.as_of <= later.as_of and fact.revision > later.revision
--- a/packages/bluebellslip/src/bluebellslip/_internal/control/lease_keeper.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/lease_keeper.py
@@ -60,6 +60,8 @@
         self._counters = counters
         self._request_broadcast = request_broadcast
         self._has_expired = False
+        # Whether the store has a configuration that this node can't read.
+        self.is_newest_unreadable = False
 
     @property
     def is_strict(self) -> bool:
@@ -124,7 +126,10 @@
         NotReadyError
             When the store has a newer one, which may know the key.
         """
-        if self.is_active and self._lease.knows_newer(revision):
+        knows_newer = self.is_newest_unreadable or self._lease.knows_newer(
+            revision
+        )
+        if self.is_active and knows_newer:
             raise NotReadyError(
                 'The store has a newer configuration than the node.',
                 context={'revision': str(revision)},
--- a/packages/bluebellslip/src/bluebellslip/_internal/control/observed_store.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/observed_store.py
@@ -45,6 +45,7 @@
         self._keeper = keeper
         self._era = 0
         self._revision = 0
+        self._is_newest_known = False
 
     async def read_desired_state(self) -> DesiredStateUpdate:
         """Return the complete desired state."""
@@ -79,9 +80,9 @@
     ) -> None:
         """Take the fact from an answer.
 
-        An answer without a configuration has none that is newer than the one
-        known so far. A configuration that can't be read leaves the one before
-        in force.
+        An answer to a watch without a configuration has none that is newer than
+        the one known so far. While the newest can't be read, no other is known
+        to be the newest.
         """
         if update.store_time is None:
             return
@@ -91,10 +92,18 @@
         if era > self._era:
             self._era = era
             self._revision = 0
+            self._is_newest_known = False
         if update.config is not None:
             revision = update.config.config.revision
             self._revision = max(self._revision, revision)
-        if self._revision:
+        if update.config is not None or update.is_snapshot:
+            self._is_newest_known = update.config is not None
+        if update.has_unreadable_config:
+            self._is_newest_known = False
+        self._keeper.is_newest_unreadable = (
+            self._revision > 0 and not self._is_newest_known
+        )
+        if self._is_newest_known:
             fact = ConfigFact(self._revision, update.store_time, era)
             self._keeper.apply_answer(fact, asked_at)
         else:
--- a/packages/bluebellslip/src/bluebellslip/_internal/control/ports.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/control/ports.py
@@ -70,7 +70,7 @@
     Parameters
     ----------
     config
-        The newest configuration; none if it did not change or is invalid.
+        The newest configuration that can be read; none if there is no change.
     rollouts
         Roll-out orders that were added or changed; all orders in a snapshot.
     withdrawn
@@ -89,6 +89,9 @@
         in force.
     store_time
         The store's steady clock when it answered; none if unknown.
+    has_unreadable_config
+        Whether the store has a configuration after ``config`` that can't be
+        read, or has removed it.
     """
 
     config: ConfigRecord | None
@@ -100,6 +103,7 @@
     spent: dt.timedelta | None = None
     evacuations: tuple[EvacuationOrder, ...] = ()
     store_time: dt.timedelta | None = None
+    has_unreadable_config: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/functional/test_platform_odd_configs.py
+++ b/tests/functional/test_platform_odd_configs.py
@@ -4,6 +4,8 @@
 that it takes away is accepted on and the route that it adds is missing.
 """
 
+import asyncio
+
 import pytest
 
 from bluebellslip._internal.models.mesh_settings import Bounds
@@ -22,6 +24,7 @@
 
 _KEY = 'key-of-depot'
 _BOUNDS = Bounds(strict_revoke=True, revoke=5)
+_SHORT = Bounds(strict_revoke=True, revoke=1.5)
 _GOOD = {'name': 'good', 'api_keys': ['a', 'b']}
 
 
@@ -131,6 +134,27 @@
     await wait_until(is_served)
 
 
+async def test_key_is_not_accepted_on_below_a_version_that_nobody_can_read():
+    """The lease was renewed from answers with that version."""
+    store = SimulatedStore()
+    store.put('op', 'config', _make_document(1, {}, _KEY))
+    nodes = [
+        PlatformNode(name, 'store', store, respond_signed(b'x'), bounds=_SHORT)
+        for name in ('node-0', 'node-1')
+    ]
+    async with run_nodes(store, nodes):
+        for node in nodes:
+            await _wait_until_served(node, 1)
+        store.put('op', 'config', {'version': 3, 'routes': 'none'})
+        await asyncio.sleep(_SHORT.revoke)
+        for node in nodes:
+            refused = await node.call('/read/1', api_key=_KEY)
+            assert refused.status == 503
+        store.put('op', 'config', _make_document(5, {}, _KEY))
+        for node in nodes:
+            await _wait_until_served(node, 5)
+
+
 async def test_route_without_a_destination_is_refused_at_once() -> None:
     """No shorter prefix may take its requests."""
     store = SimulatedStore()
--- a/tests/unit/test_lease_keeper.py
+++ b/tests/unit/test_lease_keeper.py
@@ -54,6 +54,7 @@
     *,
     era: int = 1,
     is_snapshot: bool = False,
+    readable: bool = True,
 ) -> DesiredStateUpdate:
     config = revision and ConfigRecord(make_config(revision, _DEPOT), b'')
     return DesiredStateUpdate(
@@ -63,6 +64,7 @@
         make_revision(era, 1),
         is_snapshot=is_snapshot,
         store_time=None if time is None else time * SECOND,
+        has_unreadable_config=not readable,
     )
 
 
@@ -157,12 +159,33 @@
     assert _Node().observe(_update(10, 7)) == ConfigFact(7, 10 * SECOND, 1)
 
 
-def test_unreadable_configuration_leaves_the_one_before_in_force():
+@pytest.mark.parametrize('is_snapshot', [True, False])
+@pytest.mark.parametrize('earlier', [None, 5])
+def test_unreadable_configuration_leaves_no_proof_for_the_one_before(
+    is_snapshot, earlier
+):
+    """The lease was renewed from answers with a version nobody could read."""
+    node = _Node()
+    node.observe(_update(10, 1, is_snapshot=True))
+    unreadable = _update(11, earlier, is_snapshot=is_snapshot, readable=False)
+    fact = node.observe(unreadable, _update(12), _update(13))
+    assert fact == ConfigFact(1, 10 * SECOND, 1)
+    with pytest.raises(NotReadyError):
+        node.keeper.check_final(1)
+    node.clock.advance(_REVOKE)
+    with pytest.raises(NotReadyError):
+        node.keeper.check(1)
+    assert node.observe(_update(16, 7)) == ConfigFact(7, 16 * SECOND, 1)
+
+
+def test_removed_configuration_leaves_no_proof():
     node = _Node()
     fact = node.observe(
-        _update(10, 3, is_snapshot=True), _update(11, is_snapshot=True)
+        _update(10, 3, is_snapshot=True),
+        _update(11, is_snapshot=True),
+        _update(12),
     )
-    assert fact == ConfigFact(3, 11 * SECOND, 1)
+    assert fact == ConfigFact(3, 10 * SECOND, 1)
 
 
 def test_answer_is_no_fact_while_no_configuration_is_known():
--- a/tests/unit/test_revocation_lease.py
+++ b/tests/unit/test_revocation_lease.py
@@ -96,6 +96,26 @@
     assert lease.newest_fact == _fact(1, 104)
 
 
+@pytest.mark.parametrize('facts', [(0, 1), (1, 0)])
+def test_report_of_an_older_configuration_renews_no_lease(facts):
+    """A node of older code may not be able to read the newest one."""
+    reports = (_fact(5), _fact(3, 103))
+    lease = _make_lease(_fact(3, 99))
+    for index in facts:
+        lease.apply_fact(reports[index], _START + 3 * SECOND)
+    assert not lease.holds(3, _START + 4 * SECOND)
+    assert lease.holds(5, _START + 4 * SECOND)
+
+
+def test_answer_of_the_store_corrects_a_report():
+    lease = _make_lease(_fact(9))
+    lease.apply_answer(_fact(3, 101), _START + SECOND, _START + SECOND)
+    assert lease.holds(3, _START + 2 * SECOND)
+    assert not lease.knows_newer(3)
+    lease.apply_fact(_fact(9, 100.5), _START + 2 * SECOND)
+    assert not lease.knows_newer(3)
+
+
 def test_restored_store_starts_anew_while_earlier_facts_run_out():
     """Refusing until facts of the new era come would be an outage."""
     lease = _make_lease(_fact(3))
