Check stored configurations before they are written

Cause: an operator learned only from nodes' logs, after the write, which entries of a configuration the nodes leave out.

Change: bluebell config check takes configurations in the platform's format. It uses the decoder of the nodes, which the platform's adapter registers as an entry point, and names each entry that they would leave out or read in part.

--- a/packages/bluebellslip/src/bluebellslip/_internal/commands/config_check.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/commands/config_check.py
@@ -11,6 +11,7 @@
 from bluebellslip._internal.cli.config_files import check_config
 from bluebellslip._internal.cli.exit_codes import SUCCESS
 from bluebellslip._internal.cli.formatting import format_count
+from bluebellslip._internal.cli.stored_configs import check_stored_config
 from bluebellslip._internal.models.config import ConfigDocument
 from bluebellslip._internal.models.mesh_settings import MeshSettings
 from bluebellslip._internal.models.settings import NodeSettings
@@ -30,6 +31,7 @@
     CONFIG = 'config'
     SETTINGS = 'settings'
     MESH_SETTINGS = 'mesh-settings'
+    STORED_CONFIG = 'stored-config'
 
 
 class CheckBody(msgspec.Struct, frozen=True):
@@ -60,6 +62,8 @@
             summary = _check_settings(tree, source)
         elif found is FileKind.MESH_SETTINGS:
             summary = _check_mesh_settings(tree, source)
+        elif found is FileKind.STORED_CONFIG:
+            summary = _check_stored_config(tree, source)
         else:
             summary = _check_config(tree, source)
         body = CheckBody(source, found, summary)
@@ -73,6 +77,8 @@
         return FileKind.MESH_SETTINGS
     if tree.keys() & {'node', 'listen', 'platform', 'peer_key', 'tokens'}:
         return FileKind.SETTINGS
+    if {'version', 'limits'} <= tree.keys():
+        return FileKind.STORED_CONFIG
     return FileKind.CONFIG
 
 
@@ -97,3 +103,13 @@
         f'classes: {len(document.classes)}',
     ))
     return f'configuration of mesh {document.mesh} with {counts}'
+
+
+def _check_stored_config(tree: Any, source: str) -> str:
+    config = check_stored_config(msgspec.json.encode(tree), source)
+    counts = ', '.join((
+        format_count(len(config.services), 'service'),
+        format_count(len(config.routes), 'route'),
+        format_count(len(config.accounts or ()), 'client account'),
+    ))
+    return f'stored configuration {config.revision} with {counts}'
