Let the soak learn keys that go, odd entries and headers of the mesh

Change: callers send headers of the mesh in one request of five. In one seed of three, requests need a key, which versions of the configuration add and remove, also as the last one, with odd entries beside it. It is a finding if a request runs with a key that no version had or that those of the last 5 s lack, or if a server gets a key or a header of the mesh. Roll-outs of quiet services are not in it.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -19,13 +19,14 @@
 import anyio
 
 from bench.results import OUTPUT_DIRECTORY
+from bench.soak_accounts import BOUNDS, add_accounts, check_keys
 from bench.soak_checks import HistoryChecker, Rules
 from bench.soak_costly import CostlyClient
-from bench.soak_nodes import RunContext, SoakNode
+from bench.soak_nodes import RunContext, SoakNode, count_peers
 from bench.soak_notices import check_notices
 from bench.soak_outages import Outage, check_departures
 from bench.soak_plan import GRACE, Action, Event, SoakPlan, make_config
-from bench.soak_records import Finding, History
+from bench.soak_records import Finding, History, KeyChange
 from bench.soak_traffic import (
     PipeliningClient,
     RecordingServer,
@@ -33,8 +34,6 @@
     SoakClient,
 )
 from bluebellslip._internal.kernel.clock import SystemClock
-from bluebellslip._internal.models.identity import Address
-from lib.calls import Caller
 from lib.simulated_platform import SimulatedStore
 
 CLIENTS_PER_NODE: Final = 4
@@ -47,7 +46,6 @@
 # Changes of a server's start from one life to the next, in milliseconds. They
 # differ, so that no two lives name the same start.
 _BORN_STEPS: Final = (-60_007, -2011, 1, 5003, 60_013)
-_PEERS_METRIC: Final = 'bluebell_peers_alive '
 
 
 class Soak:
@@ -73,9 +71,16 @@
         self._plan = plan
         self._random = Random(f'run-{plan.seed}')
         self._context = RunContext(
-            plan.seed, self.history, directory, self._random, kill_after
+            plan.seed,
+            self.history,
+            directory,
+            self._random,
+            kill_after,
+            BOUNDS if plan.has_accounts else None,
         )
         # Of its own, so that it changes no other choice of a seed.
+        self._account_random = Random(f'accounts-run-{plan.seed}')
+        # Of its own, so that it changes no other choice of a seed.
         self._born_random = Random(f'born-{plan.seed}')
         self._outage_random = Random(f'outage-{plan.seed}')
         self._store = SimulatedStore()
@@ -117,6 +122,7 @@
         return (
             f'seed {self._plan.seed}: {ends.total()} requests: {counts}; '
             f'{self._plan.costly_clients} costly clients a node; '
+            f'{"with" if self._plan.has_accounts else "without"} accounts; '
             f'{len(self.history.stops)} stops; '
             f'{len(self.history.notices)} notices; '
             f'{len(self.history.departures)} departures in outages; '
@@ -130,6 +136,7 @@
                 node.name,
                 node.address,
                 self.history,
+                has_account=self._plan.has_accounts,
             )
             for node in self._nodes
             for number in range(CLIENTS_PER_NODE)
@@ -140,6 +147,7 @@
                 node.name,
                 node.address,
                 self.history,
+                has_account=self._plan.has_accounts,
             )
             for node in self._nodes
         ]
@@ -149,6 +157,7 @@
                 node.name,
                 node.address,
                 self.history,
+                has_account=self._plan.has_accounts,
             )
             for node in self._nodes
         ]
@@ -235,19 +244,11 @@
     def _configure(self) -> None:
         self._version += self._random.randint(1, 5)
         config = make_config(self._random, self._version)
+        has_key = self._plan.has_accounts and add_accounts(
+            config, self._account_random
+        )
         self._store.put('op', 'config', config)
-
-
-async def count_peers(node: SoakNode) -> int:
-    """Return how many other nodes a node hears; 0 if it doesn't tell."""
-    caller = await Caller.open(Address.from_text(node.metrics))
-    response = await caller.call('/metrics')
-    caller.close()
-    return sum(
-        int(float(line.removeprefix(_PEERS_METRIC)))
-        for line in response.body.decode().splitlines()
-        if line.startswith(_PEERS_METRIC)
-    )
+        self.history.key_changes.append(KeyChange(self.history.now, has_key))
 
 
 def run_seed(seed: int, node_count: int, seconds: float, logs: Path) -> int:
@@ -258,6 +259,7 @@
     findings = HistoryChecker(soak.history, Rules()).check()
     findings += check_notices(soak.history)
     findings += check_departures(soak.history)
+    findings += check_keys(soak.history)
     for finding in findings:
         print(finding.format(seed))
     print(soak.summarize(findings), flush=True)
--- a/bench/soak_nodes.py
+++ b/bench/soak_nodes.py
@@ -20,8 +20,9 @@
 from bench.soak_plan import GRACE, NodePlan, choose_link_mbps
 from bench.soak_records import History, Stop
 from bluebellslip._internal.models.identity import Address
+from bluebellslip._internal.models.mesh_settings import Bounds
 from bluebellslip_platform.entry import SETTINGS_VARIABLE
-from lib.calls import RequestHandler
+from lib.calls import Caller, RequestHandler
 from lib.simulated_platform import PlatformNode, SimulatedStore
 
 _HEARTBEAT_S: Final = 0.5
@@ -30,6 +31,7 @@
 # Long enough to catch hangs only.
 _START_TIMEOUT_S: Final = 60
 _MEMORY_MB: Final = 200
+_PEERS_METRIC: Final = 'bluebell_peers_alive '
 _KILOBYTES_PER_MB: Final = 1024
 
 
@@ -49,6 +51,8 @@
         Chooses settings.
     kill_after
         Time from SIGTERM to SIGKILL.
+    bounds
+        Bounds of the deployment.
     """
 
     seed: int
@@ -56,6 +60,7 @@
     directory: Path
     random_source: Random
     kill_after: dt.timedelta = GRACE
+    bounds: Bounds | None = None
 
 
 class SoakNode:
@@ -94,6 +99,7 @@
             handler,
             domain=plan.domain,
             slots=plan.slots,
+            bounds=context.bounds,
         )
         self._file = context.directory / f'{plan.name}.json'
         self._log_path = context.directory / f'{plan.name}.log'
@@ -245,6 +251,18 @@
         self.start()
 
 
+async def count_peers(node: SoakNode) -> int:
+    """Return how many other nodes a node hears; 0 if it doesn't tell."""
+    caller = await Caller.open(Address.from_text(node.metrics))
+    response = await caller.call('/metrics')
+    caller.close()
+    return sum(
+        int(float(line.removeprefix(_PEERS_METRIC)))
+        for line in response.body.decode().splitlines()
+        if line.startswith(_PEERS_METRIC)
+    )
+
+
 async def _send_heartbeat(node: SoakNode) -> None:
     if not node.platform_node.heartbeats_stopped:
         await node.platform_node.send_heartbeat(born=node.server_born)
--- a/bench/soak_plan.py
+++ b/bench/soak_plan.py
@@ -30,6 +30,8 @@
 # outage of the store takes together with the restart of all processes.
 _DEPARTED_S: Final = (3.0, 8.0)
 _OUTAGE_S: Final = 8.0
+# One seed in so many has client accounts.
+_ACCOUNTS_EVERY: Final = 3
 # Costly clients of each node.
 _COSTLY_CLIENTS: Final = (0, 3, 12)
 # Timeouts of routes in seconds, longer than all deadlines.
@@ -114,7 +116,8 @@
 class SoakPlan:
     """All choices of a run that don't depend on its course.
 
-    ``costly_clients`` is their number at each node.
+    ``costly_clients`` is their number at each node, ``has_accounts`` whether
+    requests need the key of a client account.
     """
 
     seed: int
@@ -122,6 +125,7 @@
     nodes: tuple[NodePlan, ...]
     events: tuple[Event, ...]
     costly_clients: int = 0
+    has_accounts: bool = False
 
     @classmethod
     def from_seed(cls, seed: int, node_count: int, seconds: float) -> Self:
@@ -140,6 +144,7 @@
             tuple(sorted(events, key=lambda event: event.at_s)),
             # Of its own, so that it changes no other choice of a seed.
             Random(f'costly-{seed}').choice(_COSTLY_CLIENTS),
+            seed % _ACCOUNTS_EVERY == _ACCOUNTS_EVERY - 1,
         )
 
 
--- a/bench/soak_records.py
+++ b/bench/soak_records.py
@@ -35,7 +35,9 @@
 
     Times count from the start of the run. ``sent`` is when its last byte was
     sent, and ``limit`` the time that it may take. ``is_pipelined`` is set if it
-    was sent before the response to an earlier one on its connection.
+    was sent before the response to an earlier one on its connection. ``key`` is
+    that of its client account, empty if it sends none, and ``mesh_headers``
+    what it sends in the place of a node.
     """
 
     request_id: str
@@ -49,6 +51,8 @@
     end: RequestEnd | None = None
     response: ReceivedResponse | None = None
     is_pipelined: bool = False
+    key: str = ''
+    mesh_headers: dict[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def outcome(self) -> str:
@@ -97,6 +101,14 @@
     ended: dt.timedelta = dt.timedelta.max
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyChange:
+    """A configuration that was acknowledged, and whether it has the key."""
+
+    acknowledged: dt.timedelta
+    has_key: bool
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Notice:
     """What the server beside ``node`` says in all its responses for a time.
@@ -146,6 +158,7 @@
         self.kills: list[Kill] = []
         self.departures: list[Departure] = []
         self.findings: list[Finding] = []
+        self.key_changes: list[KeyChange] = []
         self._clock = clock
         self._begun = clock.elapsed()
 
--- a/bench/soak_traffic.py
+++ b/bench/soak_traffic.py
@@ -10,6 +10,11 @@
 
 import anyio
 
+from bench.soak_accounts import (
+    choose_key,
+    choose_mesh_headers,
+    describe_leak,
+)
 from bench.soak_costly import COSTLY_PREFIX
 from bench.soak_plan import PROFILES, make_prefix
 from bench.soak_records import (
@@ -91,6 +96,9 @@
         run = ServerRun(request_id, self._node, self._history.now)
         if not request_id.startswith(COSTLY_PREFIX):
             self._history.runs.append(run)
+            leak = describe_leak(request)
+            if leak:
+                self._history.report(self._node, leak)
         await anyio.sleep(Random(request_id).uniform(*PROFILES[kind].run_s))
         run.ended = self._history.now
         body = describe_body(request_id, request.body)
@@ -152,11 +160,22 @@
         The callers' address of the node.
     history
         Records the requests.
+    has_account
+        Whether its requests carry a key.
     """
 
     def __init__(
-        self, name: str, node: str, address: Address, history: History
+        self,
+        name: str,
+        node: str,
+        address: Address,
+        history: History,
+        *,
+        has_account: bool = False,
     ) -> None:
+        self._has_account = has_account
+        # Of its own, so that it changes no other choice of a seed.
+        self._header_random = Random(f'headers-{name}')
         self._name = name
         self._node = node
         self._address = address
@@ -213,6 +232,9 @@
             dt.timedelta(seconds=limit_s),
             self._history.now,
         )
+        request.mesh_headers = choose_mesh_headers(self._header_random)
+        if self._has_account:
+            request.key = choose_key(self._header_random)
         self._history.requests.append(request)
         return request
 
@@ -228,6 +250,7 @@
                     body=request.body,
                     x_request_id=request.request_id,
                     x_deadline_ms=str(round(limit_s * 1000)),
+                    **_list_headers(request),
                 )
             request.end = RequestEnd.ANSWERED
         except asyncio.IncompleteReadError:
@@ -341,13 +364,21 @@
             request.ended = self._history.now
 
 
+def _list_headers(request: Request) -> dict[str, str]:
+    key = {'api-key': request.key} if request.key else {}
+    return request.mesh_headers | key
+
+
 def _encode(request: Request) -> bytes:
     """Return the head of a request."""
     limit_ms = round(request.limit.total_seconds() * 1000)
     method = 'POST' if request.body else 'GET'
     length = f'content-length: {len(request.body)}\r\n' if request.body else ''
+    more = ''.join(
+        f'{name}: {text}\r\n' for name, text in _list_headers(request).items()
+    )
     return (
         f'{method} {make_prefix(request.kind)}{request.request_id} HTTP/1.1\r\n'
         f'host: shop.example\r\nx-request-id: {request.request_id}\r\n'
-        f'x-deadline-ms: {limit_ms}\r\n{length}\r\n'
+        f'x-deadline-ms: {limit_ms}\r\n{more}{length}\r\n'
     ).encode()
--- a/tests/functional/test_drain_soak.py
+++ b/tests/functional/test_drain_soak.py
@@ -12,6 +12,7 @@
 
 import pytest
 from bench.soak import Soak
+from bench.soak_accounts import check_keys
 from bench.soak_checks import HistoryChecker, Rules
 from bench.soak_notices import check_notices
 from bench.soak_outages import check_departures
@@ -26,6 +27,8 @@
 # A seed in which a server leaves while the store is away, and is acknowledged.
 _OUTAGE_SEED = 7
 _OUTAGE_SECONDS = 24
+# A seed with client accounts, the last of which is removed at times.
+_ACCOUNTS_SEED = 5
 _NODES = 4
 _SECONDS = 8
 # Long enough to catch hangs only.
@@ -83,7 +86,30 @@
     findings = HistoryChecker(soak.history, _RULES).check()
     findings += check_notices(soak.history)
     findings += check_departures(soak.history)
+    findings += check_keys(soak.history)
     lines = [finding.format(_OUTAGE_SEED) for finding in findings]
     assert not lines
     assert soak.history.kills
     assert soak.history.departures
+
+
+async def test_keys_and_headers_of_the_mesh_break_no_promise(
+    tmp_path: Path,
+) -> None:
+    """Versions take the last key away, and have odd entries beside it."""
+    plan = SoakPlan.from_seed(_ACCOUNTS_SEED, _NODES, _SECONDS)
+    assert plan.has_accounts
+    soak = Soak(plan, tmp_path, _KILL_AFTER)
+    await soak.run()
+    history = soak.history
+    findings = HistoryChecker(history, _RULES).check()
+    findings += check_notices(history)
+    findings += check_keys(history)
+    lines = [finding.format(_ACCOUNTS_SEED) for finding in findings]
+    assert not lines
+    assert {change.has_key for change in history.key_changes} == {True, False}
+    assert any(request.mesh_headers for request in history.requests)
+    assert any(
+        request.response and request.response.status == 200
+        for request in history.requests
+    )
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -7,11 +7,18 @@
 import datetime as dt
 
 import pytest
+from bench.soak_accounts import (
+    CALLERS_KEY,
+    UNKNOWN_KEY,
+    check_keys,
+    describe_leak,
+)
 from bench.soak_checks import HistoryChecker, Rules
 from bench.soak_notices import check_notices
 from bench.soak_plan import SoakPlan
 from bench.soak_records import (
     History,
+    KeyChange,
     Notice,
     Request,
     RequestEnd,
@@ -22,7 +29,7 @@
 from bench.soak_traffic import describe_body
 
 from bluebellslip._internal.kernel.clock import ManualClock
-from lib.calls import ReceivedResponse
+from lib.calls import ReceivedRequest, ReceivedResponse
 
 _BODY = b'a body'
 _SIGNED = {'x-request-id': 'r1', 'x-server-signature': 's'}
@@ -233,3 +240,56 @@
     assert 'leaves' in _check_notice(None, arrivals, [])[0]
     stop = Stop('front', _seconds(2), _seconds(2.5))
     assert not _check_notice(None, arrivals, [stop])
+
+
+@pytest.mark.parametrize(
+    ('changes', 'is_found'),
+    [
+        ([(0, True)], False),
+        ([(0, False)], True),
+        ([(0, True), (3, False)], True),
+        ([(0, True), (6, False)], False),
+        ([(0, True), (3, False), (7, True)], False),
+        ([(0, False), (3, True), (4, False)], True),
+        ([(0, False), (6, True), (7, False)], False),
+        ([(9, False)], False),
+    ],
+)
+def test_run_with_a_removed_key_is_found(
+    changes: list[tuple[float, bool]], is_found: bool
+) -> None:
+    """A key counts as removed once all versions of the last 5 s lack it."""
+    history = History(ManualClock())
+    history.key_changes += [
+        KeyChange(_seconds(at), has_key) for at, has_key in changes
+    ]
+    request = _make_request(RequestEnd.ANSWERED, 10, 11, RouteKind.SAFE)
+    request.key = CALLERS_KEY
+    history.requests.append(request)
+    history.runs.append(ServerRun('r1', 'back', _seconds(10)))
+    assert bool(list(check_keys(history))) is is_found
+
+
+def test_run_with_an_unknown_key_is_found() -> None:
+    history = History(ManualClock())
+    request = _make_request(RequestEnd.ANSWERED, 1, 2, RouteKind.SAFE)
+    request.key = UNKNOWN_KEY
+    history.requests.append(request)
+    history.runs.append(ServerRun('r1', 'back', _seconds(1)))
+    assert list(check_keys(history))
+
+
+@pytest.mark.parametrize(
+    ('headers', 'is_found'),
+    [
+        ({'x-tenant': 'callers'}, False),
+        ({'x-tenant': 'other'}, True),
+        ({'api-key': 'key'}, True),
+        ({'bluebell-ask': 'config'}, True),
+    ],
+)
+def test_leaked_header_is_found(
+    headers: dict[str, str], is_found: bool
+) -> None:
+    request = ReceivedRequest('GET / HTTP/1.1', headers, b'')
+    assert bool(describe_leak(request)) is is_found
