Refuse at a stopping node what no server can end in time

Cause: a refusal for lack of time counted for one server. The next one, which had never run the route, knew no time for it and took the request.

Change: before each attempt a stopping node checks by the shortest time known for the route at any server of the service, or beside itself, whether the request can still end.

--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/attempts.py
@@ -213,6 +213,7 @@
         ]
 
     def _choose(self) -> ServerChoice:
+        _check_time(self._context, self._routed)
         chosen = self._context.server_selector.choose(
             self._list_untried(), self._requirements
         )
@@ -313,6 +314,31 @@
         trace.end(result.outcome, self._context.clock.elapsed())
 
 
+def _check_time(context: RoutingContext, routed: RoutedRequest) -> None:
+    """Check that a request can end before this node stops.
+
+    A server that has not run its route yet is no faster than those that have;
+    the local one may have left already.
+
+    Raises
+    ------
+    OverloadedError
+        When it can't at any server.
+    """
+    if not routed.is_cut_short:
+        return
+    known = context.peer_table.endpoints(routed.service)
+    hold_time = find_shortest_hold_time(
+        known, routed.route
+    ) or context.forwarder.find_local_hold_time(routed.route)
+    now = context.clock.elapsed()
+    latest_start = find_latest_start(
+        routed.cutoff, hold_time, now, is_cut_short=True
+    )
+    if hold_time and now > latest_start:
+        raise OverloadedError('The request can not end before this node stops.')
+
+
 def _estimate_longest_wait(
     routed: RoutedRequest, endpoints: Iterable[Endpoint], now: dt.timedelta
 ) -> dt.timedelta:
--- a/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/proxy/forwarding.py
@@ -29,7 +29,7 @@
     PeerTable,
 )
 from bluebellslip._internal.kernel.clock import Clock
-from bluebellslip._internal.models.identity import Address
+from bluebellslip._internal.models.identity import Address, RouteName
 from bluebellslip._internal.proxy.ingress import (
     CALL_FAILED_HEADER,
     REACHED_HEADER,
@@ -151,6 +151,10 @@
         """Whether no more requests are sent to servers."""
         return self._open_attempts.withdrawn
 
+    def find_local_hold_time(self, route: RouteName) -> dt.timedelta | None:
+        """Return how long the local server takes for a route, if known."""
+        return self._gateway.measurements.hold_times.get(route)
+
     async def forward(
         self,
         endpoint: Endpoint,
--- a/tests/functional/test_platform_late_starts.py
+++ b/tests/functional/test_platform_late_starts.py
@@ -81,7 +81,9 @@
 class Mesh:
     """A calling node, and a node beside another server."""
 
-    def __init__(self, where: str, slots: int = 4) -> None:
+    def __init__(
+        self, where: str, slots: int = 4, *, has_spare: bool = False
+    ) -> None:
         self.path = f'{_PATHS[where]}1'
         self.store = SimulatedStore()
         self.store.put('op', 'config', _CONFIG)
@@ -98,12 +100,25 @@
             'back', 'art', self.store, self.servers['peer'].handle, slots=slots
         )
         self.target = self.front if where == 'local' else self.back
+        self.spare_server = WorkingServer()
+        self.spares = []
+        if has_spare:
+            spare = PlatformNode(
+                'spare',
+                self.target.service,
+                self.store,
+                self.spare_server.handle,
+                domain='b',
+            )
+            self.spares.append(spare)
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncGenerator['Mesh', None]:
         """Run the nodes; how long requests run is known then."""
-        async with run_nodes(self.store, [self.front, self.back]):
+        nodes = [self.front, self.back, *self.spares]
+        async with run_nodes(self.store, nodes):
             assert (await self.upload('warm-up')).status == 200
+            assert not self.spare_server.request_ids
             yield self
 
     async def upload(self, request_id: str) -> ReceivedResponse:
@@ -180,6 +195,23 @@
         await stopping
 
 
+@pytest.mark.parametrize('where', ['peer', 'local'])
+@pytest.mark.parametrize('form', ['short', 'long', 'chunked'])
+async def test_late_body_is_not_passed_on_to_a_server_without_the_route(
+    form: str, where: str
+) -> None:
+    """One server refused it for lack of time, the next took it."""
+    async with Mesh(where, has_spare=True).running() as mesh:
+        upload = SlowUpload(mesh, form)
+        stopping = asyncio.create_task(mesh.stop_front())
+        await asyncio.sleep(_HEAD_AT_S)
+        caller = await upload.begin()
+        await asyncio.sleep(_REST_AT_S)
+        check_refused(await upload.finish(caller), mesh)
+        assert not mesh.spare_server.request_ids
+        await stopping
+
+
 @pytest.mark.parametrize('where', ['peer', 'local'])
 async def test_slot_that_is_free_too_late_is_not_taken(where: str) -> None:
     async with Mesh(where, slots=1).running() as mesh:
