Suspect a version by all its calls, and only while they are few

Cause: read in the diff: a version was suspect if on any one route its few calls were more likely a bad version's. Of many routes one has a failure by chance, so a good version of a busy service might have been held and rolled back.

Change: the suspicion goes by failures on all routes together, up to 80 calls.

Result: test_single_failures_on_many_routes_are_no_suspicion fails before.

--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/canary_analysis.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/canary_analysis.py
@@ -14,7 +14,7 @@
 import dataclasses
 import itertools
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Final
 
 from bluebellslip._internal.rollouts.outcome_counts import (
@@ -59,6 +59,8 @@
 # Share of the otherwise good calls that a version fails which is presumed bad,
 # where there are too few calls to tell for certain.
 PRESUMED_BAD_SHARE: Final = 1 / 4
+# With more calls, a bad version gives evidence.
+MAX_SUSPECT_CALLS: Final = 80
 ALL_ROUTES: Final = 'all routes'
 FAILS: Final = 'fails'
 IS_SLOW: Final = 'is slow'
@@ -104,7 +106,12 @@
 
     @property
     def is_suspect(self) -> bool:
-        """Whether a bad version is more likely to have so many bad calls."""
+        """Whether a bad version is more likely to have so many bad calls.
+
+        For few calls only.
+        """
+        if not self.bad or self.calls > MAX_SUSPECT_CALLS:
+            return False
         share = self.tolerated + PRESUMED_BAD_SHARE * (1 - self.tolerated)
         good_calls = self.calls - self.bad
         log_ratio = self.bad * math.log(share / self.tolerated)
@@ -116,7 +123,7 @@
     """Return the evidence that the target version is bad, or none."""
     merged = _merge_sparse(windows)
     for subset in (merged, merged[-RECENT_WINDOWS:]):
-        finding = _find_strongest(subset, _is_significant)
+        finding = _find_strongest(subset)
         if finding is not None and not _is_single_server_at_fault(
             subset, finding
         ):
@@ -128,13 +135,15 @@
     """Return why the target version is more likely bad than good, or none.
 
     Weaker than evidence: for a decision that has to be made, by few calls. All
-    are compared at once, as single windows have too few.
+    windows and routes are compared at once, as single ones have too few.
     """
     if not windows:
         return None
     merged = [_merge(windows)]
-    finding = _find_strongest(merged, _is_suspect)
-    if finding is None or _is_single_server_at_fault(merged, finding):
+    finding = _check_failures(merged, None)
+    if finding is None or not finding.is_suspect:
+        return None
+    if _is_single_server_at_fault(merged, finding):
         return None
     return finding
 
@@ -195,14 +204,6 @@
     return rest.failures <= rest.calls * healthy_share
 
 
-def _is_significant(finding: Finding) -> bool:
-    return finding.is_significant
-
-
-def _is_suspect(finding: Finding) -> bool:
-    return finding.is_suspect
-
-
 def _merge_sparse(windows: Sequence[CountWindow]) -> Sequence[CountWindow]:
     """Merge windows in which the other versions handled too few calls.
 
@@ -252,10 +253,8 @@
     )
 
 
-def _find_strongest(
-    windows: Sequence[CountWindow], counts_as_bad: Callable[[Finding], bool]
-) -> Finding | None:
-    """Return the finding that counts with the largest share of bad calls."""
+def _find_strongest(windows: Sequence[CountWindow]) -> Finding | None:
+    """Return the significant finding with the largest share of bad calls."""
     baseline = sum_by_route(window.baseline for window in windows)
     targets = (window.target_servers.values() for window in windows)
     routes = sum_by_route(itertools.chain.from_iterable(targets))
@@ -274,7 +273,7 @@
             _check_latency(windows, route, baseline_counts),
         ))
     return max(
-        (finding for finding in findings if finding and counts_as_bad(finding)),
+        (finding for finding in findings if finding and finding.is_significant),
         key=lambda finding: finding.bad / finding.calls,
         default=None,
     )
--- a/tests/unit/test_rollouts_with_little_traffic.py
+++ b/tests/unit/test_rollouts_with_little_traffic.py
@@ -12,13 +12,22 @@
 from bluebellslip._internal.kernel.clock import ManualClock
 from bluebellslip._internal.models.identity import NodeId
 from bluebellslip._internal.models.rollouts import RolloutOrder, RolloutState
-from bluebellslip._internal.rollouts.canary_analysis import FAILS, Finding
+from bluebellslip._internal.rollouts.canary_analysis import (
+    FAILS,
+    Finding,
+    find_suspicion,
+)
+from bluebellslip._internal.rollouts.outcome_counts import (
+    CountSource,
+    CountWindow,
+)
 from bluebellslip._internal.rollouts.plan import (
     RolloutAction,
     RolloutSnapshot,
     compute_share,
     decide,
 )
+from bluebellslip._internal.rollouts.route_counts import RouteCounts
 from bluebellslip._internal.rollouts.tracker import RolloutTracker
 from bluebellslip._internal.rollouts.version_selector import VersionSelector
 from lib.fleet import ORDERS, SECOND
@@ -171,6 +180,8 @@
         (40, 3, False),
         (40, 4, False),
         (40, 5, True),
+        (80, 80, True),
+        (81, 81, False),
     ],
 )
 def test_suspicion_goes_by_the_more_likely_case(
@@ -179,6 +190,22 @@
     assert Finding('r', FAILS, calls, bad, 0.02).is_suspect is is_suspect
 
 
+def test_single_failures_on_many_routes_are_no_suspicion() -> None:
+    """One of a few calls fails by chance on some of many routes."""
+    source = CountSource('node', 1, is_target=True)
+    window = CountWindow(
+        baseline={f'r-{index}': RouteCounts(100) for index in range(10)},
+        target_servers={
+            source: {
+                f'r-{index}': RouteCounts(5, int(index == 0))
+                for index in range(10)
+            }
+        },
+        outgoing=RouteCounts(),
+    )
+    assert find_suspicion([window]) is None
+
+
 def test_nodes_with_few_requests_send_their_share_to_the_target() -> None:
     """With one credit for all nodes, none of these sent any."""
     chosen = 0
