Give a trial before the ramp to quiet services only

The ramp alone uses about the canary share, and at 40 to 120 requests a second the trial took what is allowed beside it. Its good calls also hid a version that is bad under load.

Change: before the ramp a service gets the trial only if the canary share of its roll-out's calls is less than what is allowed beside it. Late, when there is no ramp any more, every service gets it.

--- a/packages/bluebellslip/src/bluebellslip/_internal/rollouts/plan.py
+++ b/packages/bluebellslip/src/bluebellslip/_internal/rollouts/plan.py
@@ -133,6 +133,16 @@
             or self.elapsed_fraction >= waited_since + HAND_OVER_LIMIT
         )
 
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the service has little traffic.
+
+        The canary share of a roll-out's calls is then less than what is allowed
+        beside it. Otherwise the ramp needs both.
+        """
+        calls = self.calls_per_second * self.duration.total_seconds()
+        return calls * self.canary_share < self.canary_slack
+
     @property
     def is_decision_due(self) -> bool:
         """Whether the roll-out has to be decided by what is known."""
@@ -178,9 +188,10 @@
     initial_share = snapshot.canary_share * INITIAL_CANARY_FRACTION
     trial_calls = min(TRIAL_CALLS, snapshot.canary_slack * TRIAL_SLACK_FRACTION)
     missing = trial_calls - snapshot.target_calls
-    if missing <= 0 or not snapshot.calls_per_second:
-        return initial_share
     elapsed = snapshot.elapsed_fraction
+    has_room = snapshot.is_quiet or elapsed >= RAMP_END
+    if missing <= 0 or not snapshot.calls_per_second or not has_room:
+        return initial_share
     end = RAMP_START if elapsed < RAMP_START else LATE_HAND_OVER_AT
     time_left = max((end - elapsed) * snapshot.duration, _MIN_TRIAL_TIME)
     calls_left = snapshot.calls_per_second * time_left.total_seconds()
